Keep the fleet over a change of leader; make room for gangs whole; keep warm room

Ruled out: worker leases (0 killed by their lease), state refusals (0). Patience with inherited machines starts at the election; room made for a gang is found in one zone and kept for it.

--- a/src/tideusher/config.py
+++ b/src/tideusher/config.py
@@ -162,8 +162,8 @@
     fleet__warm_window_s: float = 180.0
     fleet__boot_patience: float = 3.0
     fleet__capacity_backoff_s: float = 8.0
-    fleet__silence_reports: float = 4.0
-    fleet__silence_floor_s: float = 5.0
+    fleet__silence_reports: float = 2.5
+    fleet__silence_floor_s: float = 2.5
     leader__lease_s: float = 3.0
 
     @property
--- a/src/tideusher/core/cluster.py
+++ b/src/tideusher/core/cluster.py
@@ -20,7 +20,7 @@
 from tideusher.core.ledger import Ledger
 from tideusher.core.order import order_jobs, urgency_us
 from tideusher.core.placement import Room
-from tideusher.core.preempt import Standing, choose_victims, may_stop, protected_until_us, room_of_halted
+from tideusher.core.preempt import Standing, choose_room, may_stop, protected_until_us, room_of_halted
 from tideusher.core.records import (
     ASSIGNED,
     BOOTING,
@@ -39,13 +39,14 @@
     chunk_value,
     read_chunk,
 )
-from tideusher.wire import workers
+from tideusher.wire import cloud, workers
 from tideusher.wire.cloud import FAILED, Listed, MachineType
 from tideusher.wire.jobs import JobSpec
 from tideusher.wire.state import Guard
 from tideusher.wire.workers import Command, Report, TaskReport
 
 MAX_STOPS_KEPT = 6
+RESERVE_S = 12.0
 
 
 @dataclass(slots=True, eq=False)
@@ -102,7 +103,7 @@
         self.gone: set[str] = set()
         self.ledger = Ledger(settings.teams, policy, now_us)
         self.fleet = Fleet(policy, settings.objectives)
-        self.fleet.began_us = now_us
+        self.began_us = self.fleet.began_us = now_us
         self.keeper = Keeper(keys.LEADER, token, settings.state.txn_ops)
         self._entries: dict[str, Entry] = {}
         self._usage: dict[str, list[float]] = {name: [0.0, 0.0] for name in self.teams}
@@ -111,6 +112,7 @@
         self.to_return: list[Machine] = []
         self._rental_count = 0
         self._types_value: Any = None
+        self._spare_gpus = 0.0
         self._objectives = {
             o.job_class: o.within_s for o in settings.objectives if o.kind == "wait" and o.job_class and o.within_s
         }
@@ -170,6 +172,7 @@
             self.to_rent.append(rental)  # same name: the cloud answers what it answered before
         for host in rental.machines:
             machine = self._add_machine(host, rental, now_us)
+            machine.inherited = True
             if host in rental.returning:
                 machine.phase = RETURNING
                 machine.draining = "its return was asked"
@@ -666,16 +669,25 @@
                 self.give_back(machine, "it stopped on its own")
 
     def suspects(self, now_us: int) -> list[Machine]:
-        """Machines that have been silent for long and should be probed, while their zone is not."""
+        """Machines that have been silent for long and should be probed.
+
+        After a change of leader a machine that the cloud lists as running counts from our election:
+        its silence before that says nothing.
+        """
         silence_us = max(
             to_us(self.policy.fleet__silence_reports * self.config.settings.workers.report_s),
             to_us(self.policy.fleet__silence_floor_s),
         )
-        return [
-            machine
-            for machine in self.machines.values()
-            if machine.phase == UP and machine.reported_us and now_us - machine.reported_us > silence_us
-        ]
+        settle_us = to_us(self.config.settings.workers.lease_s)
+        out = []
+        for machine in self.machines.values():
+            if machine.phase == UP:
+                if now_us - machine.reported_us > silence_us:
+                    out.append(machine)
+            elif machine.phase == BOOTING and machine.inherited and machine.listed == cloud.UP:
+                if now_us - self.began_us > settle_us:
+                    out.append(machine)
+        return out
 
     def zone_heard(self, zone: str, now_us: int, but: Machine) -> bool:
         """Has any other machine of the zone reported just now? Else the zone is cut, not the machine."""
@@ -686,13 +698,19 @@
         )
 
     def overdue(self, now_us: int) -> list[Machine]:
-        """Machines that never came up in all patience."""
+        """Machines that never came up in all patience.
+
+        An inherited machine may have been up for long with nobody to tell us: its patience begins at
+        our election, and not at all while the cloud lists it as running (a new leader once returned
+        a whole fleet that had yet to report to it).
+        """
         out = []
         for machine in self.machines.values():
             kind = self.fleet.types.get(machine.type)
-            if kind is None or machine.phase != BOOTING:
+            if kind is None or machine.phase != BOOTING or (machine.inherited and machine.listed == cloud.UP):
                 continue
-            if now_us - machine.rented_us > to_us(kind.boot_s * self.policy.fleet__boot_patience + 10):
+            since_us = self.began_us if machine.inherited else machine.rented_us
+            if now_us - since_us > to_us(kind.boot_s * self.policy.fleet__boot_patience + 10):
                 out.append(machine)
         return out
 
@@ -708,6 +726,11 @@
         self.dirty = False
         if not self.fleet.types:
             return
+        for machine in self.machines.values():
+            if machine.reserved:
+                job = self.jobs.get(machine.reserved)
+                if job is None or job.pending <= 0 or now_us > machine.reserved_until_us:
+                    machine.reserved = ""
         within = self._within_guarantee()
         waiting = [job for job in self.jobs.values() if job.status == OPEN and job.pending > 0]
         queue = order_jobs(
@@ -724,6 +747,7 @@
             if m.phase == UP and not m.draining and now_us - m.reported_us < fresh_us and m.free_cpus > 0
         ]
         room = Room(usable, self.policy.placement__parts)
+        self._spare_gpus = sum(m.free_gpus for m in usable if not m.spot) - self.fleet.reserve_gpus(now_us)
         unplaced: list[tuple[Job, int]] = []
         for job in queue:
             left = self._place_job(job, room, now_us)
@@ -776,7 +800,24 @@
             return 0
         limit = -(-job.spec.tasks // 2) if job.spec.spread else None
         avoid = job.error_machines if len(job.error_machines) < 4 else set()
-        machines = room.place(job, count, job.is_gang, lambda m: m.name not in avoid, limit)
+        spec = job.spec
+
+        def usable(machine: Machine) -> bool:
+            return machine.name not in avoid and machine.reserved in ("", spec.id)
+
+        def keeps_warm_room(machine: Machine) -> bool:
+            return usable(machine) and machine.spot
+
+        # Classes without a claim to the warm room may not eat it up.
+        enough = self.fleet.is_warm(spec.job_class) or spec.gpus * count <= self._spare_gpus
+        machines = room.place(job, count, job.is_gang, usable if enough else keeps_warm_room, limit)
+        if not enough and not job.is_gang and len(machines) < count and self._spare_gpus >= spec.gpus > 0:
+            part = min(count - len(machines), int(self._spare_gpus / spec.gpus))
+            if machines:
+                self._assign(job, machines, now_us)
+                count -= len(machines)
+            machines = room.place(job, part, False, lambda m: usable(m) and not m.spot, limit)
+        self._spare_gpus -= spec.gpus * sum(not m.spot for m in machines)
         if machines:
             self._assign(job, machines, now_us)
         left = count - len(machines)
@@ -854,7 +895,13 @@
                 spent = now_us - task.running_us
                 return min(spent, to_us(task.job.spec.save_s)) if task.job.spec.checkpoint_s else spent
 
-            victims = choose_victims(job, count, usable, coming_free, allowed, lost_us)
+            free_for = [m for m in usable if m.reserved in ("", job.spec.id)]
+            machines, victims = choose_room(job, count, free_for, coming_free, allowed, lost_us)
+            for machine in machines:
+                # Kept for this job until its room is whole, or what it stops would only make way for
+                # the next request in the queue.
+                machine.reserved = job.spec.id
+                machine.reserved_until_us = now_us + to_us(RESERVE_S)
             for task in victims:
                 minimum = self.min_run_us(task.job)
                 kind = "protected" if minimum else "unprotected"
--- a/src/tideusher/core/fleet.py
+++ b/src/tideusher/core/fleet.py
@@ -61,6 +61,7 @@
         self._arrivals: dict[str, deque[tuple[int, int]]] = {}
         self._class_spec: dict[str, JobSpec] = {}
         self.began_us: int | None = None
+        self._warm_classes: set[str] = set()
 
     # What is remembered
 
@@ -112,6 +113,16 @@
                 wanted.append((spec, count))
         return wanted
 
+    def is_warm(self, job_class: str) -> bool:
+        """Does the warm room exist for this class?"""
+        return job_class in self._warm_classes
+
+    def reserve_gpus(self, now_us: int) -> float:
+        """GPUs on ordinary machines that only the warm classes may take."""
+        wanted = self.warm_tasks(now_us)
+        self._warm_classes = {spec.job_class for spec, _ in wanted}
+        return sum(spec.gpus * count for spec, count in wanted if not spec.spot)
+
     # Plan
 
     def plan(
@@ -147,10 +158,11 @@
                 zone_use[task.machine.zone] = zone_use.get(task.machine.zone, 0) + 1
             limit = -(-job.spec.tasks // 2) if job.spec.spread else None
             self._fit(job.spec, count, bins, zones, zone_use, limit, population, now_us, "work waits")
+        free_bins = [
+            Bin(m.type, m.zone, m.spot, m.free_cpus, m.free_gpus, m.free_ram) for m in warm_room if not m.reserved
+        ]
         for spec, count in self.warm_tasks(now_us):
-            free = sum(slots_in(m.free_cpus, m.free_gpus, m.free_ram, spec) for m in warm_room if m.allows(spec))
-            if count > free:
-                self._fit(spec, count - free, bins, set(), {}, None, population, now_us, "warm room")
+            self._fit(spec, count, free_bins + bins, set(), {}, None, population, now_us, "warm room", bins)
         counted: dict[tuple[str, str, bool, str], int] = {}
         for bin in bins:
             if bin.new:
@@ -169,6 +181,7 @@
         population: dict[str, int],
         now_us: int,
         reason: str,
+        rented: list[Bin] | None = None,
     ) -> None:
         left = count
         one_zone = next(iter(zones), None) if spec.one_zone else None
@@ -189,7 +202,7 @@
             if bin_or_none is None:
                 return
             bin_or_none.reason = reason
-            bins.append(bin_or_none)
+            (bins if rented is None else rented).append(bin_or_none)
             population[bin_or_none.zone] = population.get(bin_or_none.zone, 0) + 1
             if spec.one_zone:
                 one_zone = bin_or_none.zone
--- a/src/tideusher/core/preempt.py
+++ b/src/tideusher/core/preempt.py
@@ -79,34 +79,79 @@
     return rooms
 
 
-def choose_victims(
+def choose_room(
     request: Job,
     count: int,
     machines: Sequence[Machine],
     coming: dict[str, list[float]],
     allowed: Callable[[Task], bool],
     lost_us: Callable[[Task], int],
-) -> list[Task]:
-    """The fewest tasks to stop so that `count` tasks of the request fit; empty if no set does.
+) -> tuple[list[Machine], list[Task]]:
+    """Where `count` tasks of the request will fit, and the fewest tasks to stop for that.
 
-    Room that earlier stops will free (`coming`) is used first, and taken out of `coming`, so that one
-    stop is not counted for two requests.
+    A gang gets all of its room or none is made, and with one_zone all of it in one zone: the zone
+    that costs the fewest stops. Room that earlier stops will free (`coming`) is used first, and taken
+    out of `coming`, so that one stop is not counted for two requests.
     """
+    if not request.spec.one_zone:
+        return _choose_in(request, count, machines, coming, allowed, lost_us)
+    options = []
+    for zone in sorted({machine.zone for machine in machines}):
+        if any(task.machine.zone != zone for task in request.live.values()):
+            continue
+        trial = {name: list(room) for name, room in coming.items()}
+        pool = [machine for machine in machines if machine.zone == zone]
+        chosen, victims = _choose_in(request, count, pool, trial, allowed, lost_us)
+        if chosen:
+            options.append((len(victims), sum(map(lost_us, victims)), zone, chosen, victims, trial))
+    if not options:
+        return [], []
+    best = min(options, key=lambda option: option[:3])
+    coming.clear()
+    coming.update(best[5])
+    return best[3], best[4]
+
+
+def _choose_in(
+    request: Job,
+    count: int,
+    machines: Sequence[Machine],
+    coming: dict[str, list[float]],
+    allowed: Callable[[Task], bool],
+    lost_us: Callable[[Task], int],
+) -> tuple[list[Machine], list[Task]]:
     spec = request.spec
-    chosen: dict[Task, None] = {}
+    used: dict[str, Machine] = {}
+    victims: dict[Task, None] = {}
+    limit = -(-spec.tasks // 2) if spec.spread else spec.tasks
+    zones: dict[str, int] = {}
+    for task in request.live.values():
+        zones[task.machine.zone] = zones.get(task.machine.zone, 0) + 1
     granted = 0
+
+    def grant(machine: Machine) -> None:
+        nonlocal granted
+        used[machine.name] = machine
+        zones[machine.zone] = zones.get(machine.zone, 0) + 1
+        granted += 1
+
     for machine in machines:
+        if not machine.allows(spec):
+            continue
         room = coming.get(machine.name)
-        while granted < count and room and machine.allows(spec) and slots_in(*room, spec):
+        if room is None and request.is_gang:
+            room = [machine.free_cpus, machine.free_gpus, machine.free_ram]
+        while granted < count and room and slots_in(*room, spec) and zones.get(machine.zone, 0) < limit:
             room[0] -= spec.cpus
             room[1] -= spec.gpus
             room[2] -= spec.ram_gb
-            granted += 1
-    taken: set[str] = set()
+            grant(machine)
     while granted < count:
         best: tuple[int, int, str, list[Task], Machine] | None = None
         for machine in machines:
-            if machine.name in taken or machine.name in coming or not machine.allows(spec):
+            if machine.name in used or machine.name in coming or not machine.allows(spec):
+                continue
+            if zones.get(machine.zone, 0) >= limit:
                 continue
             option = _on_machine(request, machine, allowed, lost_us)
             if option is None:
@@ -115,11 +160,12 @@
             if best is None or rank < best[:3]:
                 best = (*rank, option, machine)
         if best is None:
-            return [] if request.is_gang else list(chosen)
-        chosen.update(dict.fromkeys(best[3]))
-        taken.add(best[4].name)
-        granted += 1
-    return list(chosen)
+            if request.is_gang:
+                return [], []
+            break
+        victims.update(dict.fromkeys(best[3]))
+        grant(best[4])
+    return list(used.values()), list(victims)
 
 
 def _on_machine(
--- a/src/tideusher/core/records.py
+++ b/src/tideusher/core/records.py
@@ -198,7 +198,9 @@
     error_jobs: set[str] = field(default_factory=set)
     probes_failed: int = 0
     listed: str = ""
-    forgettable: dict[tuple[str, int], bool] = field(default_factory=dict)
+    inherited: bool = False  # known from an earlier leader's record
+    reserved: str = ""  # the job that stops were made for; nobody else may use the room
+    reserved_until_us: int = 0
     free_cpus: float = 0.0
     free_gpus: float = 0.0
     free_ram: float = 0.0
