Tell finished gangs done; avoid shared fetches; judge warm room as a whole

Cause of long starts: two images fetched at once share the rate. Cause of rent/return flapping: two different counts of the warm room. Ruled out: lost reports, late writes.

--- a/src/tideusher/core/cluster.py
+++ b/src/tideusher/core/cluster.py
@@ -307,7 +307,7 @@
         usage[0] += task.job.spec.cpus
         usage[1] += task.job.spec.gpus
 
-    def _free(self, task: Task, now_us: int, persist: bool = True) -> None:
+    def _free(self, task: Task, now_us: int) -> None:
         """The task is proven not to be on its machine: give place, quota and zone back (safety 3)."""
         job, machine = task.job, task.machine
         if job.live.get(task.index) is not task:
@@ -319,14 +319,14 @@
         usage[1] -= job.spec.gpus
         if not machine.tasks:
             machine.idle_since_us = now_us
-        if persist:
-            self._touch_chunk(job, task.index, urgent=False)
+        # With the last task of a finished job gone, the write of that is what `done` waits for: the
+        # members of a gang report their exits one by one, after the gang's completion was written.
+        over = job.status == OPEN and job.done_count == job.spec.tasks
+        self._touch_chunk(job, task.index, (lambda: self._finish_if_done(job)) if over else None, urgent=over)
         self.dirty = True
         if job.status != OPEN:
             self._retire(job)
-        elif job.done_count == job.spec.tasks:
-            self._finish_if_done(job)
-        elif job.is_gang:
+        elif job.is_gang and not over:
             for other in list(job.live.values()):
                 if other.halt_grace_s is None:
                     self._halt(other, 0.0, "another task of its gang is gone")
@@ -414,7 +414,7 @@
         if item.state != task.state:
             self.log.debug("%s attempt %d on %s: %s", task.name, task.attempt, task.machine.name, item.state)
             task.state = item.state
-        if item.state in (workers.ACTIVE, workers.WAITING):
+        if item.state in (workers.ACTIVE, workers.WAITING) and task.job.spec.image not in task.machine.images:
             task.machine.images[task.job.spec.image] = task.job.spec.image_gb
         if item.state == workers.ACTIVE and task.running_us is None:
             task.running_us = now_us
--- a/src/tideusher/core/fleet.py
+++ b/src/tideusher/core/fleet.py
@@ -253,29 +253,34 @@
         """Idle machines to return, with the reason; warm room is kept."""
         warm = self.warm_tasks(now_us)
         idle_us = to_us(self._policy.fleet__idle_s)
-        free = {
-            spec.job_class: sum(
-                slots_in(m.free_cpus, m.free_gpus, m.free_ram, spec)
-                for m in machines
-                if m.phase == UP and not m.draining and m.allows(spec)
-            )
-            for spec, _ in warm
-        }
+        kept = {m.name: m for m in machines if m.phase == UP and not m.draining and not m.reserved}
+        unmet = _unmet(warm, kept.values())
         out = []
-        for machine in sorted(machines, key=lambda m: (m.spot, m.name)):
-            if machine.phase != UP or machine.tasks or machine.draining:
+        for machine in sorted(kept.values(), key=lambda m: (m.spot, len(m.images), m.name)):
+            idle_for_us = now_us - machine.idle_since_us
+            if machine.tasks or idle_for_us < idle_us:
                 continue
-            if now_us - machine.idle_since_us < idle_us:
+            rest = [m for m in kept.values() if m is not machine]
+            if _unmet(warm, rest) > unmet:
                 continue
-            holds = {
-                spec.job_class: slots_in(machine.free_cpus, machine.free_gpus, machine.free_ram, spec)
-                for spec, _ in warm
-                if machine.allows(spec)
-            }
-            if any(free[s.job_class] - holds.get(s.job_class, 0) < n for s, n in warm if machine.allows(s)):
-                continue
-            for name, count in holds.items():
-                free[name] -= count
-            out.append((machine, f"idle for {to_s(now_us - machine.idle_since_us):.0f} s and not needed as warm room"))
+            del kept[machine.name]
+            out.append((machine, f"idle for {to_s(idle_for_us):.0f} s and not needed as warm room"))
         return out
 
+
+def _unmet(warm: Sequence[tuple[JobSpec, int]], machines: Iterable[Machine]) -> int:
+    """How many tasks of the warm room find no place in the free room of these machines."""
+    rooms = [(m, [m.free_cpus, m.free_gpus, m.free_ram]) for m in sorted(machines, key=lambda m: not m.spot)]
+    missing = 0
+    for spec, count in warm:
+        left = count
+        for machine, room in rooms:
+            if not machine.allows(spec):
+                continue
+            while left and slots_in(*room, spec):
+                room[0] -= spec.cpus
+                room[1] -= spec.gpus
+                room[2] -= spec.ram_gb
+                left -= 1
+        missing += left
+    return missing
--- a/src/tideusher/core/placement.py
+++ b/src/tideusher/core/placement.py
@@ -85,6 +85,18 @@
     return max(0, min(counts, default=spec.tasks))
 
 
+def _fetch_rank(machine: Machine, image: str) -> int:
+    """0: the image is there; 1: it is on its way; 2: nothing is; 3: another is, and they would share."""
+    if image in machine.images:
+        return 0
+    fetching = {
+        task.job.spec.image for task in machine.tasks.values() if task.job.spec.image not in machine.images
+    }
+    if image in fetching:
+        return 1
+    return 3 if fetching else 2
+
+
 def _fill(
     job: Job, count: int, pool: list[Machine], zones_taken: dict[str, int], spread_limit: int | None
 ) -> list[Machine]:
@@ -93,7 +105,7 @@
         (machine for machine in pool if room[machine.name]),
         key=lambda m: (
             m.name in job.error_machines,
-            job.spec.image not in m.images,
+            _fetch_rank(m, job.spec.image),
             not m.spot,
             m.free_gpus,
             m.free_cpus,
