--- a/src/tideusher/actors/leader.py
+++ b/src/tideusher/actors/leader.py
@@ -308,6 +308,7 @@
         """A batch is through: its effects may be told."""
         if cluster is self._cluster:
             cluster.keeper.saved(revision)
+            cluster.saved_us = self._clock.now_us()
             self._act(cluster)
 
     def on_not_saved(self, cluster: Cluster, synced: bool, lost: bool) -> object:
--- a/src/tideusher/core/cluster.py
+++ b/src/tideusher/core/cluster.py
@@ -47,6 +47,7 @@
 
 MAX_STOPS_KEPT = 6
 RESERVE_S = 12.0
+MOVED = "hardly used; its tasks moved to others"
 
 
 @dataclass(slots=True, eq=False)
@@ -113,6 +114,8 @@
         self._rental_count = 0
         self._types_value: Any = None
         self._spare_gpus = 0.0
+        self._next_move_us = now_us + to_us(2 * config.settings.workers.lease_s)
+        self.saved_us = 0  # when the state service last took a write of ours
         self._objectives = {
             o.job_class: o.within_s
             for o in settings.objectives
@@ -326,6 +329,17 @@
         over = job.status == OPEN and job.done_count == job.spec.tasks
         self._touch_chunk(job, task.index, (lambda: self._finish_if_done(job)) if over else None, urgent=over)
         self.dirty = True
+        target = task.move_to
+        if (
+            target is not None
+            and job.status == OPEN
+            and self.machines.get(target.name) is target
+            and target.phase == UP
+            and not target.draining
+            and target.fits(job.spec)
+        ):
+            target.reserved = ""
+            self._assign(job, [target], now_us)
         if job.status != OPEN:
             self._retire(job)
         elif job.is_gang and not over:
@@ -938,10 +952,77 @@
                 )
                 stops += 1
 
+    def consolidate(self, now_us: int) -> None:
+        """Move the replicas of one thinly used machine onto others, so that it can be returned.
+
+        Services come and go and leave machines with one replica each. A move costs its replica a
+        few seconds, so it is made only while nothing waits, onto room that has the image already,
+        and one machine at a time.
+        """
+        if now_us < self._next_move_us or self.keeper.waiting or not self.settled(now_us):
+            return
+        if any(job.status == OPEN and job.is_service and job.pending > 0 for job in self.jobs.values()):
+            return
+        if any(t.halt_grace_s is not None and t.job.status == OPEN for m in self.machines.values() for t in m.tasks.values()):
+            return
+        steady_us = to_us(self.policy.fleet__move_after_s)
+        up = [m for m in self.machines.values() if m.phase == UP and not m.draining and not m.reserved]
+        sources = [
+            m
+            for m in up
+            if m.tasks
+            and all(
+                t.job.is_service and t.running_us is not None and now_us - t.running_us > steady_us
+                for t in m.tasks.values()
+            )
+        ]
+        for source in sorted(sources, key=lambda m: (m.gpus - m.free_gpus, m.name)):
+            if 2 * (source.gpus - source.free_gpus) > source.gpus:
+                return
+            others = [m for m in up if m is not source and m.tasks and not m.fetching]
+            targets = self._targets(source, others)
+            if targets and not self.fleet.unmet_without(source, up, now_us):
+                source.draining = MOVED
+                self._next_move_us = now_us + to_us(self.policy.fleet__move_pause_s)
+                for task, target in targets.items():
+                    target.reserved = task.job.spec.id
+                    target.reserved_until_us = now_us + to_us(RESERVE_S)
+                    task.move_to = target
+                    self._halt(task, 0.0, "its machine is hardly used and is given back; it moves to another")
+                return
+
+    def _targets(self, source: Machine, others: list[Machine]) -> dict[Task, Machine]:
+        """A machine that has the image for each task of the source; empty if one finds none."""
+        targets: dict[Task, Machine] = {}
+        for task in source.tasks.values():
+            spec = task.job.spec
+            limit = -(-spec.tasks // 2) if spec.spread else spec.tasks
+            zones = [targets.get(t, t.machine) for t in task.job.live.values() if t is not task]
+            for machine in sorted(others, key=lambda m: (m.zone != source.zone, m.free_gpus, m.name)):
+                if spec.image not in machine.images or not machine.allows(spec) or not machine.fits(spec):
+                    continue
+                if machine in targets.values() or sum(m.zone == machine.zone for m in zones) >= limit:
+                    continue
+                if spec.one_zone and any(m.zone != machine.zone for m in zones):
+                    continue
+                targets[task] = machine
+                break
+            else:
+                return {}
+        return targets
+
+    def settled(self, now_us: int) -> bool:
+        """Is the state service taking our writes right now? What we stop then starts again at once."""
+        return now_us - self.saved_us < 3 * SECOND_US
+
     def _plan_fleet(self, unplaced: list[tuple[Job, int]], now_us: int) -> None:
         asked = [(r.type, r.zone, r.spot, r.count) for r in self.rentals.values() if not r.answered]
         for wish in self.fleet.plan(now_us, unplaced, self.machines.values(), asked):
             self.rent(wish)
+        self.consolidate(now_us)
+        for machine in self.machines.values():
+            if machine.draining == MOVED and machine.phase == UP and not machine.tasks:
+                self.give_back(machine, MOVED)
         for machine, reason in self.fleet.surplus(now_us, list(self.machines.values())):
             self.give_back(machine, reason)
 
--- a/src/tideusher/core/fleet.py
+++ b/src/tideusher/core/fleet.py
@@ -257,6 +257,16 @@
                         best = (rank, Bin(kind.name, zone, spot, kind.cpus, kind.gpus, kind.ram_gb, new=True))
         return best[1] if best else None
 
+    def unmet_without(self, source: Machine, machines: Sequence[Machine], now_us: int) -> bool:
+        """Would moving this machine's tasks into the others' room leave too little warm room?"""
+        warm = self.warm_tasks(now_us)
+        rest = [m for m in machines if m is not source]
+        moving: dict[str, tuple[JobSpec, int]] = {}
+        for task in source.tasks.values():
+            spec = task.job.spec
+            moving[spec.id] = (spec, moving.get(spec.id, (spec, 0))[1] + 1)
+        return _unmet([*moving.values(), *warm], rest) > 0
+
     def surplus(self, now_us: int, machines: Sequence[Machine]) -> list[tuple[Machine, str]]:
         """Idle machines to return, with the reason; warm room is kept."""
         warm = self.warm_tasks(now_us)
--- a/src/tideusher/core/records.py
+++ b/src/tideusher/core/records.py
@@ -40,6 +40,7 @@
     running_us: int | None = None
     halt_grace_s: float | None = None
     halt_reason: str = ""
+    move_to: "Machine | None" = None  # where it goes on once it is proven gone from here
 
     @property
     def name(self) -> str:
