A zone that is heard again after a cut is not returned as dead

Ruled out: leases (0 killed), the gateway (answered alone all through the cut). Silence counts from when the zone was heard again, and most of it must be heard.

--- a/src/tideusher/actors/leader.py
+++ b/src/tideusher/actors/leader.py
@@ -172,6 +172,8 @@
             for machine, commands in by_machine.items():
                 if machine.address and machine.phase == UP:
                     self.spawn(self._send, machine, token, commands)
+        for machine in cluster.taken(self._clock.now_us()):
+            cluster.give_back(machine, "the cloud has taken it back")
         for machine in cluster.suspects(self._clock.now_us()):
             if machine.name not in self._probing:
                 self._probing.add(machine.name)
@@ -272,11 +274,11 @@
     def on_probe_failed(self, token: int, machine: Machine) -> None:
         """A silent machine did not answer: return it, if its zone is heard and only it is not."""
         cluster = self._cluster
-        if cluster is None or cluster.token != token or machine.phase != UP:
+        if cluster is None or cluster.token != token or machine not in cluster.suspects(self._clock.now_us()):
             return
         machine.probes_failed += 1
         now_us = self._clock.now_us()
-        if machine.probes_failed >= 2 and cluster.zone_heard(machine.zone, now_us, machine):
+        if machine.probes_failed >= 2 and cluster.zone_heard(machine.zone, now_us):
             silent_s = (now_us - machine.reported_us) / 1e6
             cluster.give_back(machine, f"silent for {silent_s:.0f} s and does not answer")
             self._act(cluster)
--- a/src/tideusher/core/cluster.py
+++ b/src/tideusher/core/cluster.py
@@ -102,6 +102,7 @@
         self.machines: dict[str, Machine] = {}
         self.rentals: dict[str, Rental] = {}
         self.gone: set[str] = set()
+        self._zones_heard: dict[str, tuple[int, int]] = {}  # since when, and when last
         self.ledger = Ledger(settings.teams, policy, now_us)
         self.fleet = Fleet(policy, settings.objectives)
         self.began_us = self.fleet.began_us = now_us
@@ -381,6 +382,7 @@
         machine.session, machine.serial = report.session, report.serial
         machine.token = max(machine.token, report.token)
         machine.reported_us, machine.probes_failed = now_us, 0
+        self._heard(machine.zone, now_us)
         machine.address = report.address
         if machine.phase == BOOTING:
             machine.phase = UP
@@ -716,21 +718,40 @@
         settle_us = to_us(self.config.settings.workers.lease_s)
         out = []
         for machine in self.machines.values():
+            # Right after a cut every machine of the zone has been silent for long, and the first to be
+            # heard again says nothing of the others: silence counts from when the zone was heard.
+            heard_us = self._zones_heard.get(machine.zone, (now_us, 0))[0]
             if machine.phase == UP:
-                if now_us - machine.reported_us > silence_us:
+                if now_us - max(machine.reported_us, heard_us) > silence_us:
                     out.append(machine)
             elif machine.phase == BOOTING and machine.inherited and machine.listed == cloud.UP:
-                if now_us - self.began_us > settle_us:
+                if now_us - max(self.began_us, heard_us) > settle_us:
                     out.append(machine)
         return out
 
-    def zone_heard(self, zone: str, now_us: int, but: Machine) -> bool:
-        """Has any other machine of the zone reported just now? Else the zone is cut, not the machine."""
-        recent_us = to_us(2 * self.config.settings.workers.report_s)
-        return any(
-            m.zone == zone and m is not but and m.reported_us and now_us - m.reported_us < recent_us
+    def _heard(self, zone: str, now_us: int) -> None:
+        since_us, last_us = self._zones_heard.get(zone, (now_us, now_us))
+        gap_us = to_us(2 * self.config.settings.workers.report_s + 0.5)
+        self._zones_heard[zone] = (since_us if now_us - last_us < gap_us else now_us, now_us)
+
+    def zone_heard(self, zone: str, now_us: int) -> bool:
+        """Are most machines of the zone being heard? Else the zone is cut, not the machine dead."""
+        recent_us = to_us(2 * self.config.settings.workers.report_s + 0.5)
+        known = [m for m in self.machines.values() if m.zone == zone and m.phase == UP and m.recall_us is None]
+        heard = sum(now_us - m.reported_us < recent_us for m in known)
+        return heard > 0 and 2 * heard >= len(known) - 1
+
+    def taken(self, now_us: int) -> list[Machine]:
+        """Machines whose notice has run out and that are silent since: the cloud has them."""
+        silence_us = to_us(1.5 * self.config.settings.workers.report_s)
+        return [
+            m
             for m in self.machines.values()
-        )
+            if m.phase == UP
+            and m.recall_us is not None
+            and now_us > m.recall_us
+            and now_us - m.reported_us > silence_us
+        ]
 
     def overdue(self, now_us: int) -> list[Machine]:
         """Machines that never came up in all patience.
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -339,3 +339,44 @@
     placed = bed.place(spec)
     assert len(placed.live) == 4 and len(placed.chunks) == 1
     assert len(bed.state.items[keys.chunk_key(spec.id, 0)][0]["a"]) == 4
+
+
+# Machines that are silent
+
+def silent(bed):
+    return [machine.name for machine in bed.cluster.suspects(bed.clock.now_us())]
+
+
+def test_a_dead_machine_is_suspected_while_its_zone_is_heard(bed):
+    for serial in range(1, 9):
+        for name in ("host-1", "host-2", "host-3"):
+            if name != "host-1" or serial < 3:
+                bed.report(name, serial)
+        bed.clock.pass_s(1.0)
+    assert silent(bed) == ["host-1"]
+    assert bed.cluster.zone_heard("a", bed.clock.now_us())
+
+
+def test_the_first_machine_heard_after_a_cut_condemns_no_other(bed):
+    # A whole zone was once returned when the first of its machines was heard after a cut of 15 s.
+    for name in ("host-1", "host-2", "host-3", "host-4"):
+        bed.report(name, 1)
+    bed.clock.pass_s(15.0)
+    assert not bed.cluster.zone_heard("a", bed.clock.now_us())
+    bed.report("host-1", 2)
+    assert silent(bed) == []
+    bed.clock.pass_s(1.0)
+    bed.report("host-1", 3)
+    assert silent(bed) == [] and not bed.cluster.zone_heard("a", bed.clock.now_us())
+
+
+def test_an_inherited_fleet_is_not_overdue_at_the_change_of_leader(bed):
+    from tideusher.wire.cloud import Listed
+
+    bed.report("host-1", 1)
+    bed.commit()
+    bed.clock.pass_s(500.0)
+    bed.elect()
+    listing = [Listed("host-1", "127.0.0.1:9", "m4", "a", False, "running", 500.0)]
+    bed.cluster.listed(listing, bed.clock.now_us())
+    assert bed.cluster.overdue(bed.clock.now_us()) == []
