--- a/src/tideusher/config.py
+++ b/src/tideusher/config.py
@@ -158,6 +158,7 @@
     min_run__batch_factor: float = 0.0
     placement__parts: int = 2
     fleet__idle_s: float = 25.0
+    fleet__patience: float = 1.0
     fleet__move_after_s: float = 40.0
     fleet__move_pause_s: float = 12.0
     fleet__warm_quantile: float = 1.3
--- a/src/tideusher/core/cluster.py
+++ b/src/tideusher/core/cluster.py
@@ -105,7 +105,7 @@
         self._zones_heard: dict[str, tuple[int, int]] = {}  # since when, and when last
         self.ledger = Ledger(settings.teams, policy, now_us)
         self.fleet = Fleet(policy, settings.objectives)
-        self.began_us = self.fleet.began_us = now_us
+        self.began_us = now_us
         self.keeper = Keeper(keys.LEADER, token, settings.state.txn_ops)
         self._entries: dict[str, Entry] = {}
         self._usage: dict[str, list[float]] = {name: [0.0, 0.0] for name in self.teams}
@@ -253,8 +253,7 @@
                 return
             spec = msgspec.convert(value["spec"], JobSpec)
             job = self.jobs[job_id] = Job(spec, stamp, value["at"], now_us, status=value["st"])
-            if not loading:
-                self.fleet.arrived(spec, now_us)
+            self.fleet.arrived(spec, now_us - max(0, self._wall_us() - job.submitted_us))
             self.dirty = True
             return
         if stamp <= job.stamp:
@@ -737,7 +736,9 @@
     def zone_heard(self, zone: str, now_us: int) -> bool:
         """Are most machines of the zone being heard? Else the zone is cut, not the machine dead."""
         recent_us = to_us(2 * self.config.settings.workers.report_s + 0.5)
-        known = [m for m in self.machines.values() if m.zone == zone and m.phase == UP and m.recall_us is None]
+        known = [
+            m for m in self.machines.values() if m.zone == zone and m.phase == UP and m.recall_us is None
+        ]
         heard = sum(now_us - m.reported_us < recent_us for m in known)
         return heard > 0 and 2 * heard >= len(known) - 1
 
@@ -984,7 +985,11 @@
             return
         if any(job.status == OPEN and job.is_service and job.pending > 0 for job in self.jobs.values()):
             return
-        if any(t.halt_grace_s is not None and t.job.status == OPEN for m in self.machines.values() for t in m.tasks.values()):
+        if any(
+            t.halt_grace_s is not None and t.job.status == OPEN
+            for m in self.machines.values()
+            for t in m.tasks.values()
+        ):
             return
         steady_us = to_us(self.policy.fleet__move_after_s)
         up = [m for m in self.machines.values() if m.phase == UP and not m.draining and not m.reserved]
--- a/src/tideusher/core/fleet.py
+++ b/src/tideusher/core/fleet.py
@@ -10,7 +10,10 @@
 from tideusher.core.placement import slots_in
 from tideusher.core.records import BOOTING, UP, Job, Machine
 from tideusher.wire.cloud import MachineType
-from tideusher.wire.jobs import JobSpec
+from tideusher.wire.jobs import SERVICE, JobSpec
+
+#: The load of the first moments is no rate yet.
+OPENING_US = 20 * SECOND_US
 
 
 @dataclass(frozen=True)
@@ -36,6 +39,7 @@
     ram: float
     new: bool = False
     reason: str = ""
+    soon: bool = False  # room of running work that should end before a new machine would be up
 
     def allows(self, spec: JobSpec) -> bool:
         """May this job's tasks run here?"""
@@ -60,13 +64,15 @@
         self._refused: dict[tuple[str, str, bool], tuple[int, int]] = {}
         self._arrivals: dict[str, deque[tuple[int, int]]] = {}
         self._class_spec: dict[str, JobSpec] = {}
-        self.began_us: int | None = None
+        self._first_us: int | None = None
         self._warm_classes: set[str] = set()
 
     # What is remembered
 
     def arrived(self, spec: JobSpec, now_us: int) -> None:
-        """A job was submitted: the warm room follows the rate of its class."""
+        """A job was submitted (steady time): the warm room follows the rate of its class."""
+        if self._first_us is None or now_us < self._first_us:
+            self._first_us = now_us
         self._class_spec[spec.job_class] = spec
         self._arrivals.setdefault(spec.job_class, deque(maxlen=200)).append((now_us, spec.tasks))
 
@@ -99,14 +105,14 @@
             fastest_us = min(
                 to_us(t.boot_s * 1.2 + spec.image_gb / max(t.fetch_gb_per_s, 1e-6)) for t in usable
             )
-            if fastest_us < within_us or self.began_us is None:
+            if fastest_us < within_us or self._first_us is None:
                 continue
-            window_us = min(to_us(self._policy.fleet__warm_window_s), now_us - self.began_us)
-            sizes = [
-                n for at, n in self._arrivals[job_class] if now_us - at <= window_us and at > self.began_us
-            ]
-            if window_us < 10 * SECOND_US:
+            # What was there at the start says nothing of the rate at which work comes.
+            since_us = max(now_us - to_us(self._policy.fleet__warm_window_s), self._first_us + OPENING_US)
+            window_us = now_us - since_us
+            if window_us < OPENING_US:
                 continue
+            sizes = [n for at, n in self._arrivals[job_class] if at > since_us]
             horizon = min(t.boot_s for t in usable) * 1.2 / to_s(window_us)
             mean = sum(sizes) * horizon
             deviation = sqrt(sum(n * n for n in sizes) * horizon)
@@ -148,10 +154,8 @@
                 )
             elif machine.phase == UP:
                 warm_room.append(machine)
-                if machine.fetching and not machine.reserved:
-                    # Its free room opens to other images once this fetch is over, sooner than a boot.
-                    room = (machine.free_cpus, machine.free_gpus, machine.free_ram)
-                    bins.append(Bin(machine.type, machine.zone, machine.spot, *room))
+                if not machine.reserved:
+                    bins += self._soon_room(machine, now_us)
         for type_name, zone, spot, count in asked:
             kind = self.types.get(type_name)
             if kind is not None:
@@ -178,6 +182,31 @@
                 counted[key] = counted.get(key, 0) + 1
         return [Wish(t, z, s, n, why) for (t, z, s, why), n in counted.items()]
 
+    def _soon_room(self, machine: Machine, now_us: int) -> list[Bin]:
+        """The room that opens on a machine sooner than a new one could boot, if any does.
+
+        A fetch under way closes the free room to other images only until it is over. Work that is
+        about to end leaves its room, and often the image: renting for every moment's queue would buy
+        machines that come up when the queue is gone.
+        """
+        kind = self.types.get(machine.type)
+        horizon_us = to_us(kind.boot_s * self._policy.fleet__patience) if kind else 0
+        room = [machine.free_cpus, machine.free_gpus, machine.free_ram]
+        ending = False
+        for task in machine.tasks.values():
+            if task.running_us is None or task.job.is_service:
+                continue
+            run_us = now_us - task.running_us
+            estimate_us = to_us(task.job.spec.estimate_s)
+            if max(estimate_us - run_us, estimate_us // 5) <= horizon_us:
+                ending = True
+                room[0] += task.job.spec.cpus
+                room[1] += task.job.spec.gpus
+                room[2] += task.job.spec.ram_gb
+        if not ending and not machine.fetching:
+            return []
+        return [Bin(machine.type, machine.zone, machine.spot, *room, soon=ending)]
+
     def _fit(
         self,
         spec: JobSpec,
@@ -198,6 +227,8 @@
                 return
             if not bin.allows(spec) or (one_zone and bin.zone != one_zone):
                 continue
+            if bin.soon and spec.shape == SERVICE:
+                continue  # replicas are wanted now, not when other work ends
             while left and slots_in(bin.cpus, bin.gpus, bin.ram, spec):
                 if limit is not None and zone_use.get(bin.zone, 0) >= limit:
                     break
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -343,6 +343,7 @@
 
 # Machines that are silent
 
+
 def silent(bed):
     return [machine.name for machine in bed.cluster.suspects(bed.clock.now_us())]
 
