--- a/src/tideusher/config.py
+++ b/src/tideusher/config.py
@@ -162,6 +162,7 @@
     fleet__move_after_s: float = 40.0
     fleet__move_pause_s: float = 12.0
     fleet__warm_quantile: float = 1.3
+    fleet__warm_share: float = 0.1
     fleet__warm_window_s: float = 180.0
     fleet__boot_patience: float = 3.0
     fleet__capacity_backoff_s: float = 8.0
--- a/src/tideusher/core/cluster.py
+++ b/src/tideusher/core/cluster.py
@@ -803,8 +803,10 @@
             for m in self.machines.values()
             if m.phase == UP and not m.draining and now_us - m.reported_us < fresh_us and m.free_cpus > 0
         ]
+        used_gpus = sum(usage[1] for usage in self._usage.values())
+        self.fleet.refresh_warm(now_us, used_gpus)
         room = Room(usable, self.policy.placement__parts)
-        self._spare_gpus = sum(m.free_gpus for m in usable if not m.spot) - self.fleet.reserve_gpus(now_us)
+        self._spare_gpus = sum(m.free_gpus for m in usable if not m.spot) - self.fleet.reserve_gpus()
         unplaced: list[tuple[Job, int]] = []
         for job in queue:
             left = self._place_job(job, room, now_us)
@@ -1007,7 +1009,7 @@
                 return
             others = [m for m in up if m is not source and m.tasks and not m.fetching]
             targets = self._targets(source, others)
-            if targets and not self.fleet.unmet_without(source, up, now_us):
+            if targets and not self.fleet.unmet_without(source, up):
                 source.draining = MOVED
                 self._next_move_us = now_us + to_us(self.policy.fleet__move_pause_s)
                 for task, target in targets.items():
--- a/src/tideusher/core/fleet.py
+++ b/src/tideusher/core/fleet.py
@@ -65,7 +65,7 @@
         self._arrivals: dict[str, deque[tuple[int, int]]] = {}
         self._class_spec: dict[str, JobSpec] = {}
         self._first_us: int | None = None
-        self._warm_classes: set[str] = set()
+        self.warm: list[tuple[JobSpec, int]] = []
 
     # What is remembered
 
@@ -92,8 +92,22 @@
 
     # Warm room
 
-    def warm_tasks(self, now_us: int) -> list[tuple[JobSpec, int]]:
-        """Per class whose aim is faster than boot and fetch: how many free places to keep."""
+    def refresh_warm(self, now_us: int, used_gpus: float) -> None:
+        """Decide how much free room to keep, per class whose aim is faster than boot and fetch.
+
+        Idle machines cost money at all times for starts that come now and then: the whole is held to
+        a share of what is in use, the highest priority first.
+        """
+        budget = used_gpus * self._policy.fleet__warm_share
+        self.warm = []
+        for spec, count in sorted(self._warm_wanted(now_us), key=lambda want: want[0].rank):
+            if spec.gpus:
+                count = min(count, int(budget / spec.gpus))
+                budget -= count * spec.gpus
+            if count:
+                self.warm.append((spec, count))
+
+    def _warm_wanted(self, now_us: int) -> list[tuple[JobSpec, int]]:
         wanted = []
         for job_class, within_us in self._waits.items():
             spec = self._class_spec.get(job_class)
@@ -123,13 +137,11 @@
 
     def is_warm(self, job_class: str) -> bool:
         """Does the warm room exist for this class?"""
-        return job_class in self._warm_classes
+        return any(spec.job_class == job_class for spec, _ in self.warm)
 
-    def reserve_gpus(self, now_us: int) -> float:
+    def reserve_gpus(self) -> float:
         """GPUs on ordinary machines that only the warm classes may take."""
-        wanted = self.warm_tasks(now_us)
-        self._warm_classes = {spec.job_class for spec, _ in wanted}
-        return sum(spec.gpus * count for spec, count in wanted if not spec.spot)
+        return sum(spec.gpus * count for spec, count in self.warm if not spec.spot)
 
     # Plan
 
@@ -173,7 +185,7 @@
             for m in warm_room
             if not m.reserved
         ]
-        for spec, count in self.warm_tasks(now_us):
+        for spec, count in self.warm:
             self._fit(spec, count, free_bins + bins, set(), {}, None, population, now_us, "warm room", bins)
         counted: dict[tuple[str, str, bool, str], int] = {}
         for bin in bins:
@@ -205,7 +217,8 @@
                 room[2] += task.job.spec.ram_gb
         if not ending and not machine.fetching:
             return []
-        return [Bin(machine.type, machine.zone, machine.spot, *room, soon=ending)]
+        cpus, gpus, ram = room
+        return [Bin(machine.type, machine.zone, machine.spot, cpus, gpus, ram, soon=ending)]
 
     def _fit(
         self,
@@ -288,29 +301,27 @@
                         best = (rank, Bin(kind.name, zone, spot, kind.cpus, kind.gpus, kind.ram_gb, new=True))
         return best[1] if best else None
 
-    def unmet_without(self, source: Machine, machines: Sequence[Machine], now_us: int) -> bool:
+    def unmet_without(self, source: Machine, machines: Sequence[Machine]) -> bool:
         """Would moving this machine's tasks into the others' room leave too little warm room?"""
-        warm = self.warm_tasks(now_us)
         rest = [m for m in machines if m is not source]
         moving: dict[str, tuple[JobSpec, int]] = {}
         for task in source.tasks.values():
             spec = task.job.spec
             moving[spec.id] = (spec, moving.get(spec.id, (spec, 0))[1] + 1)
-        return _unmet([*moving.values(), *warm], rest) > 0
+        return _unmet([*moving.values(), *self.warm], rest) > 0
 
     def surplus(self, now_us: int, machines: Sequence[Machine]) -> list[tuple[Machine, str]]:
         """Idle machines to return, with the reason; warm room is kept."""
-        warm = self.warm_tasks(now_us)
         idle_us = to_us(self._policy.fleet__idle_s)
         kept = {m.name: m for m in machines if m.phase == UP and not m.draining and not m.reserved}
-        unmet = _unmet(warm, kept.values())
+        unmet = _unmet(self.warm, kept.values())
         out = []
         for machine in sorted(kept.values(), key=lambda m: (m.spot, len(m.images), m.name)):
             idle_for_us = now_us - machine.idle_since_us
             if machine.tasks or idle_for_us < idle_us:
                 continue
             rest = [m for m in kept.values() if m is not machine]
-            if _unmet(warm, rest) > unmet:
+            if _unmet(self.warm, rest) > unmet:
                 continue
             del kept[machine.name]
             out.append((machine, f"idle for {to_s(idle_for_us):.0f} s and not needed as warm room"))
