--- a/src/tideusher/actors/cloud.py
+++ b/src/tideusher/actors/cloud.py
@@ -60,7 +60,7 @@
             return []
         if status == 429:
             self._bucket.drain()
-        self.log.info("rental %s: %d %s", request.name, status, body[:100].decode("utf-8", "replace"))
+        self.log.debug("rental %s: %d %s", request.name, status, body[:100].decode("utf-8", "replace"))
         return None
 
     def give_back(self, names: list[str]) -> list[str] | None:
@@ -70,7 +70,7 @@
             return names
         if status == 429:
             self._bucket.drain()
-        self.log.info("return: %d %s", status, body[:100].decode("utf-8", "replace"))
+        self.log.debug("return: %d %s", status, body[:100].decode("utf-8", "replace"))
         return None
 
     def types(self) -> list[cloud.MachineType] | None:
--- a/src/tideusher/core/fleet.py
+++ b/src/tideusher/core/fleet.py
@@ -173,13 +173,20 @@
             if kind is not None:
                 bins += [Bin(type_name, zone, spot, kind.cpus, kind.gpus, kind.ram_gb) for _ in range(count)]
                 population[zone] = population.get(zone, 0) + count
+        boot_us = min((to_us(kind.boot_s) for kind in self.types.values()), default=0)
+        patience_us = round(boot_us * self._policy.fleet__patience)
         for job, count in unplaced:
             zones = {task.machine.zone for task in job.live.values()}
             zone_use: dict[str, int] = {}
             for task in job.live.values():
                 zone_use[task.machine.zone] = zone_use.get(task.machine.zone, 0) + 1
             limit = -(-job.spec.tasks // 2) if job.spec.spread else None
-            self._fit(job.spec, count, bins, zones, zone_use, limit, population, now_us, "work waits")
+            # Who has waited for a whole boot already is not put off with room that opens soon: others
+            # may have taken it each time.
+            offered = bins if now_us - job.seen_us < patience_us else [bin for bin in bins if not bin.soon]
+            self._fit(
+                job.spec, count, offered, zones, zone_use, limit, population, now_us, "work waits", bins
+            )
         free_bins = [
             Bin(m.type, m.zone, m.spot, m.free_cpus, m.free_gpus, m.free_ram)
             for m in warm_room
@@ -210,7 +217,7 @@
                 continue
             run_us = now_us - task.running_us
             estimate_us = to_us(task.job.spec.estimate_s)
-            if max(estimate_us - run_us, estimate_us // 5) <= horizon_us:
+            if max(estimate_us - run_us, estimate_us // 2) <= horizon_us:  # estimates are often low
                 ending = True
                 room[0] += task.job.spec.cpus
                 room[1] += task.job.spec.gpus
@@ -231,7 +238,7 @@
         population: dict[str, int],
         now_us: int,
         reason: str,
-        rented: list[Bin] | None = None,
+        rented: list[Bin],
     ) -> None:
         left = count
         one_zone = next(iter(zones), None) if spec.one_zone else None
@@ -254,7 +261,7 @@
             if bin_or_none is None:
                 return
             bin_or_none.reason = reason
-            (bins if rented is None else rented).append(bin_or_none)
+            rented.append(bin_or_none)
             population[bin_or_none.zone] = population.get(bin_or_none.zone, 0) + 1
             if spec.one_zone:
                 one_zone = bin_or_none.zone
