--- /dev/null
+++ b/tests/test_core.py
@@ -0,0 +1,211 @@
+"""The design's own rules: charges and ratios, order, parts, and who may be stopped."""
+
+import pytest
+
+from standins import TYPE, job, make_config
+from tideusher.clock import SECOND_US
+from tideusher.config import Policy, Team
+from tideusher.core.fleet import Fleet
+from tideusher.core.ledger import NO_GUARANTEE, Ledger
+from tideusher.core.order import order_jobs
+from tideusher.core.placement import Room, part_of
+from tideusher.core.preempt import Standing, choose_room, may_stop, protected_until_us
+from tideusher.core.records import SEEN, UP, Job, Machine, Task
+
+POLICY = Policy()
+
+
+def machine(name="host-1", zone="a", spot=False):
+    m = Machine(name, TYPE.name, zone, spot, "r", TYPE.cpus, TYPE.gpus, TYPE.ram_gb, 0)
+    m.phase = UP
+    return m
+
+
+def running(spec, on, at_us=0, index=0):
+    task = Task(Job(spec, 1, 0, 0), index, 1, on, SEEN, at_us, sent=(1, 1), state="running", running_us=at_us)
+    task.job.take(task)
+    on.add(task)
+    return task
+
+
+def min_run(j):
+    return POLICY.min_run_us(j.spec.shape, j.spec.estimate_s, j.spec.min_run_s)
+
+
+# Ledger
+
+
+def test_the_charge_is_the_largest_share_and_the_ratio_is_over_the_guarantee():
+    ledger = Ledger([Team("red", gpus=8.0), Team("poor")], Policy(ledger__window_s=100.0), 0)
+    fleet = [machine(f"host-{i}") for i in range(4)]
+    ledger.set_fleet(fleet)
+    task = running(job("service", cpus=8.0, gpus=1.0), fleet[0])  # half of the CPUs, a quarter of the GPUs
+    ledger.gather([(task, 10**9)], 10 * SECOND_US)
+    assert ledger.charged("red") == pytest.approx(5.0)
+    # 8 of 16 GPUs on 4 machines: 2 machines for 100 s are owed.
+    assert ledger.ratio("red") == pytest.approx(5.0 / 200.0)
+    assert ledger.ratio("poor") == NO_GUARANTEE
+
+
+def test_charges_leave_the_window_and_survive_a_change_of_leader():
+    ledger = Ledger([Team("red", gpus=8.0)], Policy(ledger__window_s=60.0), 0)
+    ledger.charge("red", 30.0, SECOND_US)
+    heir = Ledger([Team("red", gpus=8.0)], Policy(ledger__window_s=60.0), 5 * SECOND_US)
+    heir.restore(ledger.to_value(5 * SECOND_US), 5 * SECOND_US)
+    assert heir.charged("red") == 30.0
+    heir.gather([], 70 * SECOND_US)
+    assert heir.charged("red") == pytest.approx(0.0)
+
+
+def test_a_swarm_is_charged_at_its_starts_not_when_its_time_has_accrued():
+    ledger = Ledger([Team("red", gpus=8.0)], POLICY, 0)
+    m = machine()
+    ledger.set_fleet([m])
+    before = ledger.ratio("red")
+    for index in range(4):
+        task = running(job("gang", estimate_s=60.0), m, index=index)
+        ledger.charge_start(task, min_run(task.job), SECOND_US)
+    assert ledger.ratio("red") > before
+    charged = ledger.charged("red")
+    ledger.gather([(task, min_run(task.job))], 30 * SECOND_US)  # inside the minimum: paid already
+    assert ledger.charged("red") == charged
+
+
+def test_zero_runtime_work_is_free():
+    ledger = Ledger([Team("red", gpus=8.0)], POLICY, 0)
+    task = running(job("batch"), machine())
+    assert min_run(task.job) == 0
+    ledger.charge_start(task, 0, SECOND_US)
+    ledger.gather([(task, 0)], 100 * SECOND_US)
+    assert ledger.charged("red") == 0.0
+
+
+# Order
+
+
+def test_the_lowest_ratio_goes_first_and_rank_decides_where_none_is_clearly_lower():
+    jobs = [
+        Job(job("batch", team="spender", priority="critical"), 1, 0, 0),
+        Job(job("batch", team="saver", priority="standard"), 1, 1, 0),
+        Job(job("batch", team="near", priority="urgent"), 1, 2, 0),
+        Job(job("batch", team="none", priority="critical"), 1, 3, 0),
+    ]
+    ratios = {"spender": 0.5, "saver": 0.02, "near": 0.05, "none": NO_GUARANTEE}
+    order = order_jobs(jobs, ratios.__getitem__, lambda j: False, 0.1, lambda j: 0)
+    assert [j.spec.team for j in order] == ["near", "saver", "spender", "none"]
+    order = order_jobs(jobs, ratios.__getitem__, lambda j: j.spec.team == "spender", 0.1, lambda j: 0)
+    assert order[0].spec.team == "spender"  # within its guarantee it waits for nobody
+
+
+# Placement
+
+
+def test_jobs_go_to_the_roomiest_part_and_span_parts_only_when_none_holds_them():
+    names = [f"host-{i}" for i in range(40)]
+    big = [machine(name) for name in names if part_of(name, 2) == 1][:5]
+    small = [machine(name) for name in names if part_of(name, 2) == 0][:3]
+    machines = [*small, *big]
+    room = Room(machines, 2)
+    gang = Job(job("gang", 2, gpus=4.0), 1, 0, 0)
+    assert {m.name for m in room.place(gang, 2, True, lambda m: True, None)} <= {m.name for m in big}
+    wide = Job(job("gang", 8, gpus=4.0), 1, 0, 0)
+    assert len(room.place(wide, 8, True, lambda m: True, None)) == 8
+
+
+def test_zones_kinds_and_spread_hold_given_the_jobs_other_tasks():
+    machines = [machine("host-1", "a"), machine("host-2", "a", spot=True), machine("host-3", "b")]
+    room = Room(machines, 1)
+    spread = Job(job("service", 4, spread=True), 1, 0, 0)
+    chosen = room.place(spread, 4, False, lambda m: True, 2)
+    assert sorted(m.zone for m in chosen) == ["a", "a", "b", "b"] and not any(m.spot for m in chosen)
+    one = Job(job("gang", 5, one_zone=True, spot=True), 1, 0, 0)
+    assert {m.zone for m in room.place(one, 5, True, lambda m: True, None)} == {"a"}
+    stuck = Job(job("gang", 2, one_zone=True, spot=True), 1, 0, 0)
+    old = Task(stuck, 0, 1, machines[2], SEEN, 0)
+    stuck.take(old)
+    assert {m.zone for m in room.place(stuck, 1, False, lambda m: True, None)} == {"b"}
+
+
+def test_a_machine_fetches_one_image_at_a_time():
+    # Two first fetches on one machine once doubled the start time of both.
+    busy, free = machine("host-1"), machine("host-2")
+    task = running(job("service", image="other"), busy)
+    task.running_us, task.state = None, "pulling"
+    chosen = Room([busy, free], 1).place(Job(job("service"), 1, 0, 0), 1, False, lambda m: True, None)
+    assert [m.name for m in chosen] == ["host-2"]
+    assert Room([busy], 1).place(Job(job("service"), 1, 0, 0), 1, False, lambda m: True, None) == []
+
+
+# Preemption
+
+
+def allowed(request, victim, asking=(0.0, True), holding=(0.0, True), now_us=10**12):
+    def standing(team):
+        return Standing(*asking) if team == request.spec.team else Standing(*holding)
+
+    return may_stop(request, victim, standing, min_run, POLICY, now_us)
+
+
+def test_a_stop_needs_the_designs_rule_and_the_protocols_bounds():
+    service = Job(job("service", team="blue", priority="critical"), 1, 0, 0)
+    batch = running(job("batch", team="red"), machine())
+    assert allowed(service, batch)  # free work, higher rank
+    same = Job(job("gang", team="blue", priority="standard"), 1, 0, 0)
+    assert not allowed(same, batch)  # same rank, and red is within its guarantee
+    assert allowed(same, batch, holding=(0.0, False))  # red borrows, blue claims its guarantee
+    assert not allowed(Job(job("batch", team="blue", priority="critical"), 1, 0, 0), batch)  # not funded
+    gang = running(job("gang", team="red", estimate_s=60.0), machine())
+    assert not allowed(service, gang, now_us=30 * SECOND_US)  # protected
+    assert not allowed(service, gang, asking=(0.3, True), holding=(0.35, True))  # not clearly lower
+    assert allowed(service, gang, asking=(0.2, True), holding=(0.35, True))
+
+
+def test_windows_begun_in_one_burst_do_not_end_together():
+    gangs = [running(job("gang", estimate_s=100.0, gpus=0.1, cpus=0.1), machine(), 0) for _ in range(50)]
+    ends = sorted(protected_until_us(t, min_run(t.job), POLICY.preempt__stagger) for t in gangs)
+    assert ends[0] >= 100 * SECOND_US and ends[-1] <= 125 * SECOND_US
+    assert len({end // SECOND_US for end in ends}) > 12
+
+
+def test_the_fewest_tasks_stop_in_one_zone_and_a_gang_stops_whole():
+    a, b = machine("host-1", "a"), machine("host-2", "b")
+    for index in range(4):
+        running(job("batch", gpus=1.0), a, index=index)
+    gang = job("gang", 2, gpus=2.0, cpus=1.0)
+    first = running(gang, b)
+    second = Task(first.job, 1, 1, b, SEEN, 0, sent=(1, 1), running_us=0)
+    first.job.take(second)
+    b.add(second)
+    request = Job(job("gang", 1, gpus=4.0, one_zone=True, priority="critical"), 1, 0, 0)
+    machines, victims = choose_room(request, 1, [a, b], {}, lambda t: True, lambda t: 0)
+    assert machines == [b] and set(victims) == {first, second}
+    # What was stopped for the request already is not stopped for again.
+    assert choose_room(request, 1, [a, b], {"host-2": [16.0, 4.0, 64.0]}, lambda t: True, lambda t: 0)[1] == []
+
+
+# Fleet
+
+
+def test_refused_kinds_are_left_alone_for_longer_each_time():
+    fleet = Fleet(POLICY, make_config().settings.objectives)
+    kind, pauses, now = ("m4", "a", True), [], 0
+    for _ in range(3):
+        fleet.refused(kind, now)
+        start = now
+        while not fleet.available(kind, now):
+            now += SECOND_US
+        pauses.append(now - start)
+    assert pauses == sorted(pauses) and pauses[0] < pauses[-1]
+    fleet.granted(kind)
+    assert fleet.available(kind, now)
+
+
+def test_rents_cheap_where_allowed_ordinary_where_not_and_nothing_for_booting_room():
+    fleet = Fleet(POLICY, [])
+    fleet.types = {TYPE.name: TYPE}
+    batch, service = Job(job("batch", 4, spot=True), 1, 0, 0), Job(job("service", 2, spread=True), 1, 0, 0)
+    wishes = fleet.plan(0, [(batch, 4), (service, 2)], [], [])
+    assert {(w.spot, w.count) for w in wishes} == {(True, 1), (False, 1)} and sum(w.count for w in wishes) == 3
+    booting = machine()
+    booting.phase = "booting"
+    assert fleet.plan(0, [(batch, 4)], [booting], []) == []
--- /dev/null
+++ b/tests/test_edges.py
@@ -0,0 +1,252 @@
+"""Users, gateways, settings and the command line at their edges, with scripted stores and leaders."""
+
+import json
+
+import msgspec
+import pytest
+from click.testing import CliRunner
+
+from standins import TYPE, FakeClock, StateStandIn, job, make_config
+from test_invariants import Bed
+from tideusher.actors.gateway import Gateway
+from tideusher.actors.store import Conflict, Stored, Unavailable
+from tideusher.actors.users import Users
+from tideusher.cli import main
+from tideusher.config import ConfigError, load_config, load_policy
+from tideusher.core import explain, keys
+from tideusher.core.cluster import open_value
+from tideusher.core.records import JOB_CANCELLED, JOB_DONE
+from tideusher.wire.peers import ReportAnswer
+from tideusher.wire.workers import Commands, Report, TaskReport, encode
+
+
+class ScriptedStore:
+    """A node's store over a state stand-in that the test can cut off."""
+
+    def __init__(self) -> None:
+        self.state, self.mirror, self.up, self.syncs = StateStandIn(), {}, True, 0
+        self.contact_us = 0
+        self.state.items[keys.TYPES] = ([msgspec.to_builtins(TYPE)], 1)
+        self.sync()
+
+    def sync(self, timeout_s=0.0):
+        self.syncs += 1
+        if self.up:
+            self.mirror = {key: Stored(value, stamp) for key, (value, stamp) in self.state.items.items()}
+        return self.up
+
+    def txn(self, guards, writes):
+        if not self.up:
+            raise Unavailable("cut")
+        revision = self.state.txn(guards, writes)
+        if revision is None:
+            raise Conflict([guards[0].key])
+        self.sync()
+        return revision
+
+
+@pytest.fixture
+def store():
+    return ScriptedStore()
+
+
+@pytest.fixture
+def users(store):
+    return Users(make_config(), FakeClock(), store)
+
+
+def body(spec, **changes):
+    return msgspec.json.encode({**msgspec.to_builtins(spec), **changes})
+
+
+# Users
+
+
+def test_accepts_once_and_repeats_whatever_the_repeats_body_says(users):
+    spec = job()
+    assert users.submit(body(spec)).status == 201
+    for repeat in (body(spec), body(spec, owner="nobody"), body(spec, pieces="x")):
+        reply = users.submit(repeat)
+        assert (reply.status, reply.body.status) == (200, "pending")
+
+
+@pytest.mark.parametrize(
+    "fields, status",
+    [
+        ({"team": "nobody"}, 422),
+        ({"gpus": 5.0}, 422),
+        ({"zone": "c"}, 422),
+        ({"types": ["huge"]}, 422),
+        ({"shape": "gang", "tasks": 13}, 422),
+        ({"tasks": 13}, 201),  # an array may be larger than the limit: it runs in turns
+    ],
+)
+def test_what_can_never_run_is_refused_at_once(users, fields, status):
+    assert users.submit(body(job(**fields))).status == status
+
+
+def test_unsure_is_503_with_a_time_to_come_back(users, store):
+    store.state.items.pop(keys.TYPES)
+    store.sync()
+    assert users.submit(body(job())).status == 503
+    store.up = False
+    for reply in (users.submit(body(job())), users.poll("req-000777"), users.cancel("req-000777")):
+        assert reply.status == 503 and ("Retry-After", "1") in reply.headers
+
+
+def test_404_only_after_a_read_and_final_answers_without_one(users, store):
+    before = store.syncs
+    assert users.poll("req-999999").status == 404 and store.syncs > before
+    store.mirror[keys.job_key("req-000001")] = Stored({"st": JOB_DONE, "at": 0, "n": 3}, 9)
+    store.up = False
+    assert users.poll("req-000001").body.status == "done"
+    assert users.cancel("req-000001").body.status == "done"
+
+
+def test_no_older_answer_after_another_node_told_a_newer_one(users, store):
+    spec = job()
+    users.submit(body(spec))
+    stale = dict(store.mirror)
+    store.state.cancel(spec.id)  # by another node, which has told its user
+    store.mirror = stale
+    assert users.poll(spec.id).body.status == "withdrawn"
+    store.mirror, store.up = stale, False
+    assert users.poll(spec.id).status == 503
+
+
+def test_a_cancel_that_loses_to_done_says_done(users, store):
+    spec = job()
+    users.submit(body(spec))
+    stale = dict(store.mirror)
+    store.state.items[keys.job_key(spec.id)] = ({"st": JOB_DONE, "at": 0, "n": 1}, 99)
+    store.mirror = stale
+    assert users.cancel(spec.id).body.status == "done"
+
+
+# Gateways
+
+
+class ScriptedLink:
+    def __init__(self, peer, answer):
+        self.peer, self.answer, self.up = peer, answer, True
+
+    def usable(self):
+        return self.up
+
+    def ask(self, make, timeout_s):
+        return self.answer
+
+
+class Part:
+    """Just enough of an actor for the gateway."""
+
+    def __init__(self, **attributes):
+        self.__dict__.update(attributes)
+
+
+@pytest.fixture
+def gate(store):
+    clock = FakeClock()
+    store.contact_us = clock.now_us()
+    answer = ReportAnswer(1, True, msgspec.Raw(encode(Commands(41))))
+    link = ScriptedLink(Part(name="n1", zone="b"), answer)
+    election = Part(leader=lambda: ("n1", 41))
+    peers = Part(links={"n1": link})
+    gateway = Gateway(make_config(), clock, store, election, Part(), peers)
+    return Part(gateway=gateway, clock=clock, link=link, store=store, election=election)
+
+
+def report(zone="a", token=41, *tasks):
+    return encode(Report("host-1", "1:2", "m4", zone, False, 1, 5, token, None, list(tasks)))
+
+
+def test_workers_are_sent_to_a_controller_of_their_zone_while_it_lives(gate):
+    assert gate.gateway.handle(report("b")).status == 421
+    gate.link.up = False
+    assert gate.gateway.handle(report("b")).status == 200
+    assert gate.gateway.handle(report("a")).body == encode(Commands(41))
+
+
+def test_alone_it_keeps_leases_halts_the_cancelled_and_starts_nothing(gate):
+    gate.link.up = False
+    spec = job()
+    gate.store.mirror[keys.job_key(spec.id)] = Stored({**open_value(spec, 0), "st": JOB_CANCELLED}, 5)
+    answer = gate.gateway.handle(report("a", 41, TaskReport(f"{spec.id}/0", 1, "running")))
+    told = json.loads(answer.body)
+    assert answer.status == 200 and told["helm"] == 41
+    assert [(o["order"], o["piece"]) for o in told["orders"]] == [("halt", f"{spec.id}/0")]
+
+
+def test_alone_without_contact_it_stops_before_a_hidden_cancel_would_be_late(gate):
+    gate.link.up = False
+    w = make_config().settings.workers
+    gate.clock.pass_s(w.cancel_s - w.lease_s - 2.0)
+    assert gate.gateway.handle(report()).status == 200
+    gate.clock.pass_s(2.0)
+    assert gate.gateway.handle(report()).status == 503
+
+
+def test_a_higher_token_is_learnt_first_or_refused(gate):
+    assert gate.gateway.handle(report("a", 42)).status == 503
+    gate.election.leader = lambda: ("n1", 42)
+    assert gate.gateway.handle(report("a", 42)).status == 200
+    assert gate.gateway.handle(b"{").status == 400
+
+
+# Explanations
+
+
+def test_a_waiting_and_a_stopped_job_are_explained_and_the_record_outlives_the_leader():
+    bed = Bed()
+    spec = job("batch", 3, gpus=4.0, team="red")
+    placed = bed.place(spec)
+    told = explain.explain_job(bed.cluster, spec.id, bed.clock.now_us())
+    assert any("room on a machine" in reason for reason in told["reasons"])
+    bed.report("host-1", 2)
+    bed.report("host-1", 3, (f"{spec.id}/0", 1, "running", None))
+    task = placed.live[0]
+    bed.cluster._halt(task, 0.0, "job req-9 of team blue needs the room")
+    bed.report("host-1", 4, (f"{spec.id}/0", 1, "exited", "stopped"))
+    bed.commit()
+    bed.elect()
+    told = explain.explain_job(bed.cluster, spec.id, bed.clock.now_us())
+    assert [s["reason"] for s in told["stops"]] == ["job req-9 of team blue needs the room"]
+    assert {row["team"] for row in explain.teams(bed.cluster)} == {"red", "blue", "poor"}
+    assert [row["machine"] for row in explain.machines(bed.cluster, 0)] == ["host-1"]
+
+
+# Settings and the command line
+
+
+def test_broken_settings_name_the_field(tmp_path):
+    path = tmp_path / "a.toml"
+    path.write_text('host_name = "n0"\nsite = "a"\nbind = "x"\ncluster_listen = "1:2"\n[endpoints]\n[settings]\n')
+    with pytest.raises(ConfigError, match="cloud"):
+        load_config(str(path))
+    properties = tmp_path / "a.properties"
+    properties.write_text("# ours\npreempt.margin = 0.2\n")
+    assert load_policy(str(properties)).margin == 0.2
+    for text, name in (
+        ("preempt.marign = 1", "marign"),
+        ("fleet.idle_s = soon", "fleet"),
+        ("fleet.idle_s = -1", "idle"),
+    ):
+        properties.write_text(text)
+        with pytest.raises(ConfigError, match=name):
+            load_policy(str(properties))
+
+
+@pytest.mark.parametrize(
+    "arguments, code, words",
+    [
+        (["status", "req-1", "--node", "127.0.0.1:1"], 1, "cannot reach 127.0.0.1:1"),
+        (["status", "req-1", "--node", "nowhere"], 1, "not host:port"),
+        (["check-config", "--config", "/nonexistent.toml"], 2, "/nonexistent.toml: No such file"),
+        (["serve", "--config", "/nonexistent.toml"], 2, "/nonexistent.toml: No such file"),
+        (["status"], 2, "Missing argument"),
+        (["teams", "--bogus"], 2, "No such option"),
+    ],
+)
+def test_bad_calls_get_one_clear_line_and_a_non_zero_exit(arguments, code, words):
+    result = CliRunner().invoke(main, arguments)
+    assert result.exit_code == code and words in result.output and "Traceback" not in result.output
--- /dev/null
+++ b/tests/test_wire.py
@@ -0,0 +1,84 @@
+"""Wire formats: what malformed input gets, and framing whatever the packet borders."""
+
+import msgspec
+import pytest
+
+from standins import job
+from tideusher.wire import peers, workers
+from tideusher.wire.jobs import InvalidJob, parse_job
+
+GOOD = msgspec.to_builtins(job("gang", 2, deadline_s=30.0))
+
+
+def body(**changes):
+    fields = {**GOOD, **changes}
+    return msgspec.json.encode({name: value for name, value in fields.items() if value is not ...})
+
+
+def test_a_good_submission_round_trips_with_unknown_and_null_fields():
+    spec = parse_job(body(colour="red", hulls=None, harbor=None, due_s=None))
+    assert (spec.tasks, spec.shape, spec.types, spec.zone, spec.deadline_s) == (2, "gang", None, None, None)
+
+
+@pytest.mark.parametrize(
+    "bad",
+    [
+        b"{",
+        b"[]",
+        b"\xff\xfe",
+        body(pieces=...),
+        body(pieces="2"),
+        body(pieces=0),
+        body(pieces=100_001),
+        body(pieces=True),
+        body(cores=-1.0),
+        body(one_zone="yes"),
+        body(shape="array"),
+        body(rank="top"),
+        body(ref="job-1"),
+        body(ref="req-1/2"),
+        body(owner=""),
+        body(bundle="x" * 70_000),
+    ],
+)
+def test_malformed_submissions_are_refused_with_a_one_line_reason(bad):
+    with pytest.raises(InvalidJob) as refused:
+        parse_job(bad)
+    assert str(refused.value) and "\n" not in str(refused.value)
+
+
+def test_a_report_uses_the_users_words_only_on_the_wire():
+    report = workers.decode_report(
+        b'{"berth":"host-1","addr":"1:2","hull":"g8","harbor":"a","loaned":true,"watch":1,"tally":88,"helm":41,'
+        b'"recall_s":null,"pieces":[{"piece":"req-1/3","launch":2,"status":"exited","cause":"done"}],"new":1}'
+    )
+    assert (report.session, report.serial, report.token, report.tasks[0].attempt) == (1, 88, 41, 2)
+    answer = workers.encode(workers.Commands(41, [workers.halt("req-1/3", 2, 10.0), workers.run("req-1/4", 1)]))
+    assert msgspec.json.decode(answer) == {
+        "helm": 41,
+        "orders": [
+            {"order": "halt", "piece": "req-1/3", "launch": 2, "ebb_s": 10.0},
+            {"order": "run", "piece": "req-1/4", "launch": 1},
+        ],
+    }
+
+
+def test_frames_survive_any_packet_border():
+    sent = [
+        peers.Hello("n1", True),
+        peers.ForwardReport(7, msgspec.Raw(b'{"a":[1,2]}')),
+        peers.Ask(8, "why", "req-1"),
+    ]
+    data = b"".join(map(peers.frame, sent))
+    for size in (1, 3, 1000):
+        unframer, got = peers.Unframer(), []
+        for at in range(0, len(data), size):
+            got += unframer.feed(data[at : at + size])
+        assert [type(m) for m in got] == [type(m) for m in sent]
+        assert bytes(got[1].body) == b'{"a":[1,2]}' and got[2].arg == "req-1"
+
+
+@pytest.mark.parametrize("bad", [b"x:abc,", b"99999999:", b"3:{}},", b"2:{};", b'16:{"kind":"bogus"},', b"123456789"])
+def test_a_malformed_frame_is_an_error_and_not_a_crash(bad):
+    with pytest.raises(peers.FrameError):
+        peers.Unframer().feed(bad)
