--- a/src/tideusher/core/cluster.py
+++ b/src/tideusher/core/cluster.py
@@ -263,6 +263,7 @@
         job.stamp = stamp
         if value["st"] != job.status:
             job.status = value["st"]
+            self.log.info("job %s is %s", job_id, job.status)
             if job.status == JOB_CANCELLED:
                 self._stop_job(job, 0.0, "its user cancelled it")
             self._retire(job)
@@ -284,7 +285,6 @@
         def told() -> None:
             if job.status == OPEN:
                 job.status, job.stamp = JOB_DONE, entry.stamp
-                self.log.info("job %s is done", job.spec.id)
                 self._retire(job)
 
         self.keeper.touch(entry, told)
