A leader without contact stops answering in time; shunned nodes follow the told leader

The bound on answering without contact held for a gateway alone but not for a node that believed it led: it kept answering 40 s after another node had been elected and had told users of cancellations. Ruled out: late halts (they were sent; the workers of the shunned node had an older token). One bound, used by both; peers tell who leads.

--- a/src/tideusher/actors/gateway.py
+++ b/src/tideusher/actors/gateway.py
@@ -17,9 +17,10 @@
 from tideusher.actors.leader import Leader
 from tideusher.actors.peers import Peers
 from tideusher.actors.store import Store
-from tideusher.clock import Clock, to_us
+from tideusher.clock import Clock
 from tideusher.config import Config
 from tideusher.core import keys
+from tideusher.core.bounds import may_answer
 from tideusher.core.records import JOB_CANCELLED
 from tideusher.wire import workers
 from tideusher.wire.peers import ForwardReport
@@ -44,8 +45,6 @@
         self.log = logging.getLogger("gateway")
         self._config, self._clock = config, clock
         self._store, self._election, self._leader, self._peers = store, election, leader, peers
-        w = config.settings.workers
-        self._alone_us = to_us(max(0.0, (w.cancel_s - w.lease_s) * 0.95 - 1.0))
 
     def handle(self, body: bytes) -> Answer:
         """Answer one report."""
@@ -57,16 +56,22 @@
         other = self._better_node(report.zone)
         if other is not None:
             return Answer(421, workers.encode(workers.Redirect(other)))
-        known = self._election.leader()
+        known = self._known()
         if known is None or report.token > known[1]:
             self._store.sync(1.5)  # somebody leads whom we have not heard of
-            known = self._election.leader()
+            known = self._known()
         if known is not None and report.token <= known[1]:
             answer = self._from_leader(known[0], report, body)
             if answer is not None:
                 return Answer(200, answer)
         return self._alone(report)
 
+    def _known(self) -> tuple[str, int] | None:
+        """The newest leadership we know of: our mirror's, or one that a peer has told of."""
+        told = self._peers.told_leader()
+        known = self._election.leader()
+        return told if told[1] > (known[1] if known else 0) else known
+
     def _better_node(self, zone: str) -> str | None:
         """A usable controller in the worker's zone, when we are not in it."""
         if zone == self._config.zone:
@@ -89,10 +94,9 @@
         return bytes(answer.body) if answer is not None and answer.ok else None
 
     def _alone(self, report: workers.Report) -> Answer:
-        contact_us = self._store.contact_us
-        if contact_us is None or self._clock.now_us() - contact_us > self._alone_us:
+        if not may_answer(self._config, self._store.contact_us, self._clock.now_us()):
             return Answer(503, b'{"error":"no contact to the state service"}')
-        known = self._election.leader()
+        known = self._known()
         token = known[1] if known is not None else report.token
         if report.token > token:
             return Answer(503, b'{"error":"a newer leader is not known here yet"}')
--- a/src/tideusher/actors/leader.py
+++ b/src/tideusher/actors/leader.py
@@ -13,6 +13,7 @@
 from tideusher.clock import Clock, to_us
 from tideusher.config import Config, Policy
 from tideusher.core import explain, keys
+from tideusher.core.bounds import may_answer
 from tideusher.core.cluster import Cluster, Rental
 from tideusher.core.keeper import Batch
 from tideusher.core.records import RETURNING, UP, Machine
@@ -120,7 +121,10 @@
         cluster = self._cluster
         if cluster is None or cluster.token != self._election.token or report.token > cluster.token:
             return None
-        commands = cluster.report(report, self._clock.now_us())
+        now_us = self._clock.now_us()
+        if not may_answer(self._config, self._store.contact_us, now_us):
+            return None
+        commands = cluster.report(report, now_us)
         self._act(cluster)
         return workers.Commands(cluster.token, commands)
 
--- a/src/tideusher/actors/peers.py
+++ b/src/tideusher/actors/peers.py
@@ -35,6 +35,8 @@
         self._numbers = itertools.count(1)
         self._open: dict[int, AsyncResult] = {}
         self.in_contact = False
+        #: The newest leadership that the peer has told of.
+        self.told: tuple[str, int] = ("", 0)
 
     def usable(self) -> bool:
         """Connected, and heard from just now."""
@@ -108,6 +110,8 @@
             for message in unframer.feed(data):
                 if isinstance(message, wire.Hello):
                     self.in_contact = message.in_contact
+                    if message.token > self.told[1]:
+                        self.told = (message.leader, message.token)
                 elif isinstance(message, wire.ReportAnswer):
                     result = self._open.get(message.id)
                     if result is not None:
@@ -117,10 +121,10 @@
 class Peers:
     """All links, and the server that answers the others' questions."""
 
-    def __init__(self, config: Config, clock: Clock, in_contact: Callable[[], bool]) -> None:
+    def __init__(self, config: Config, clock: Clock, hello: Callable[[], wire.Hello]) -> None:
         self.log = logging.getLogger("peers")
         self._config = config
-        self._hello = lambda: wire.Hello(config.node, in_contact())
+        self._hello = hello
         self.links = {peer.name: Link(peer, self._hello, clock) for peer in config.peers}
         self._handler: Callable[[wire.Message], wire.Message | None] = lambda message: None
         self._server = StreamServer(split_address(config.peer_bind), self._serve)
@@ -132,6 +136,10 @@
         for link in self.links.values():
             link.start()
 
+    def told_leader(self) -> tuple[str, int]:
+        """The newest leadership that any peer has told of, for a node that the state service shuns."""
+        return max((link.told for link in self.links.values()), key=lambda told: told[1], default=("", 0))
+
     def any_in_contact(self) -> bool:
         """Does any peer that we hear reach the state service?"""
         return any(link.usable() and link.in_contact for link in self.links.values())
--- a/src/tideusher/node.py
+++ b/src/tideusher/node.py
@@ -41,7 +41,7 @@
         self.election = Election(config, policy, self.store, self._clock, rng)
         self.cloud = Cloud(config, self._clock, self.metrics)
         self.leader = Leader(config, policy, self._clock, self.store, self.election, self.cloud, self.metrics)
-        self.peers = Peers(config, self._clock, self.in_contact)
+        self.peers = Peers(config, self._clock, self._hello)
         self.gateway = Gateway(config, self._clock, self.store, self.election, self.leader, self.peers)
         self.users = Users(config, self._clock, self.store)
         questions = Questions(config, self.store, self.election, self.leader, self.peers)
@@ -57,6 +57,10 @@
         self.log.info("%s in %s serves on %s", self._config.node, self._config.zone, self._config.bind)
         Event().wait()
 
+    def _hello(self) -> peer_wire.Hello:
+        node, token = self.election.leader() or ("", 0)
+        return peer_wire.Hello(self._config.node, self.in_contact(), node, token)
+
     def in_contact(self) -> bool:
         """Has the state service answered us lately?"""
         contact_us = self.store.contact_us
--- a/src/tideusher/wire/peers.py
+++ b/src/tideusher/wire/peers.py
@@ -16,10 +16,13 @@
 
 
 class Hello(PeerMessage, tag="hello"):
-    """First frame of a link and its heartbeat: who speaks, and whether it reaches the state service."""
+    """First frame of a link and its heartbeat: who speaks, whether it reaches the state service, and
+    who leads as far as it knows."""
 
     node: str
     in_contact: bool = False
+    leader: str = ""
+    token: int = 0
 
 
 class ForwardReport(PeerMessage, tag="report"):
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -9,13 +9,15 @@
 from standins import TYPE, FakeClock, StateStandIn, job, make_config
 from test_invariants import Bed
 from tideusher.actors.gateway import Gateway
+from tideusher.actors.leader import Leader
 from tideusher.actors.store import Conflict, Stored, Unavailable
 from tideusher.actors.users import Users
 from tideusher.cli import main
-from tideusher.config import ConfigError, load_config, load_policy
+from tideusher.config import ConfigError, Policy, load_config, load_policy
 from tideusher.core import explain, keys
 from tideusher.core.cluster import open_value
 from tideusher.core.records import JOB_CANCELLED, JOB_DONE
+from tideusher.metrics import Metrics
 from tideusher.wire.peers import ReportAnswer
 from tideusher.wire.workers import Commands, Report, TaskReport, encode
 
@@ -151,9 +153,9 @@
     answer = ReportAnswer(1, True, msgspec.Raw(encode(Commands(41))))
     link = ScriptedLink(Part(name="n1", zone="b"), answer)
     election = Part(leader=lambda: ("n1", 41))
-    peers = Part(links={"n1": link})
+    peers = Part(links={"n1": link}, told_leader=lambda: ("", 0))
     gateway = Gateway(make_config(), clock, store, election, Part(), peers)
-    return Part(gateway=gateway, clock=clock, link=link, store=store, election=election)
+    return Part(gateway=gateway, clock=clock, link=link, store=store, election=election, peers=peers)
 
 
 def report(zone="a", token=41, *tasks):
@@ -193,6 +195,28 @@
     assert gate.gateway.handle(b"{").status == 400
 
 
+def test_a_leader_without_contact_answers_no_longer_than_a_gateway_alone(gate):
+    # A leader that alone had lost the state service once kept cancelled tasks running past their time.
+    bed = Bed()
+    election = Part(token=bed.cluster.token)
+    store = Part(contact_us=bed.clock.now_us(), listen=lambda f: None, lead=lambda leads: None)
+    leader = Leader(make_config(), Policy(), bed.clock, store, election, Part(), Metrics())
+    leader._cluster = bed.cluster
+    first, second = (Report("host-1", "1:2", "m4", "a", False, 1, serial, election.token) for serial in (1, 2))
+    leader._act = lambda cluster: None
+    assert leader.on_report(first).token == election.token
+    bed.clock.pass_s(14.0)
+    assert leader.on_report(second) is None
+
+
+def test_a_node_that_the_state_service_shuns_follows_the_leader_that_peers_tell_of(gate):
+    gate.peers.told_leader = lambda: ("n1", 43)
+    gate.clock.pass_s(100.0)
+    assert gate.gateway.handle(report("a", 42)).body == encode(Commands(41))  # what that leader answered
+    gate.link.up = False
+    assert gate.gateway.handle(report("a", 42)).status == 503
+
+
 # Explanations
 
 
