--- a/src/tideusher/actors/base.py
+++ b/src/tideusher/actors/base.py
@@ -64,9 +64,5 @@
                 if answer is not None:
                     answer.set_exception(error)
                 continue
-            if answer is not None and result is not DEFERRED:
+            if answer is not None:
                 answer.set(result)
-
-
-#: A handler returns this when it will set the answer itself, later.
-DEFERRED = object()
--- a/src/tideusher/actors/leader.py
+++ b/src/tideusher/actors/leader.py
@@ -5,7 +5,7 @@
 import gevent
 import msgspec
 
-from tideusher.actors.base import DEFERRED, Actor
+from tideusher.actors.base import Actor
 from tideusher.actors.cloud import Cloud
 from tideusher.actors.election import Election
 from tideusher.actors.http import CallFailed, HttpClient
@@ -324,6 +324,7 @@
             self.tell("not_saved", cluster, synced, lost)
         except (Unavailable, NoLease) as error:
             self.log.info("transaction not confirmed: %s", error)
+            self.tell("unwritable", cluster)
             gevent.sleep(0.3)
             self.tell("not_saved", cluster, self._store.sync(), False)
         else:
@@ -333,19 +334,22 @@
         """A batch is through: its effects may be told."""
         if cluster is self._cluster:
             cluster.keeper.saved(revision)
-            cluster.saved_us = self._clock.now_us()
+            cluster.saved_us, cluster.writable = self._clock.now_us(), True
             self._act(cluster)
 
-    def on_not_saved(self, cluster: Cluster, synced: bool, lost: bool) -> object:
+    def on_unwritable(self, cluster: Cluster) -> None:
+        """The state service did not take a write: nothing more is stopped until it does."""
+        cluster.writable = False
+
+    def on_not_saved(self, cluster: Cluster, synced: bool, lost: bool) -> None:
         """A batch failed: read first, then write again what still holds."""
         if cluster is not self._cluster or lost:
-            return DEFERRED
+            return
         if not synced:
             self.spawn(self._sync_again, cluster)
-            return DEFERRED
+            return
         cluster.keeper.not_saved(self._store.stamp_of)
         self._act(cluster)
-        return DEFERRED
 
     def _sync_again(self, cluster: Cluster) -> None:
         gevent.sleep(0.5)
--- a/src/tideusher/core/cluster.py
+++ b/src/tideusher/core/cluster.py
@@ -124,6 +124,7 @@
         self._types_value: Any = None
         self._spare_gpus = 0.0
         self._next_move_us = now_us + to_us(2 * config.settings.workers.lease_s)
+        self.writable = True  # did the state service answer our last write?
         self.saved_us = 0  # when the state service last took a write of ours
         self._objectives = {
             o.job_class: o.within_s for o in settings.objectives if o.kind == "wait" and o.job_class and o.within_s
@@ -804,7 +805,8 @@
             left = self._place_job(job, room, now_us)
             if left:
                 unplaced.append((job, left))
-        self._preempt(unplaced, now_us)
+        if self.writable:  # what is stopped while nothing can be started is stopped for nobody
+            self._preempt(unplaced, now_us)
         self._plan_fleet(unplaced, now_us)
 
     def _within_guarantee(self) -> set[str]:
@@ -1030,7 +1032,7 @@
 
     def settled(self, now_us: int) -> bool:
         """Is the state service taking our writes right now? What we stop then starts again at once."""
-        return now_us - self.saved_us < 3 * SECOND_US
+        return self.writable and now_us - self.saved_us < 2 * to_us(self.policy.ledger__gather_s)
 
     def _plan_fleet(self, unplaced: list[tuple[Job, int]], now_us: int) -> None:
         asked = [(r.type, r.zone, r.spot, r.count) for r in self.rentals.values() if not r.answered]
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -381,3 +381,23 @@
     listing = [Listed("host-1", "127.0.0.1:9", "m4", "a", False, "running", 500.0)]
     bed.cluster.listed(listing, bed.clock.now_us())
     assert bed.cluster.overdue(bed.clock.now_us()) == []
+
+
+def test_nothing_is_stopped_while_the_state_service_takes_no_writes(bed):
+    for name in ("host-1", "host-2"):
+        bed.report(name, 1)
+    batch = bed.submit(job("batch", 8, cpus=4.0))
+    bed.commit()
+    bed.cluster.schedule(bed.clock.now_us())
+    bed.commit()
+    for name in ("host-1", "host-2"):
+        bed.report(name, 2)
+        running = [(t.name, t.attempt, "running", None) for t in bed.cluster.machines[name].tasks.values()]
+        bed.report(name, 3, *running)
+    bed.submit(job("service", 1, priority="critical", team="blue"))
+    bed.cluster.writable = False
+    bed.cluster.schedule(bed.clock.now_us())
+    assert not any(task.halt_grace_s is not None for task in batch.live.values())
+    bed.cluster.writable = True
+    bed.cluster.schedule(bed.clock.now_us())
+    assert sum(task.halt_grace_s is not None for task in batch.live.values()) == 1
