An overtaken watch answer must not bring a removed key back

An answer of the long watch, overtaken by a shared sync, put a removed key back into the mirror; the new leader took its stamp from there, and every batch with that key failed for ever. Ruled out: the state limits (0 refused), a lost leadership, cancellations (13). Also: a record made anew under its key keeps the place and effects of the old one.

--- a/src/tideusher/actors/store.py
+++ b/src/tideusher/actors/store.py
@@ -213,6 +213,11 @@
             raise Unavailable(f"GET /watch: {status}")
         changes = state.decode_changes(answer)
         for event in changes.events:
+            if event.stamp <= self.revision:
+                # An answer that was overtaken by a newer one. Its removals may be forgotten here
+                # already: a key put back from it would stay for ever, and every transaction that
+                # takes its stamp from the mirror would fail.
+                continue
             if event.put is not None:
                 self._apply(event.put, event.value, event.stamp)
             elif event.removed is not None:
@@ -265,7 +270,8 @@
         for key in [k for k, stored in self.mirror.items() if k not in found and stored.stamp <= first]:
             self._apply(key, None, first)
         for item in found.values():
-            self._apply(item.key, item.value, item.stamp)
+            if item.stamp > self.revision:
+                self._apply(item.key, item.value, item.stamp)
         self.revision = max(self.revision, first)
         self._touched(sent_us)
         self.loaded.set()
--- a/src/tideusher/core/keeper.py
+++ b/src/tideusher/core/keeper.py
@@ -53,6 +53,9 @@
     def touch(self, entry: Entry, effect: Effect | None = None, urgent: bool = True) -> None:
         """The entry's value changed; `effect` runs once this change is in the state service."""
         entry.dirty = True
+        queued = self._urgent.get(entry.key) or self._lazy.get(entry.key)
+        if queued is not None and queued is not entry:
+            self._replace(queued, entry)
         if effect is not None:
             entry.effects.append(effect)
         if urgent:
@@ -61,6 +64,14 @@
         elif entry.key not in self._urgent:
             self._lazy.setdefault(entry.key, entry)
 
+    def _replace(self, old: Entry, new: Entry) -> None:
+        """A record was dropped and made anew under the same key before the first was written out."""
+        new.stamp = old.stamp
+        new.effects[:0] = old.effects
+        for queue in (self._urgent, self._lazy):
+            if queue.get(old.key) is old:
+                queue[old.key] = new
+
     def clean(self, entry: Entry) -> bool:
         """Is the entry's present value in the state service?"""
         return not entry.dirty and (self._in_flight is None or entry not in self._in_flight.entries)
@@ -137,5 +148,10 @@
             entry.stamp = stamp_of(entry.key)
             entry.dirty = True
             entry.effects[:0] = effects
+            newer = self._urgent.get(entry.key) or self._lazy.get(entry.key)
+            if newer is not None and newer is not entry:
+                newer.stamp = entry.stamp
+                newer.effects[:0] = entry.effects
+                continue
             self._urgent = {entry.key: entry, **self._urgent}
             self._lazy.pop(entry.key, None)
--- /dev/null
+++ b/tests/test_store.py
@@ -0,0 +1,67 @@
+"""The mirror: overlapping answers of watches in any order."""
+
+import msgspec
+import pytest
+
+from standins import FakeClock, make_config
+from tideusher.actors.store import Store
+from tideusher.core.keeper import Entry, Keeper
+from tideusher.metrics import Metrics
+
+
+@pytest.fixture
+def store():
+    return Store(make_config(), FakeClock(), Metrics())
+
+
+def changes(tide, *log):
+    return 200, msgspec.json.encode({"tide": tide, "log": list(log)})
+
+
+def test_an_overtaken_answer_brings_no_removed_key_back(store):
+    # A key that was put back from a late answer once blocked every transaction of the next leader.
+    put = {"set": "t/x", "value": 1, "stamp": 5}
+    removed = {"remove": "t/x", "stamp": 8}
+
+    def overtaken(*args, **kwargs):
+        store.call = lambda *args, **kwargs: changes(9, put, removed)
+        store._poll(0)  # a second read, sent later and answered first
+        return changes(6, put)
+
+    store.call = overtaken
+    store._poll(2000)
+    assert store.mirror == {} and store.stamp_of("t/x") == 0 and store.revision == 9
+
+
+def test_own_writes_show_at_once_and_older_answers_do_not_undo_them(store):
+    store._apply("t/x", "new", 12)
+    store.call = lambda *args, **kwargs: changes(11, {"set": "t/x", "value": "old", "stamp": 10})
+    store._poll(0)
+    assert store.mirror["t/x"].value == "new" and store.revision == 11
+    store._apply("t/x", None, 14)
+    store.call = lambda *args, **kwargs: changes(13, {"set": "t/x", "value": "mid", "stamp": 13})
+    store._poll(0)
+    assert "t/x" not in store.mirror
+
+
+def test_a_failed_read_is_no_contact_and_a_read_counts_from_when_it_was_sent(store):
+    def slow(*args, **kwargs):
+        store._clock.pass_s(1.0)
+        return changes(1)
+
+    store.call = slow
+    sent_us = store._clock.now_us()
+    store._poll(0)
+    assert store.contact_us == sent_us
+
+
+def test_a_record_made_anew_under_its_key_keeps_its_place_and_effects():
+    keeper, told = Keeper("t/leader", 1, 8), []
+    old, new = Entry("t/m/a", lambda: None, 7), Entry("t/m/a", lambda: {"v": 1}, 0)
+    keeper.touch(old, lambda: told.append("old"), urgent=False)
+    keeper.touch(new, lambda: told.append("new"))
+    batch = keeper.next_batch(8)
+    assert [(g.key, g.stamp) for g in batch.guards] == [("t/leader", 1), ("t/m/a", 7)]
+    assert [write.value for write in batch.writes] == [{"v": 1}]
+    keeper.saved(9)
+    assert told == ["old", "new"] and new.stamp == 9 and keeper.waiting == 0
