--- a/src/tideusher/core/cluster.py
+++ b/src/tideusher/core/cluster.py
@@ -123,6 +123,7 @@
         self._rental_count = 0
         self._types_value: Any = None
         self._spare_gpus = 0.0
+        self._closing: set[str] = set()
         self._next_move_us = now_us + to_us(2 * config.settings.workers.lease_s)
         self.writable = True  # did the state service answer our last write?
         self.saved_us = 0  # when the state service last took a write of ours
@@ -798,6 +799,7 @@
         ]
         used_gpus = sum(usage[1] for usage in self._usage.values())
         self.fleet.refresh_warm(now_us, used_gpus)
+        self._closing = self._beyond_need(usable)
         room = Room(usable, self.policy.placement__parts)
         self._spare_gpus = sum(m.free_gpus for m in usable if not m.spot) - self.fleet.reserve_gpus()
         unplaced: list[tuple[Job, int]] = []
@@ -809,6 +811,30 @@
             self._preempt(unplaced, now_us)
         self._plan_fleet(unplaced, now_us)
 
+    def _beyond_need(self, usable: list[Machine]) -> set[str]:
+        """Ordinary machines beyond what work that needs them fills, the least used by it first.
+
+        Work that may run on spot machines would hold them for a multiple of its price, and keep what
+        is left on them from being moved together; it goes there only while no spot machine is to be had.
+        """
+        needed = {
+            m.name: sum(t.job.spec.gpus for t in m.tasks.values() if not t.job.spec.spot)
+            for m in usable
+            if not m.spot and m.gpus
+        }
+        waiting = sum(
+            job.spec.gpus * job.pending
+            for job in self.jobs.values()
+            if job.status == OPEN and job.pending > 0 and not job.spec.spot
+        )
+        left = sum(needed.values()) + waiting + self.fleet.reserve_gpus()
+        closing = set()
+        for machine in sorted((m for m in usable if m.name in needed), key=lambda m: (-needed[m.name], m.name)):
+            if left <= 0:
+                closing.add(machine.name)
+            left -= machine.gpus
+        return closing
+
     def _within_guarantee(self) -> set[str]:
         """Jobs that fit their team's guarantee along with the team's earlier unfinished jobs."""
         sums: dict[str, list[float]] = {}
@@ -855,7 +881,11 @@
         avoid = job.error_machines if len(job.error_machines) < 4 else set()
         spec = job.spec
 
+        cheap = spec.spot and self.fleet.spot_to_be_had(spec, now_us)
+
         def usable(machine: Machine) -> bool:
+            if cheap and machine.name in self._closing:
+                return False
             return machine.name not in avoid and machine.reserved in ("", spec.id)
 
         def keeps_warm_room(machine: Machine) -> bool:
