Split the cluster: transitions, health of machines, and the scheduling pass

No change of behaviour. cluster.py keeps the picture and its transitions; health.py judges silence; scheduler.py decides.

--- a/src/tideusher/actors/leader.py
+++ b/src/tideusher/actors/leader.py
@@ -17,6 +17,7 @@
 from tideusher.core.cluster import Cluster, Rental
 from tideusher.core.keeper import Batch
 from tideusher.core.records import RETURNING, UP, Machine
+from tideusher.core.scheduler import Scheduler
 from tideusher.metrics import Metrics
 from tideusher.wire import cloud as cloud_wire
 from tideusher.wire import workers
@@ -42,6 +43,7 @@
         self._store, self._election, self._cloud = store, election, cloud
         self._metrics = metrics
         self._cluster: Cluster | None = None
+        self._scheduler: Scheduler
         self._loading = False
         self._probing: set[str] = set()
         self._direct: dict[str, HttpClient] = {}
@@ -77,7 +79,7 @@
         now_us = self._clock.now_us()
         if cluster.dirty or now_us - self._last_pass_us > 1_000_000:
             self._last_pass_us = now_us
-            cluster.schedule(now_us)
+            self._scheduler.schedule(now_us)
         self._act(cluster)
 
     def _take_over(self, token: int) -> None:
@@ -101,7 +103,7 @@
         now_us = self._clock.now_us()
         cluster = Cluster(self._config, self._policy, token, now_us, self._clock.wall_us, self._metrics)
         cluster.load({key: (s.value, s.stamp) for key, s in self._store.mirror.items()}, now_us)
-        self._cluster = cluster
+        self._cluster, self._scheduler = cluster, Scheduler(cluster, now_us)
         self._metrics.count("leaderships")
         self.log.info(
             "took over with token %d: %d jobs, %d machines", token, len(cluster.jobs), len(cluster.machines)
@@ -142,7 +144,7 @@
         self._cloud.submit(Cloud.READ, self._cloud.types, lambda r: self.tell("types", token, r))
         self._cloud.submit(Cloud.READ, self._cloud.machines, lambda r: self.tell("listed", token, r))
         now_us = self._clock.now_us()
-        for machine in cluster.overdue(now_us):
+        for machine in cluster.health.overdue(now_us):
             cluster.give_back(machine, "it did not come up in time")
 
     def on_types(self, token: int, types: list[cloud_wire.MachineType] | None) -> None:
@@ -195,9 +197,9 @@
             for machine, commands in by_machine.items():
                 if machine.address and machine.phase == UP:
                     self.spawn(self._send, machine, token, commands)
-        for machine in cluster.taken(self._clock.now_us()):
+        for machine in cluster.health.taken(self._clock.now_us()):
             cluster.give_back(machine, "the cloud has taken it back")
-        for machine in cluster.suspects(self._clock.now_us()):
+        for machine in cluster.health.suspects(self._clock.now_us()):
             if machine.name not in self._probing:
                 self._probing.add(machine.name)
                 self.spawn(self._probe, token, machine)
@@ -297,11 +299,11 @@
     def on_probe_failed(self, token: int, machine: Machine) -> None:
         """A silent machine did not answer: return it, if its zone is heard and only it is not."""
         cluster = self._cluster
-        if cluster is None or cluster.token != token or machine not in cluster.suspects(self._clock.now_us()):
+        if cluster is None or cluster.token != token or machine not in cluster.health.suspects(self._clock.now_us()):
             return
         machine.probes_failed += 1
         now_us = self._clock.now_us()
-        if machine.probes_failed >= 2 and cluster.zone_heard(machine.zone, now_us):
+        if machine.probes_failed >= 2 and cluster.health.zone_heard(machine.zone, now_us):
             silent_s = (now_us - machine.reported_us) / 1e6
             cluster.give_back(machine, f"silent for {silent_s:.0f} s and does not answer")
             self._act(cluster)
--- a/src/tideusher/core/cluster.py
+++ b/src/tideusher/core/cluster.py
@@ -16,11 +16,10 @@
 from tideusher.config import Config, Policy, Team
 from tideusher.core import keys
 from tideusher.core.fleet import Fleet, Wish
+from tideusher.core.health import Health
 from tideusher.core.keeper import Effect, Entry, Keeper
 from tideusher.core.ledger import Ledger
-from tideusher.core.order import order_jobs, urgency_us
-from tideusher.core.placement import Room
-from tideusher.core.preempt import Standing, choose_room, may_stop, protected_until_us, room_of_halted
+from tideusher.core.preempt import Standing
 from tideusher.core.records import (
     ASSIGNED,
     BOOTING,
@@ -40,15 +39,13 @@
     read_chunk,
 )
 from tideusher.metrics import Metrics
-from tideusher.wire import cloud, workers
+from tideusher.wire import workers
 from tideusher.wire.cloud import FAILED, Listed, MachineType
 from tideusher.wire.jobs import JobSpec
 from tideusher.wire.state import Guard
 from tideusher.wire.workers import Command, Report, TaskReport
 
 MAX_STOPS_KEPT = 6
-RESERVE_S = 12.0
-MOVED = "hardly used; its tasks moved to others"
 
 
 @dataclass(slots=True, eq=False)
@@ -110,26 +107,19 @@
         self.machines: dict[str, Machine] = {}
         self.rentals: dict[str, Rental] = {}
         self.gone: set[str] = set()
-        self._zones_heard: dict[str, tuple[int, int]] = {}  # since when, and when last
         self.ledger = Ledger(settings.teams, policy, now_us)
         self.fleet = Fleet(policy, settings.objectives)
-        self.began_us = now_us
+        self.health = Health(config, policy, self.machines, self.fleet, now_us)
         self.keeper = Keeper(keys.LEADER, token, settings.state.txn_ops)
         self._entries: dict[str, Entry] = {}
-        self._usage: dict[str, list[float]] = {name: [0.0, 0.0] for name in self.teams}
+        self.usage: dict[str, list[float]] = {name: [0.0, 0.0] for name in self.teams}
         self.direct: list[Direct] = []
         self.to_rent: list[Rental] = []
         self.to_return: list[Machine] = []
         self._rental_count = 0
         self._types_value: Any = None
-        self._spare_gpus = 0.0
-        self._closing: set[str] = set()
-        self._next_move_us = now_us + to_us(2 * config.settings.workers.lease_s)
         self.writable = True  # did the state service answer our last write?
         self.saved_us = 0  # when the state service last took a write of ours
-        self._objectives = {
-            o.job_class: o.within_s for o in settings.objectives if o.kind == "wait" and o.job_class and o.within_s
-        }
         self.dirty = True
 
     # ---------------------------------------------------------------- loading
@@ -293,7 +283,7 @@
 
     def _stop_job(self, job: Job, grace_s: float, reason: str) -> None:
         for task in list(job.live.values()):
-            self._halt(task, grace_s, reason)
+            self.halt(task, grace_s, reason)
 
     def _retire(self, job: Job) -> None:
         """Forget a job that is over once nothing of it can be on a machine; its key stays for ever."""
@@ -312,7 +302,7 @@
     def _place(self, task: Task) -> None:
         task.job.take(task)
         task.machine.add(task)
-        usage = self._usage.setdefault(task.job.spec.team, [0.0, 0.0])
+        usage = self.usage.setdefault(task.job.spec.team, [0.0, 0.0])
         usage[0] += task.job.spec.cpus
         usage[1] += task.job.spec.gpus
 
@@ -323,7 +313,7 @@
             return
         job.drop(task)
         machine.remove(task)
-        usage = self._usage[job.spec.team]
+        usage = self.usage[job.spec.team]
         usage[0] -= job.spec.cpus
         usage[1] -= job.spec.gpus
         if not machine.tasks:
@@ -343,15 +333,15 @@
             and target.fits(job.spec)
         ):
             target.reserved = ""
-            self._assign(job, [target], now_us)
+            self.assign(job, [target], now_us)
         if job.status != OPEN:
             self._retire(job)
         elif job.is_gang and not over:
             for other in list(job.live.values()):
                 if other.halt_grace_s is None:
-                    self._halt(other, 0.0, "another task of its gang is gone")
+                    self.halt(other, 0.0, "another task of its gang is gone")
 
-    def _halt(self, task: Task, grace_s: float, reason: str) -> None:
+    def halt(self, task: Task, grace_s: float, reason: str) -> None:
         """Have a task stopped. One whose `run` was never sent is simply taken back."""
         if task.halt_grace_s is not None and task.halt_grace_s <= grace_s:
             return
@@ -386,7 +376,7 @@
         machine.session, machine.serial = report.session, report.serial
         machine.token = max(machine.token, report.token)
         machine.reported_us, machine.probes_failed = now_us, 0
-        self._heard(machine.zone, now_us)
+        self.health.heard(machine.zone, now_us)
         machine.address = report.address
         if machine.phase == BOOTING:
             machine.phase = UP
@@ -601,7 +591,7 @@
             if task.job.spec.checkpoint_s and recall_s > task.job.spec.save_s:
                 group = list(task.job.live.values()) if task.job.is_gang else [task]
                 for member in group:
-                    self._halt(member, task.job.spec.save_s + 1.0, "the cloud takes its machine back")
+                    self.halt(member, task.job.spec.save_s + 1.0, "the cloud takes its machine back")
 
     def drain(self, machine: Machine, reason: str) -> None:
         """Stop what runs on a machine that does harm, and return it."""
@@ -700,215 +690,15 @@
             if item.status == FAILED and machine.phase != RETURNING:
                 self.give_back(machine, "it stopped on its own")
 
-    def suspects(self, now_us: int) -> list[Machine]:
-        """Machines that have been silent for long and should be probed.
-
-        After a change of leader a machine that the cloud lists as running counts from our election:
-        its silence before that says nothing.
-        """
-        silence_us = max(
-            to_us(self.policy.fleet__silence_reports * self.config.settings.workers.report_s),
-            to_us(self.policy.fleet__silence_floor_s),
-        )
-        settle_us = to_us(self.config.settings.workers.lease_s)
-        out = []
-        for machine in self.machines.values():
-            # Right after a cut every machine of the zone has been silent for long, and the first to be
-            # heard again says nothing of the others: silence counts from when the zone was heard.
-            heard_us = self._zones_heard.get(machine.zone, (now_us, 0))[0]
-            if machine.phase == UP:
-                if now_us - max(machine.reported_us, heard_us) > silence_us:
-                    out.append(machine)
-            elif machine.phase == BOOTING and machine.inherited and machine.listed == cloud.UP:
-                if now_us - max(self.began_us, heard_us) > settle_us:
-                    out.append(machine)
-        return out
-
-    def _heard(self, zone: str, now_us: int) -> None:
-        since_us, last_us = self._zones_heard.get(zone, (now_us, now_us))
-        gap_us = to_us(2 * self.config.settings.workers.report_s + 0.5)
-        self._zones_heard[zone] = (since_us if now_us - last_us < gap_us else now_us, now_us)
-
-    def zone_heard(self, zone: str, now_us: int) -> bool:
-        """Are most machines of the zone being heard? Else the zone is cut, not the machine dead."""
-        recent_us = to_us(2 * self.config.settings.workers.report_s + 0.5)
-        known = [m for m in self.machines.values() if m.zone == zone and m.phase == UP and m.recall_us is None]
-        heard = sum(now_us - m.reported_us < recent_us for m in known)
-        return heard > 0 and 2 * heard >= len(known) - 1
-
-    def taken(self, now_us: int) -> list[Machine]:
-        """Machines whose notice has run out and that are silent since: the cloud has them."""
-        silence_us = to_us(1.5 * self.config.settings.workers.report_s)
-        return [
-            m
-            for m in self.machines.values()
-            if m.phase == UP
-            and m.recall_us is not None
-            and now_us > m.recall_us
-            and now_us - m.reported_us > silence_us
-        ]
-
-    def overdue(self, now_us: int) -> list[Machine]:
-        """Machines that never came up in all patience.
-
-        An inherited machine may have been up for long with nobody to tell us: its patience begins at
-        our election, and not at all while the cloud lists it as running (a new leader once returned
-        a whole fleet that had yet to report to it).
-        """
-        out = []
-        for machine in self.machines.values():
-            kind = self.fleet.types.get(machine.type)
-            if kind is None or machine.phase != BOOTING or (machine.inherited and machine.listed == cloud.UP):
-                continue
-            since_us = self.began_us if machine.inherited else machine.rented_us
-            if now_us - since_us > to_us(kind.boot_s * self.policy.fleet__boot_patience + 10):
-                out.append(machine)
-        return out
-
-    # ---------------------------------------------------------------- scheduling
+    # ---------------------------------------------------------------- decisions of a scheduling pass
 
     def min_run_us(self, job: Job) -> int:
         """The job's protected runtime."""
         spec = job.spec
         return self.policy.min_run_us(spec.shape, spec.estimate_s, spec.min_run_s)
 
-    def schedule(self, now_us: int) -> None:
-        """One pass: place what fits, stop what must yield, rent what is missing, return what idles."""
-        self.dirty = False
-        if not self.fleet.types:
-            return
-        for machine in self.machines.values():
-            if machine.reserved:
-                job = self.jobs.get(machine.reserved)
-                if job is None or job.pending <= 0 or now_us > machine.reserved_until_us:
-                    machine.reserved = ""
-        within = self._within_guarantee()
-        waiting = [job for job in self.jobs.values() if job.status == OPEN and job.pending > 0]
-        queue = order_jobs(
-            waiting,
-            self.ledger.ratio,
-            lambda job: job.spec.id in within,
-            self.policy.margin,
-            lambda job: urgency_us(job, self._objectives.get(job.spec.job_class)),
-        )
-        fresh_us = to_us(3 * self.config.settings.workers.report_s + 1)
-        usable = [
-            m
-            for m in self.machines.values()
-            if m.phase == UP and not m.draining and now_us - m.reported_us < fresh_us and m.free_cpus > 0
-        ]
-        used_gpus = sum(usage[1] for usage in self._usage.values())
-        self.fleet.refresh_warm(now_us, used_gpus)
-        self._closing = self._beyond_need(usable)
-        room = Room(usable, self.policy.placement__parts)
-        self._spare_gpus = sum(m.free_gpus for m in usable if not m.spot) - self.fleet.reserve_gpus()
-        unplaced: list[tuple[Job, int]] = []
-        for job in queue:
-            left = self._place_job(job, room, now_us)
-            if left:
-                unplaced.append((job, left))
-        if self.writable:  # what is stopped while nothing can be started is stopped for nobody
-            self._preempt(unplaced, now_us)
-        self._plan_fleet(unplaced, now_us)
-
-    def _beyond_need(self, usable: list[Machine]) -> set[str]:
-        """Ordinary machines beyond what work that needs them fills, the least used by it first.
-
-        Work that may run on spot machines would hold them for a multiple of its price, and keep what
-        is left on them from being moved together; it goes there only while no spot machine is to be had.
-        """
-        needed = {
-            m.name: sum(t.job.spec.gpus for t in m.tasks.values() if not t.job.spec.spot)
-            for m in usable
-            if not m.spot and m.gpus
-        }
-        waiting = sum(
-            job.spec.gpus * job.pending
-            for job in self.jobs.values()
-            if job.status == OPEN and job.pending > 0 and not job.spec.spot
-        )
-        left = sum(needed.values()) + waiting + self.fleet.reserve_gpus()
-        closing = set()
-        for machine in sorted((m for m in usable if m.name in needed), key=lambda m: (-needed[m.name], m.name)):
-            if left <= 0:
-                closing.add(machine.name)
-            left -= machine.gpus
-        return closing
-
-    def _within_guarantee(self) -> set[str]:
-        """Jobs that fit their team's guarantee along with the team's earlier unfinished jobs."""
-        sums: dict[str, list[float]] = {}
-        within = set()
-        for job in sorted(self.jobs.values(), key=lambda j: (j.submitted_us, j.spec.id)):
-            if job.status != OPEN:
-                continue
-            team = self.teams.get(job.spec.team)
-            if team is None or not (team.cpus or team.gpus):
-                continue
-            total = sums.setdefault(team.name, [0.0, 0.0])
-            total[0] += job.spec.cpus * job.spec.tasks
-            total[1] += job.spec.gpus * job.spec.tasks
-            if (not team.cpus or total[0] <= team.cpus + 1e-9) and (not team.gpus or total[1] <= team.gpus + 1e-9):
-                within.add(job.spec.id)
-        return within
-
-    def _quota_room(self, job: Job) -> int:
-        """How many more tasks the team's limit allows; tasks not proven gone count."""
-        team = self.teams.get(job.spec.team)
-        if team is None:
-            return 0
-        usage = self._usage[team.name]
-        room = [job.pending]
-        if team.cpus_max and job.spec.cpus:
-            room.append(int((team.cpus_max - usage[0] + 1e-6) / job.spec.cpus))
-        if team.gpus_max and job.spec.gpus:
-            room.append(int((team.gpus_max - usage[1] + 1e-6) / job.spec.gpus))
-        return max(0, min(room))
-
-    def _place_job(self, job: Job, room: Room, now_us: int) -> int:
-        """Place what can be placed of a job; returns how many more tasks wait for a machine."""
-        if now_us < job.not_before_us:
-            job.waits_for = "a pause after failed starts"
-            return 0
-        if job.is_gang and job.live:
-            job.waits_for = "the end of its last attempt"
-            return 0
-        count = self._quota_room(job)
-        if not count or (job.is_gang and count < job.spec.tasks):
-            job.waits_for = "its team's limit"
-            return 0
-        limit = -(-job.spec.tasks // 2) if job.spec.spread else None
-        avoid = job.error_machines if len(job.error_machines) < 4 else set()
-        spec = job.spec
-
-        cheap = spec.spot and self.fleet.spot_to_be_had(spec, now_us)
-
-        def usable(machine: Machine) -> bool:
-            if cheap and machine.name in self._closing:
-                return False
-            return machine.name not in avoid and machine.reserved in ("", spec.id)
-
-        def keeps_warm_room(machine: Machine) -> bool:
-            return usable(machine) and machine.spot
-
-        # Classes without a claim to the warm room may not eat it up.
-        enough = self.fleet.is_warm(spec.job_class) or spec.gpus * count <= self._spare_gpus
-        machines = room.place(job, count, job.is_gang, usable if enough else keeps_warm_room, limit)
-        if not enough and not job.is_gang and len(machines) < count and self._spare_gpus >= spec.gpus > 0:
-            part = min(count - len(machines), int(self._spare_gpus / spec.gpus))
-            if machines:
-                self._assign(job, machines, now_us)
-                count -= len(machines)
-            machines = room.place(job, part, False, lambda m: usable(m) and not m.spot, limit)
-        self._spare_gpus -= spec.gpus * sum(not m.spot for m in machines)
-        if machines:
-            self._assign(job, machines, now_us)
-        left = count - len(machines)
-        if left:
-            job.waits_for = "room on a machine"
-        return left
-
-    def _assign(self, job: Job, machines: list[Machine], now_us: int) -> None:
+    def assign(self, job: Job, machines: list[Machine], now_us: int) -> None:
+        """Give the job's next waiting tasks places on these machines; persisted before anyone hears."""
         indexes = job.pick(len(machines))
         chunks = {index // CHUNK_TASKS: job.chunk_of(index) for index in indexes}
         attempt = 1 + max(chunk.attempts for chunk in (job.chunks if job.is_gang else chunks).values())
@@ -938,7 +728,7 @@
 
     def use(self, team_name: str) -> tuple[float, float]:
         """CPUs and GPUs of the team's tasks that are not proven gone."""
-        usage = self._usage[team_name]
+        usage = self.usage[team_name]
         return usage[0], usage[1]
 
     def standing(self, team_name: str, extra: JobSpec | None = None) -> Standing:
@@ -946,7 +736,7 @@
         team = self.teams.get(team_name)
         if team is None:
             return Standing(1e12, False)
-        usage = self._usage[team_name]
+        usage = self.usage[team_name]
         cpus, gpus = usage[0], usage[1]
         if extra is not None:
             cpus, gpus = cpus + extra.cpus, gpus + extra.gpus
@@ -954,127 +744,10 @@
         inside = (not team.cpus or cpus <= team.cpus + 1e-9) and (not team.gpus or gpus <= team.gpus + 1e-9)
         return Standing(self.ledger.ratio(team_name), guaranteed and inside)
 
-    def _preempt(self, unplaced: list[tuple[Job, int]], now_us: int) -> None:
-        stops = 0
-        usable = [m for m in self.machines.values() if m.phase == UP and not m.draining]
-        coming_free = room_of_halted(usable)
-        coming = sum(m.gpus for m in self.machines.values() if m.phase == BOOTING and not m.draining and not m.spot)
-        for job, count in unplaced:
-            if stops >= self.policy.preempt__max_stops:
-                return
-            if not self.min_run_us(job):
-                continue
-            need = job.spec.gpus * count
-            if coming >= need > 0:
-                coming -= need  # booting room holds it
-                continue
-
-            def allowed(task: Task, job: Job = job) -> bool:
-                def standing(team: str) -> Standing:
-                    return self.standing(team, job.spec if team == job.spec.team else None)
-
-                return may_stop(job, task, standing, self.min_run_us, self.policy, now_us)
-
-            def lost_us(task: Task) -> int:
-                if task.running_us is None or task.job.is_service:
-                    return 0
-                spent = now_us - task.running_us
-                return min(spent, to_us(task.job.spec.save_s)) if task.job.spec.checkpoint_s else spent
-
-            free_for = [m for m in usable if m.reserved in ("", job.spec.id)]
-            machines, victims = choose_room(job, count, free_for, coming_free, allowed, lost_us)
-            for machine in machines:
-                # Kept for this job until its room is whole, or what it stops would only make way for
-                # the next request in the queue.
-                machine.reserved = job.spec.id
-                machine.reserved_until_us = now_us + to_us(RESERVE_S)
-            for task in victims:
-                minimum = self.min_run_us(task.job)
-                kind = "protected" if minimum else "unprotected"
-                self.metrics.count("preemptions", kind)
-                grace = task.job.spec.save_s + 1.0 if task.job.spec.checkpoint_s else 0.0
-                over = "past its protected time" if minimum else "without protected time"
-                self._halt(task, grace, f"it is {over} and job {job.spec.id} of team {job.spec.team} needs the room")
-                stops += 1
-
-    def consolidate(self, now_us: int) -> None:
-        """Move the replicas of one thinly used machine onto others, so that it can be returned.
-
-        Services come and go and leave machines with one replica each. A move costs its replica a
-        few seconds, so it is made only while nothing waits, onto room that has the image already,
-        and one machine at a time.
-        """
-        if now_us < self._next_move_us or self.keeper.waiting or not self.settled(now_us):
-            return
-        if any(job.status == OPEN and job.is_service and job.pending > 0 for job in self.jobs.values()):
-            return
-        if any(
-            t.halt_grace_s is not None and t.job.status == OPEN
-            for m in self.machines.values()
-            for t in m.tasks.values()
-        ):
-            return
-        steady_us = to_us(self.policy.fleet__move_after_s)
-        up = [m for m in self.machines.values() if m.phase == UP and not m.draining and not m.reserved]
-        sources = [
-            m
-            for m in up
-            if m.tasks
-            and all(
-                t.job.is_service and t.running_us is not None and now_us - t.running_us > steady_us
-                for t in m.tasks.values()
-            )
-        ]
-        for source in sorted(sources, key=lambda m: (m.gpus - m.free_gpus, m.name)):
-            if 2 * (source.gpus - source.free_gpus) > source.gpus:
-                return
-            others = [m for m in up if m is not source and m.tasks and not m.fetching]
-            targets = self._targets(source, others)
-            if targets and not self.fleet.unmet_without(source, up):
-                source.draining = MOVED
-                self._next_move_us = now_us + to_us(self.policy.fleet__move_pause_s)
-                for task, target in targets.items():
-                    target.reserved = task.job.spec.id
-                    target.reserved_until_us = now_us + to_us(RESERVE_S)
-                    task.move_to = target
-                    self._halt(task, 0.0, "its machine is hardly used and is given back; it moves to another")
-                return
-
-    def _targets(self, source: Machine, others: list[Machine]) -> dict[Task, Machine]:
-        """A machine that has the image for each task of the source; empty if one finds none."""
-        targets: dict[Task, Machine] = {}
-        for task in source.tasks.values():
-            spec = task.job.spec
-            limit = -(-spec.tasks // 2) if spec.spread else spec.tasks
-            zones = [targets.get(t, t.machine) for t in task.job.live.values() if t is not task]
-            for machine in sorted(others, key=lambda m: (m.zone != source.zone, m.free_gpus, m.name)):
-                if spec.image not in machine.images or not machine.allows(spec) or not machine.fits(spec):
-                    continue
-                if machine in targets.values() or sum(m.zone == machine.zone for m in zones) >= limit:
-                    continue
-                if spec.one_zone and any(m.zone != machine.zone for m in zones):
-                    continue
-                targets[task] = machine
-                break
-            else:
-                return {}
-        return targets
-
     def settled(self, now_us: int) -> bool:
         """Is the state service taking our writes right now? What we stop then starts again at once."""
         return self.writable and now_us - self.saved_us < 2 * to_us(self.policy.ledger__gather_s)
 
-    def _plan_fleet(self, unplaced: list[tuple[Job, int]], now_us: int) -> None:
-        asked = [(r.type, r.zone, r.spot, r.count) for r in self.rentals.values() if not r.answered]
-        for wish in self.fleet.plan(now_us, unplaced, self.machines.values(), asked):
-            self.rent(wish)
-        self.consolidate(now_us)
-        for machine in self.machines.values():
-            if machine.draining == MOVED and machine.phase == UP and not machine.tasks:
-                self.give_back(machine, MOVED)
-        for machine, reason in self.fleet.surplus(now_us, list(self.machines.values())):
-            self.give_back(machine, reason)
-
     def rent(self, wish: Wish) -> None:
         """Persist the intent; the cloud hears of it after that. The name holds our token: never reused."""
         self._rental_count += 1
@@ -1105,10 +778,6 @@
         )
         self.keeper.touch(self._entry(keys.RATIOS, lambda: self.ledger.to_value(now_us)), urgent=False)
 
-    def protected(self, task: Task, now_us: int) -> bool:
-        """Is the task still inside its protected runtime?"""
-        return protected_until_us(task, self.min_run_us(task.job), self.policy.preempt__stagger) > now_us
-
 
 def open_value(spec: JobSpec, wall_us: int) -> dict[str, Any]:
     """A job's own record as accepted."""
--- /dev/null
+++ b/src/tideusher/core/health.py
@@ -0,0 +1,84 @@
+"""Which machines have gone silent, were taken, or never came up; and which zones are merely cut off."""
+
+from tideusher.clock import to_us
+from tideusher.config import Config, Policy
+from tideusher.core.fleet import Fleet
+from tideusher.core.records import BOOTING, UP, Machine
+from tideusher.wire import cloud
+
+
+class Health:
+    """Judges silence. Nothing is freed for it: a machine found dead is returned, and that is the proof."""
+
+    def __init__(
+        self, config: Config, policy: Policy, machines: dict[str, Machine], fleet: Fleet, now_us: int
+    ) -> None:
+        self._config, self._policy, self._machines, self._fleet = config, policy, machines, fleet
+        self._began_us = now_us
+        self._zones_heard: dict[str, tuple[int, int]] = {}  # since when, and when last
+
+    def suspects(self, now_us: int) -> list[Machine]:
+        """Machines that have been silent for long and should be probed.
+
+        After a change of leader a machine that the cloud lists as running counts from our election:
+        its silence before that says nothing.
+        """
+        silence_us = max(
+            to_us(self._policy.fleet__silence_reports * self._config.settings.workers.report_s),
+            to_us(self._policy.fleet__silence_floor_s),
+        )
+        settle_us = to_us(self._config.settings.workers.lease_s)
+        out = []
+        for machine in self._machines.values():
+            # Right after a cut every machine of the zone has been silent for long, and the first to be
+            # heard again says nothing of the others: silence counts from when the zone was heard.
+            heard_us = self._zones_heard.get(machine.zone, (now_us, 0))[0]
+            if machine.phase == UP:
+                if now_us - max(machine.reported_us, heard_us) > silence_us:
+                    out.append(machine)
+            elif machine.phase == BOOTING and machine.inherited and machine.listed == cloud.UP:
+                if now_us - max(self._began_us, heard_us) > settle_us:
+                    out.append(machine)
+        return out
+
+    def heard(self, zone: str, now_us: int) -> None:
+        """A machine of the zone has reported."""
+        since_us, last_us = self._zones_heard.get(zone, (now_us, now_us))
+        gap_us = to_us(2 * self._config.settings.workers.report_s + 0.5)
+        self._zones_heard[zone] = (since_us if now_us - last_us < gap_us else now_us, now_us)
+
+    def zone_heard(self, zone: str, now_us: int) -> bool:
+        """Are most machines of the zone being heard? Else the zone is cut, not the machine dead."""
+        recent_us = to_us(2 * self._config.settings.workers.report_s + 0.5)
+        known = [m for m in self._machines.values() if m.zone == zone and m.phase == UP and m.recall_us is None]
+        heard = sum(now_us - m.reported_us < recent_us for m in known)
+        return heard > 0 and 2 * heard >= len(known) - 1
+
+    def taken(self, now_us: int) -> list[Machine]:
+        """Machines whose notice has run out and that are silent since: the cloud has them."""
+        silence_us = to_us(1.5 * self._config.settings.workers.report_s)
+        return [
+            m
+            for m in self._machines.values()
+            if m.phase == UP
+            and m.recall_us is not None
+            and now_us > m.recall_us
+            and now_us - m.reported_us > silence_us
+        ]
+
+    def overdue(self, now_us: int) -> list[Machine]:
+        """Machines that never came up in all patience.
+
+        An inherited machine may have been up for long with nobody to tell us: its patience begins at
+        our election, and not at all while the cloud lists it as running (a new leader once returned
+        a whole fleet that had yet to report to it).
+        """
+        out = []
+        for machine in self._machines.values():
+            kind = self._fleet.types.get(machine.type)
+            if kind is None or machine.phase != BOOTING or (machine.inherited and machine.listed == cloud.UP):
+                continue
+            since_us = self._began_us if machine.inherited else machine.rented_us
+            if now_us - since_us > to_us(kind.boot_s * self._policy.fleet__boot_patience + 10):
+                out.append(machine)
+        return out
--- /dev/null
+++ b/src/tideusher/core/scheduler.py
@@ -0,0 +1,283 @@
+"""The scheduling pass: place what fits, stop what must yield, rent what is missing, return what idles."""
+
+from tideusher.clock import to_us
+from tideusher.core.cluster import Cluster
+from tideusher.core.order import order_jobs, urgency_us
+from tideusher.core.placement import Room
+from tideusher.core.preempt import Standing, choose_room, may_stop, room_of_halted
+from tideusher.core.records import BOOTING, OPEN, UP, Job, Machine, Task
+
+RESERVE_S = 12.0
+MOVED = "hardly used; its tasks moved to others"
+
+
+class Scheduler:
+    """Decides on a Cluster; every change goes through the cluster's own transitions."""
+
+    def __init__(self, cluster: Cluster, now_us: int) -> None:
+        self._c = cluster
+        self._spare_gpus = 0.0
+        self._closing: set[str] = set()
+        self._next_move_us = now_us + to_us(2 * cluster.config.settings.workers.lease_s)
+        self._objectives = {
+            o.job_class: o.within_s
+            for o in cluster.config.settings.objectives
+            if o.kind == "wait" and o.job_class and o.within_s
+        }
+
+    def schedule(self, now_us: int) -> None:
+        """One pass: place what fits, stop what must yield, rent what is missing, return what idles."""
+        self._c.dirty = False
+        if not self._c.fleet.types:
+            return
+        for machine in self._c.machines.values():
+            if machine.reserved:
+                job = self._c.jobs.get(machine.reserved)
+                if job is None or job.pending <= 0 or now_us > machine.reserved_until_us:
+                    machine.reserved = ""
+        within = self._within_guarantee()
+        waiting = [job for job in self._c.jobs.values() if job.status == OPEN and job.pending > 0]
+        queue = order_jobs(
+            waiting,
+            self._c.ledger.ratio,
+            lambda job: job.spec.id in within,
+            self._c.policy.margin,
+            lambda job: urgency_us(job, self._objectives.get(job.spec.job_class)),
+        )
+        fresh_us = to_us(3 * self._c.config.settings.workers.report_s + 1)
+        usable = [
+            m
+            for m in self._c.machines.values()
+            if m.phase == UP and not m.draining and now_us - m.reported_us < fresh_us and m.free_cpus > 0
+        ]
+        used_gpus = sum(usage[1] for usage in self._c.usage.values())
+        self._c.fleet.refresh_warm(now_us, used_gpus)
+        self._closing = self._beyond_need(usable)
+        room = Room(usable, self._c.policy.placement__parts)
+        self._spare_gpus = sum(m.free_gpus for m in usable if not m.spot) - self._c.fleet.reserve_gpus()
+        unplaced: list[tuple[Job, int]] = []
+        for job in queue:
+            left = self._place_job(job, room, now_us)
+            if left:
+                unplaced.append((job, left))
+        if self._c.writable:  # what is stopped while nothing can be started is stopped for nobody
+            self._preempt(unplaced, now_us)
+        self._plan_fleet(unplaced, now_us)
+
+    def _beyond_need(self, usable: list[Machine]) -> set[str]:
+        """Ordinary machines beyond what work that needs them fills, the least used by it first.
+
+        Work that may run on spot machines would hold them for a multiple of its price, and keep what
+        is left on them from being moved together; it goes there only while no spot machine is to be had.
+        """
+        needed = {
+            m.name: sum(t.job.spec.gpus for t in m.tasks.values() if not t.job.spec.spot)
+            for m in usable
+            if not m.spot and m.gpus
+        }
+        waiting = sum(
+            job.spec.gpus * job.pending
+            for job in self._c.jobs.values()
+            if job.status == OPEN and job.pending > 0 and not job.spec.spot
+        )
+        left = sum(needed.values()) + waiting + self._c.fleet.reserve_gpus()
+        closing = set()
+        for machine in sorted((m for m in usable if m.name in needed), key=lambda m: (-needed[m.name], m.name)):
+            if left <= 0:
+                closing.add(machine.name)
+            left -= machine.gpus
+        return closing
+
+    def _within_guarantee(self) -> set[str]:
+        """Jobs that fit their team's guarantee along with the team's earlier unfinished jobs."""
+        sums: dict[str, list[float]] = {}
+        within = set()
+        for job in sorted(self._c.jobs.values(), key=lambda j: (j.submitted_us, j.spec.id)):
+            if job.status != OPEN:
+                continue
+            team = self._c.teams.get(job.spec.team)
+            if team is None or not (team.cpus or team.gpus):
+                continue
+            total = sums.setdefault(team.name, [0.0, 0.0])
+            total[0] += job.spec.cpus * job.spec.tasks
+            total[1] += job.spec.gpus * job.spec.tasks
+            if (not team.cpus or total[0] <= team.cpus + 1e-9) and (not team.gpus or total[1] <= team.gpus + 1e-9):
+                within.add(job.spec.id)
+        return within
+
+    def _quota_room(self, job: Job) -> int:
+        """How many more tasks the team's limit allows; tasks not proven gone count."""
+        team = self._c.teams.get(job.spec.team)
+        if team is None:
+            return 0
+        usage = self._c.usage[team.name]
+        room = [job.pending]
+        if team.cpus_max and job.spec.cpus:
+            room.append(int((team.cpus_max - usage[0] + 1e-6) / job.spec.cpus))
+        if team.gpus_max and job.spec.gpus:
+            room.append(int((team.gpus_max - usage[1] + 1e-6) / job.spec.gpus))
+        return max(0, min(room))
+
+    def _place_job(self, job: Job, room: Room, now_us: int) -> int:
+        """Place what can be placed of a job; returns how many more tasks wait for a machine."""
+        if now_us < job.not_before_us:
+            job.waits_for = "a pause after failed starts"
+            return 0
+        if job.is_gang and job.live:
+            job.waits_for = "the end of its last attempt"
+            return 0
+        count = self._quota_room(job)
+        if not count or (job.is_gang and count < job.spec.tasks):
+            job.waits_for = "its team's limit"
+            return 0
+        limit = -(-job.spec.tasks // 2) if job.spec.spread else None
+        avoid = job.error_machines if len(job.error_machines) < 4 else set()
+        spec = job.spec
+
+        cheap = spec.spot and self._c.fleet.spot_to_be_had(spec, now_us)
+
+        def usable(machine: Machine) -> bool:
+            if cheap and machine.name in self._closing:
+                return False
+            return machine.name not in avoid and machine.reserved in ("", spec.id)
+
+        def keeps_warm_room(machine: Machine) -> bool:
+            return usable(machine) and machine.spot
+
+        # Classes without a claim to the warm room may not eat it up.
+        enough = self._c.fleet.is_warm(spec.job_class) or spec.gpus * count <= self._spare_gpus
+        machines = room.place(job, count, job.is_gang, usable if enough else keeps_warm_room, limit)
+        if not enough and not job.is_gang and len(machines) < count and self._spare_gpus >= spec.gpus > 0:
+            part = min(count - len(machines), int(self._spare_gpus / spec.gpus))
+            if machines:
+                self._c.assign(job, machines, now_us)
+                count -= len(machines)
+            machines = room.place(job, part, False, lambda m: usable(m) and not m.spot, limit)
+        self._spare_gpus -= spec.gpus * sum(not m.spot for m in machines)
+        if machines:
+            self._c.assign(job, machines, now_us)
+        left = count - len(machines)
+        if left:
+            job.waits_for = "room on a machine"
+        return left
+
+    def _preempt(self, unplaced: list[tuple[Job, int]], now_us: int) -> None:
+        stops = 0
+        usable = [m for m in self._c.machines.values() if m.phase == UP and not m.draining]
+        coming_free = room_of_halted(usable)
+        coming = sum(
+            m.gpus for m in self._c.machines.values() if m.phase == BOOTING and not m.draining and not m.spot
+        )
+        for job, count in unplaced:
+            if stops >= self._c.policy.preempt__max_stops:
+                return
+            if not self._c.min_run_us(job):
+                continue
+            need = job.spec.gpus * count
+            if coming >= need > 0:
+                coming -= need  # booting room holds it
+                continue
+
+            def allowed(task: Task, job: Job = job) -> bool:
+                def standing(team: str) -> Standing:
+                    return self._c.standing(team, job.spec if team == job.spec.team else None)
+
+                return may_stop(job, task, standing, self._c.min_run_us, self._c.policy, now_us)
+
+            def lost_us(task: Task) -> int:
+                if task.running_us is None or task.job.is_service:
+                    return 0
+                spent = now_us - task.running_us
+                return min(spent, to_us(task.job.spec.save_s)) if task.job.spec.checkpoint_s else spent
+
+            free_for = [m for m in usable if m.reserved in ("", job.spec.id)]
+            machines, victims = choose_room(job, count, free_for, coming_free, allowed, lost_us)
+            for machine in machines:
+                # Kept for this job until its room is whole, or what it stops would only make way for
+                # the next request in the queue.
+                machine.reserved = job.spec.id
+                machine.reserved_until_us = now_us + to_us(RESERVE_S)
+            for task in victims:
+                minimum = self._c.min_run_us(task.job)
+                kind = "protected" if minimum else "unprotected"
+                self._c.metrics.count("preemptions", kind)
+                grace = task.job.spec.save_s + 1.0 if task.job.spec.checkpoint_s else 0.0
+                over = "past its protected time" if minimum else "without protected time"
+                self._c.halt(
+                    task, grace, f"it is {over} and job {job.spec.id} of team {job.spec.team} needs the room"
+                )
+                stops += 1
+
+    def _consolidate(self, now_us: int) -> None:
+        """Move the replicas of one thinly used machine onto others, so that it can be returned.
+
+        Services come and go and leave machines with one replica each. A move costs its replica a
+        few seconds, so it is made only while nothing waits, onto room that has the image already,
+        and one machine at a time.
+        """
+        if now_us < self._next_move_us or self._c.keeper.waiting or not self._c.settled(now_us):
+            return
+        if any(job.status == OPEN and job.is_service and job.pending > 0 for job in self._c.jobs.values()):
+            return
+        if any(
+            t.halt_grace_s is not None and t.job.status == OPEN
+            for m in self._c.machines.values()
+            for t in m.tasks.values()
+        ):
+            return
+        steady_us = to_us(self._c.policy.fleet__move_after_s)
+        up = [m for m in self._c.machines.values() if m.phase == UP and not m.draining and not m.reserved]
+        sources = [
+            m
+            for m in up
+            if m.tasks
+            and all(
+                t.job.is_service and t.running_us is not None and now_us - t.running_us > steady_us
+                for t in m.tasks.values()
+            )
+        ]
+        for source in sorted(sources, key=lambda m: (m.gpus - m.free_gpus, m.name)):
+            if 2 * (source.gpus - source.free_gpus) > source.gpus:
+                return
+            others = [m for m in up if m is not source and m.tasks and not m.fetching]
+            targets = self._targets(source, others)
+            if targets and not self._c.fleet.unmet_without(source, up):
+                source.draining = MOVED
+                self._next_move_us = now_us + to_us(self._c.policy.fleet__move_pause_s)
+                for task, target in targets.items():
+                    target.reserved = task.job.spec.id
+                    target.reserved_until_us = now_us + to_us(RESERVE_S)
+                    task.move_to = target
+                    self._c.halt(task, 0.0, "its machine is hardly used and is given back; it moves to another")
+                return
+
+    def _targets(self, source: Machine, others: list[Machine]) -> dict[Task, Machine]:
+        """A machine that has the image for each task of the source; empty if one finds none."""
+        targets: dict[Task, Machine] = {}
+        for task in source.tasks.values():
+            spec = task.job.spec
+            limit = -(-spec.tasks // 2) if spec.spread else spec.tasks
+            zones = [targets.get(t, t.machine) for t in task.job.live.values() if t is not task]
+            for machine in sorted(others, key=lambda m: (m.zone != source.zone, m.free_gpus, m.name)):
+                if spec.image not in machine.images or not machine.allows(spec) or not machine.fits(spec):
+                    continue
+                if machine in targets.values() or sum(m.zone == machine.zone for m in zones) >= limit:
+                    continue
+                if spec.one_zone and any(m.zone != machine.zone for m in zones):
+                    continue
+                targets[task] = machine
+                break
+            else:
+                return {}
+        return targets
+
+    def _plan_fleet(self, unplaced: list[tuple[Job, int]], now_us: int) -> None:
+        asked = [(r.type, r.zone, r.spot, r.count) for r in self._c.rentals.values() if not r.answered]
+        for wish in self._c.fleet.plan(now_us, unplaced, self._c.machines.values(), asked):
+            self._c.rent(wish)
+        self._consolidate(now_us)
+        for machine in self._c.machines.values():
+            if machine.draining == MOVED and machine.phase == UP and not machine.tasks:
+                self._c.give_back(machine, MOVED)
+        for machine, reason in self._c.fleet.surplus(now_us, list(self._c.machines.values())):
+            self._c.give_back(machine, reason)
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -25,6 +25,7 @@
 from tideusher.core.cluster import Cluster, open_value
 from tideusher.core.keeper import Batch
 from tideusher.core.records import JOB_CANCELLED, JOB_DONE, OPEN
+from tideusher.core.scheduler import Scheduler
 from tideusher.wire.cloud import MachineType
 from tideusher.wire.jobs import JobSpec
 from tideusher.wire.state import Delete, Guard, Put
@@ -319,6 +320,7 @@
         cluster.load(self.state.items, self.clock.now_us())
         cluster.set_types([TYPE])
         self.leaders.append(cluster)
+        self.scheduler = Scheduler(cluster, self.clock.now_us())
         return cluster
 
     def submit(self, spec: JobSpec) -> JobSpec:
@@ -364,8 +366,8 @@
             for key, (value, stamp) in self.state.items.items():
                 if key.startswith(keys.JOB_PREFIX):
                     cluster.job_changed(key[len(keys.JOB_PREFIX) :], value, stamp, now)
-            cluster.schedule(now)
-            for machine in cluster.suspects(now):
+            self.scheduler.schedule(now)
+            for machine in cluster.health.suspects(now):
                 worker = self.workers.get(machine.name)
                 if worker is None or worker.dead:
                     cluster.give_back(machine, "silent")
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -229,7 +229,7 @@
     bed.report("host-1", 2)
     bed.report("host-1", 3, (f"{spec.id}/0", 1, "running", None))
     task = placed.live[0]
-    bed.cluster._halt(task, 0.0, "job req-9 of team blue needs the room")
+    bed.cluster.halt(task, 0.0, "job req-9 of team blue needs the room")
     bed.report("host-1", 4, (f"{spec.id}/0", 1, "exited", "stopped"))
     bed.commit()
     bed.elect()
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -7,6 +7,7 @@
 from tideusher.core import keys
 from tideusher.core.cluster import Cluster
 from tideusher.core.records import ASSIGNED, COMMITTING, JOB_CANCELLED, JOB_DONE, RETURNING
+from tideusher.core.scheduler import Scheduler
 from tideusher.wire.workers import Report, TaskReport
 
 
@@ -22,7 +23,7 @@
         cluster = Cluster(make_config(), Policy(), token, self.clock.now_us(), self.clock.wall_us)
         cluster.load(self.state.items, self.clock.now_us())
         cluster.set_types([TYPE])
-        self.cluster = cluster
+        self.cluster, self.scheduler = cluster, Scheduler(cluster, self.clock.now_us())
         return cluster
 
     def see_jobs(self) -> None:
@@ -62,7 +63,7 @@
         placed = self.submit(spec)
         self.report("host-1", 1)
         self.commit()
-        self.cluster.schedule(self.clock.now_us())
+        self.scheduler.schedule(self.clock.now_us())
         self.commit()
         return placed
 
@@ -84,7 +85,7 @@
     spec = job()
     bed.submit(spec)
     bed.report("host-1", 1)
-    old.schedule(bed.clock.now_us())
+    bed.scheduler.schedule(bed.clock.now_us())
     batch = old.keeper.next_batch(8)
     bed.elect()
     assert bed.state.txn(batch.guards, batch.writes) is None
@@ -96,7 +97,7 @@
     placed = bed.submit(spec)
     bed.report("host-1", 1)
     bed.commit()
-    bed.cluster.schedule(bed.clock.now_us())
+    bed.scheduler.schedule(bed.clock.now_us())
     assert placed.live[0].phase == COMMITTING
     assert bed.state.cancel(spec.id)  # another node answers its user before our transaction arrives
     bed.commit()
@@ -111,7 +112,7 @@
     bed.submit(spec := job())
     bed.report("host-1", 1)
     bed.commit()
-    bed.cluster.schedule(bed.clock.now_us())
+    bed.scheduler.schedule(bed.clock.now_us())
     assert ops(bed.report("host-1", 2)) == []
     bed.commit()
     assert ops(bed.report("host-1", 3)) == [("run", f"{spec.id}/0", 1)]
@@ -125,7 +126,7 @@
     bed.commit()
     bed.elect()
     bed.report("host-1", 4)
-    bed.cluster.schedule(bed.clock.now_us())
+    bed.scheduler.schedule(bed.clock.now_us())
     assert bed.cluster.jobs[spec.id].live[0].attempt == 2
 
 
@@ -134,7 +135,7 @@
     placed = bed.submit(spec)
     bed.report("host-1", 1)
     bed.commit()
-    bed.cluster.schedule(bed.clock.now_us())
+    bed.scheduler.schedule(bed.clock.now_us())
     lost = bed.cluster.keeper.next_batch(8)  # its answer never comes
     bed.cluster.keeper.not_saved(bed.state.stamp_of)
     bed.commit()
@@ -167,7 +168,7 @@
     bed.report("host-1", 1)
     bed.report("host-2", 1)
     bed.commit()
-    bed.cluster.schedule(bed.clock.now_us())
+    bed.scheduler.schedule(bed.clock.now_us())
     bed.commit()
     names = {task.index: task.machine.name for task in placed.live.values()}
     for index in (0, 1):
@@ -222,10 +223,10 @@
     bed.report("host-1", 2)
     bed.report("host-1", 3, (f"{spec.id}/0", 1, "running", None))
     bed.clock.pass_s(10_000)
-    bed.cluster.schedule(bed.clock.now_us())
+    bed.scheduler.schedule(bed.clock.now_us())
     bed.commit()
     assert placed.live[0].machine.name == "host-1"
-    assert bed.cluster.standing("red").ratio >= 0 and bed.cluster._usage["red"][1] == 1.0
+    assert bed.cluster.standing("red").ratio >= 0 and bed.cluster.usage["red"][1] == 1.0
 
 
 def test_a_higher_session_and_a_confirmed_return_are_proof(bed):
@@ -236,7 +237,7 @@
     bed.report("host-1", 4, session=2)
     assert 0 not in a.live
     b = bed.submit(second)
-    bed.cluster.schedule(bed.clock.now_us())
+    bed.scheduler.schedule(bed.clock.now_us())
     bed.commit()
     assert 0 in b.live
     bed.cluster.give_back(bed.cluster.machines["host-1"], "a test")
@@ -252,14 +253,14 @@
     for name in ("host-1", "host-2", "host-3"):
         bed.report(name, 1)
     bed.commit()
-    bed.cluster.schedule(bed.clock.now_us())
+    bed.scheduler.schedule(bed.clock.now_us())
     bed.commit()
     names = {task.index: task.machine.name for task in placed.live.values()}
     for index in (0, 1):
         bed.report(names[index], 2)
         bed.report(names[index], 3, (f"{spec.id}/{index}", 1, "running", None))
     bed.report(names[0], 4, (f"{spec.id}/0", 1, "exited", "peers"))
-    bed.cluster.schedule(bed.clock.now_us())
+    bed.scheduler.schedule(bed.clock.now_us())
     assert set(placed.live) == {1} and placed.live[1].attempt == 1
 
 
@@ -301,7 +302,7 @@
     assert machine.phase == RETURNING and bed.cluster.to_return == [machine]
     placed = bed.submit(job())
     bed.report("host-1", 2)
-    bed.cluster.schedule(bed.clock.now_us())
+    bed.scheduler.schedule(bed.clock.now_us())
     assert not placed.live
 
 
@@ -325,7 +326,7 @@
     for number in (1, 2):
         bed.report(f"host-{number}", 1)
     bed.commit()
-    bed.cluster.schedule(bed.clock.now_us())
+    bed.scheduler.schedule(bed.clock.now_us())
     assert len(placed.live) == 200
     batch = bed.cluster.keeper.next_batch(2)
     bed.cluster.keeper.saved(bed.state.txn(batch.guards, batch.writes))
@@ -345,7 +346,7 @@
 
 
 def silent(bed):
-    return [machine.name for machine in bed.cluster.suspects(bed.clock.now_us())]
+    return [machine.name for machine in bed.cluster.health.suspects(bed.clock.now_us())]
 
 
 def test_a_dead_machine_is_suspected_while_its_zone_is_heard(bed):
@@ -355,7 +356,7 @@
                 bed.report(name, serial)
         bed.clock.pass_s(1.0)
     assert silent(bed) == ["host-1"]
-    assert bed.cluster.zone_heard("a", bed.clock.now_us())
+    assert bed.cluster.health.zone_heard("a", bed.clock.now_us())
 
 
 def test_the_first_machine_heard_after_a_cut_condemns_no_other(bed):
@@ -363,12 +364,12 @@
     for name in ("host-1", "host-2", "host-3", "host-4"):
         bed.report(name, 1)
     bed.clock.pass_s(15.0)
-    assert not bed.cluster.zone_heard("a", bed.clock.now_us())
+    assert not bed.cluster.health.zone_heard("a", bed.clock.now_us())
     bed.report("host-1", 2)
     assert silent(bed) == []
     bed.clock.pass_s(1.0)
     bed.report("host-1", 3)
-    assert silent(bed) == [] and not bed.cluster.zone_heard("a", bed.clock.now_us())
+    assert silent(bed) == [] and not bed.cluster.health.zone_heard("a", bed.clock.now_us())
 
 
 def test_an_inherited_fleet_is_not_overdue_at_the_change_of_leader(bed):
@@ -380,7 +381,7 @@
     bed.elect()
     listing = [Listed("host-1", "127.0.0.1:9", "m4", "a", False, "running", 500.0)]
     bed.cluster.listed(listing, bed.clock.now_us())
-    assert bed.cluster.overdue(bed.clock.now_us()) == []
+    assert bed.cluster.health.overdue(bed.clock.now_us()) == []
 
 
 def test_nothing_is_stopped_while_the_state_service_takes_no_writes(bed):
@@ -388,7 +389,7 @@
         bed.report(name, 1)
     batch = bed.submit(job("batch", 8, cpus=4.0))
     bed.commit()
-    bed.cluster.schedule(bed.clock.now_us())
+    bed.scheduler.schedule(bed.clock.now_us())
     bed.commit()
     for name in ("host-1", "host-2"):
         bed.report(name, 2)
@@ -396,8 +397,8 @@
         bed.report(name, 3, *running)
     bed.submit(job("service", 1, priority="critical", team="blue"))
     bed.cluster.writable = False
-    bed.cluster.schedule(bed.clock.now_us())
+    bed.scheduler.schedule(bed.clock.now_us())
     assert not any(task.halt_grace_s is not None for task in batch.live.values())
     bed.cluster.writable = True
-    bed.cluster.schedule(bed.clock.now_us())
+    bed.scheduler.schedule(bed.clock.now_us())
     assert sum(task.halt_grace_s is not None for task in batch.live.values()) == 1
