--- a/src/tideusher/core/fleet.py
+++ b/src/tideusher/core/fleet.py
@@ -90,16 +90,6 @@
         """May this kind be asked for now?"""
         return self._refused.get(kind, (0, 0))[0] <= now_us
 
-    def spot_to_be_had(self, spec: JobSpec, now_us: int) -> bool:
-        """May spot machines for this job be asked for now, as far as refusals tell?"""
-        return any(
-            self.available((kind.name, zone, True), now_us)
-            for kind in self.types.values()
-            if spec.types is None or kind.name in spec.types
-            for zone in kind.zones
-            if spec.zone in (None, zone)
-        )
-
     # Warm room
 
     def refresh_warm(self, now_us: int, used_gpus: float) -> None:
--- a/src/tideusher/core/scheduler.py
+++ b/src/tideusher/core/scheduler.py
@@ -17,7 +17,6 @@
     def __init__(self, cluster: Cluster, now_us: int) -> None:
         self._c = cluster
         self._spare_gpus = 0.0
-        self._closing: set[str] = set()
         self._next_move_us = now_us + to_us(2 * cluster.config.settings.workers.lease_s)
         self._objectives = {
             o.job_class: o.within_s
@@ -52,7 +51,6 @@
         ]
         used_gpus = sum(usage[1] for usage in self._c.usage.values())
         self._c.fleet.refresh_warm(now_us, used_gpus)
-        self._closing = self._beyond_need(usable)
         room = Room(usable, self._c.policy.placement__parts)
         self._spare_gpus = sum(m.free_gpus for m in usable if not m.spot) - self._c.fleet.reserve_gpus()
         unplaced: list[tuple[Job, int]] = []
@@ -64,30 +62,6 @@
             self._preempt(unplaced, now_us)
         self._plan_fleet(unplaced, now_us)
 
-    def _beyond_need(self, usable: list[Machine]) -> set[str]:
-        """Ordinary machines beyond what work that needs them fills, the least used by it first.
-
-        Work that may run on spot machines would hold them for a multiple of its price, and keep what
-        is left on them from being moved together; it goes there only while no spot machine is to be had.
-        """
-        needed = {
-            m.name: sum(t.job.spec.gpus for t in m.tasks.values() if not t.job.spec.spot)
-            for m in usable
-            if not m.spot and m.gpus
-        }
-        waiting = sum(
-            job.spec.gpus * job.pending
-            for job in self._c.jobs.values()
-            if job.status == OPEN and job.pending > 0 and not job.spec.spot
-        )
-        left = sum(needed.values()) + waiting + self._c.fleet.reserve_gpus()
-        closing = set()
-        for machine in sorted((m for m in usable if m.name in needed), key=lambda m: (-needed[m.name], m.name)):
-            if left <= 0:
-                closing.add(machine.name)
-            left -= machine.gpus
-        return closing
-
     def _within_guarantee(self) -> set[str]:
         """Jobs that fit their team's guarantee along with the team's earlier unfinished jobs."""
         sums: dict[str, list[float]] = {}
@@ -134,11 +108,7 @@
         avoid = job.error_machines if len(job.error_machines) < 4 else set()
         spec = job.spec
 
-        cheap = spec.spot and self._c.fleet.spot_to_be_had(spec, now_us)
-
         def usable(machine: Machine) -> bool:
-            if cheap and machine.name in self._closing:
-                return False
             return machine.name not in avoid and machine.reserved in ("", spec.id)
 
         def keeps_warm_room(machine: Machine) -> bool:
