A replacement joins a gang that has not started

A gang that lost a machine while it gathered was stopped whole, and the others' fetches were lost with it. The protocol lets a replacement with the same attempt complete it.

--- a/src/tideusher/core/cluster.py
+++ b/src/tideusher/core/cluster.py
@@ -306,8 +306,11 @@
         usage[0] += task.job.spec.cpus
         usage[1] += task.job.spec.gpus
 
-    def _free(self, task: Task, now_us: int) -> None:
-        """The task is proven not to be on its machine: give place, quota and zone back (safety 3)."""
+    def _free(self, task: Task, now_us: int, vanished: bool = False) -> None:
+        """The task is proven not to be on its machine: give place, quota and zone back (safety 3).
+
+        `vanished`: it is gone without an exit, with its machine or its lease.
+        """
         job, machine = task.job, task.machine
         if job.live.get(task.index) is not task:
             return
@@ -336,7 +339,9 @@
             self.assign(job, [target], now_us)
         if job.status != OPEN:
             self._retire(job)
-        elif job.is_gang and not over:
+        elif job.is_gang and not over and not (vanished and job.gathers):
+            # Of a gang that has run the rest cannot go on; one that still gathers is completed by a
+            # replacement with the same attempt.
             for other in list(job.live.values()):
                 if other.halt_grace_s is None:
                     self.halt(other, 0.0, "another task of its gang is gone")
@@ -452,7 +457,7 @@
             self.log.info("lost %s attempt %d on %s: %s", task.name, task.attempt, task.machine.name, reason)
             self._note_stop(task.job, task, reason)
             self._discard(task, now_us)
-        self._free(task, now_us)
+        self._free(task, now_us, vanished=True)
 
     def _discard(self, task: Task, now_us: int, kept: bool = False) -> None:
         """Count the preemption bill: what a stop threw away."""
@@ -702,6 +707,8 @@
         indexes = job.pick(len(machines))
         chunks = {index // CHUNK_TASKS: job.chunk_of(index) for index in indexes}
         attempt = 1 + max(chunk.attempts for chunk in (job.chunks if job.is_gang else chunks).values())
+        if job.is_gang and job.live:
+            attempt = next(iter(job.live.values())).attempt  # a replacement joins the gang that gathers
         tasks = []
         for index, machine in zip(indexes, machines, strict=True):
             chunk = job.chunk_of(index)
--- a/src/tideusher/core/records.py
+++ b/src/tideusher/core/records.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from tideusher.wire.jobs import GANG, SERVICE, JobSpec
+from tideusher.wire.workers import FETCHING, WAITING
 
 #: Tasks per chunk record: at most some 30 bytes a task, well inside the smallest value limit.
 CHUNK_TASKS = 64
@@ -86,6 +87,14 @@
         """All tasks at once or none."""
         return self.spec.shape == GANG
 
+    @property
+    def gathers(self) -> bool:
+        """A gang of which nothing has run yet: a replacement may still join its attempt."""
+        return bool(self.live) and all(
+            not task.inherited and task.halt_grace_s is None and task.state in ("", FETCHING, WAITING)
+            for task in self.live.values()
+        )
+
     @property
     def is_service(self) -> bool:
         """Runs until cancelled."""
--- a/src/tideusher/core/scheduler.py
+++ b/src/tideusher/core/scheduler.py
@@ -97,11 +97,11 @@
         if now_us < job.not_before_us:
             job.waits_for = "a pause after failed starts"
             return 0
-        if job.is_gang and job.live:
+        if job.is_gang and job.live and not job.gathers:
             job.waits_for = "the end of its last attempt"
             return 0
         count = self._quota_room(job)
-        if not count or (job.is_gang and count < job.spec.tasks):
+        if not count or (job.is_gang and count < job.pending):
             job.waits_for = "its team's limit"
             return 0
         limit = -(-job.spec.tasks // 2) if job.spec.spread else None
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -264,6 +264,28 @@
     assert set(placed.live) == {1} and placed.live[1].attempt == 1
 
 
+def test_a_replacement_joins_a_gang_that_has_not_started(bed):
+    spec = job("gang", 2, gpus=3.0)
+    placed = bed.submit(spec)
+    for name in ("host-1", "host-2", "host-3"):
+        bed.report(name, 1)
+    bed.commit()
+    bed.scheduler.schedule(bed.clock.now_us())
+    bed.commit()
+    names = {task.index: task.machine.name for task in placed.live.values()}
+    for index in (0, 1):
+        bed.report(names[index], 2)
+        bed.report(names[index], 3, (f"{spec.id}/{index}", 1, "waiting", None))
+    bed.cluster.give_back(bed.cluster.machines[names[0]], "it died")
+    bed.commit()
+    bed.cluster.returned([names[0]], bed.clock.now_us())
+    bed.scheduler.schedule(bed.clock.now_us())
+    bed.commit()
+    assert placed.live[1].halt_grace_s is None
+    assert placed.live[0].attempt == 1 and placed.live[0].machine.name not in names.values()
+    assert ops(bed.report(placed.live[0].machine.name, 2)) == [("run", f"{spec.id}/0", 1)]
+
+
 # 4. `run` only in answers to reports; `done` before `forget`
 
 
