Slow machines are told by their arrays' run times and used last

Run times of one array on different machines are compared; a pace clearly above the others' sends work elsewhere while there is elsewhere, and such a machine is returned first. Nothing is stopped for it, so a wrong guess costs little.

--- a/src/tideusher/core/cluster.py
+++ b/src/tideusher/core/cluster.py
@@ -474,6 +474,8 @@
         if item.cause == workers.CAUSE_DONE:
             machine.error_jobs.clear()
             if task.running_us is not None:
+                if not job.is_gang:
+                    machine.completed(job, now_us - task.running_us)
                 self.metrics.ran(job.spec.job_class, to_s(now_us - task.running_us))
             self._complete(job, task.index)
             self._free(task, now_us)
--- a/src/tideusher/core/explain.py
+++ b/src/tideusher/core/explain.py
@@ -104,7 +104,7 @@
             "tasks": len(m.tasks),
             "free_gpus": round(m.free_gpus, 3),
             "silent_s": round(to_s(now_us - m.reported_us), 1) if m.reported_us else None,
-            "note": m.draining or (f"kept for {m.reserved}" if m.reserved else ""),
+            "note": m.draining or (f"kept for {m.reserved}" if m.reserved else "slow" if m.slow else ""),
         }
         for m in sorted(cluster.machines.values(), key=lambda m: m.name)
     ]
--- a/src/tideusher/core/fleet.py
+++ b/src/tideusher/core/fleet.py
@@ -315,7 +315,7 @@
         kept = {m.name: m for m in machines if m.phase == UP and not m.draining and not m.reserved}
         unmet = _unmet(self.warm, kept.values())
         out = []
-        for machine in sorted(kept.values(), key=lambda m: (m.spot, len(m.images), m.name)):
+        for machine in sorted(kept.values(), key=lambda m: (not m.slow, m.spot, len(m.images), m.name)):
             idle_for_us = now_us - machine.idle_since_us
             if machine.tasks or idle_for_us < idle_us:
                 continue
--- a/src/tideusher/core/placement.py
+++ b/src/tideusher/core/placement.py
@@ -115,6 +115,7 @@
         (m for m in pool if room[m.name] and _fetch_rank(m, job.spec.image) != BLOCKED),
         key=lambda m: (
             m.name in job.error_machines,
+            m.slow,
             _fetch_rank(m, job.spec.image),
             not m.spot,
             m.free_gpus,
--- a/src/tideusher/core/records.py
+++ b/src/tideusher/core/records.py
@@ -4,7 +4,9 @@
 assignment, so a number is never used twice for a task, whoever leads (docs/safety.md, 2).
 """
 
+from collections import deque
 from dataclasses import dataclass, field
+from statistics import median
 from typing import Any
 
 from tideusher.wire.jobs import GANG, SERVICE, JobSpec
@@ -20,6 +22,10 @@
 
 OPEN, JOB_DONE, JOB_CANCELLED = "open", "done", "cancelled"
 
+#: A run weighs this much in a machine's pace; machines of one type differ by a tenth, faulty ones by far more.
+PACE_WEIGHT = 0.3
+SLOW_PACE = 1.4
+
 # Machine phases.
 BOOTING, UP, RETURNING = "booting", "up", "returning"
 
@@ -80,6 +86,7 @@
     stops: list[dict[str, Any]] = field(default_factory=list)
     finish_dirty: bool = False
     started: set[int] = field(default_factory=set)  # tasks whose minimum runtime was charged
+    runs: deque[tuple[str, int]] = field(default_factory=lambda: deque(maxlen=16))  # machine, run time
     waits_for: str = "its first look by the scheduler"
 
     @property
@@ -205,6 +212,7 @@
     images: dict[str, float] = field(default_factory=dict)
     error_jobs: set[str] = field(default_factory=set)
     probes_failed: int = 0
+    pace: float = 1.0  # run times here over those of the same jobs elsewhere, smoothed
     listed: str = ""
     inherited: bool = False  # known from an earlier leader's record
     reserved: str = ""  # the job that stops were made for; nobody else may use the room
@@ -232,6 +240,18 @@
             and (spec.spot or not self.spot)
         )
 
+    def completed(self, job: Job, run_us: int) -> None:
+        """Compare a run with the same array's runs on other machines: some machines are far slower."""
+        others = [other_us for name, other_us in job.runs if name != self.name]
+        job.runs.append((self.name, run_us))
+        if len(others) >= 2:
+            self.pace += PACE_WEIGHT * (run_us / max(1.0, median(others)) - self.pace)
+
+    @property
+    def slow(self) -> bool:
+        """Clearly slower than others: work goes elsewhere while it can, and it is returned first."""
+        return self.pace > SLOW_PACE
+
     @property
     def fetching(self) -> bool:
         """Is an image on its way to a task here?"""
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -136,6 +136,21 @@
     assert Room([busy], 1).place(Job(job("service"), 1, 0, 0), 1, False, lambda m: True, None) == []
 
 
+def test_work_goes_past_a_machine_that_runs_its_tasks_slower_than_others():
+    slow, fair = machine("host-1"), machine("host-2")
+    slow.images["img-1"] = fair.images["img-1"] = 2.0
+    array = Job(job("batch", 12), 1, 0, 0)
+    for _ in range(4):
+        fair.completed(array, 60 * SECOND_US)
+        slow.completed(array, 120 * SECOND_US)
+    assert slow.slow and not fair.slow
+    room = Room([slow, fair], 1)
+    assert [m.name for m in room.place(array, 5, False, lambda m: True, None)] == ["host-2"] * 4 + ["host-1"]
+    for _ in range(6):
+        slow.completed(array, 60 * SECOND_US)
+    assert not slow.slow
+
+
 # Preemption
 
 
