--- a/src/tideusher/config.py
+++ b/src/tideusher/config.py
@@ -2,6 +2,7 @@
 
 import tomllib
 from pathlib import Path
+from typing import Annotated
 
 import msgspec
 
@@ -147,28 +148,28 @@
 class Policy(msgspec.Struct, frozen=True, forbid_unknown_fields=True, rename=lambda n: n.replace("__", ".")):
     """Operators' settings. Names in the properties file use a dot where these use two underscores."""
 
-    ledger__window_s: float = 3600.0
-    ledger__gather_s: float = 5.0
-    preempt__margin: float = 0.1
-    preempt__stagger: float = 0.25
-    preempt__max_stops: int = 8
-    min_run__cap_s: float = 3600.0
-    min_run__service: float = 3600.0
-    min_run__gang_factor: float = 1.0
-    min_run__batch_factor: float = 0.0
-    placement__parts: int = 2
-    fleet__idle_s: float = 25.0
-    fleet__patience: float = 1.0
-    fleet__move_after_s: float = 40.0
-    fleet__move_pause_s: float = 12.0
-    fleet__warm_quantile: float = 1.3
-    fleet__warm_share: float = 0.1
-    fleet__warm_window_s: float = 180.0
-    fleet__boot_patience: float = 3.0
-    fleet__capacity_backoff_s: float = 8.0
-    fleet__silence_reports: float = 2.5
-    fleet__silence_floor_s: float = 2.5
-    leader__lease_s: float = 3.0
+    ledger__window_s: Annotated[float, msgspec.Meta(ge=1)] = 3600.0
+    ledger__gather_s: Annotated[float, msgspec.Meta(ge=0.5)] = 5.0
+    preempt__margin: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.1
+    preempt__stagger: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.25
+    preempt__max_stops: Annotated[int, msgspec.Meta(ge=0)] = 8
+    min_run__cap_s: Annotated[float, msgspec.Meta(ge=0)] = 3600.0
+    min_run__service: Annotated[float, msgspec.Meta(ge=0)] = 3600.0
+    min_run__gang_factor: Annotated[float, msgspec.Meta(ge=0)] = 1.0
+    min_run__batch_factor: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    placement__parts: Annotated[int, msgspec.Meta(ge=1)] = 2
+    fleet__idle_s: Annotated[float, msgspec.Meta(ge=0)] = 25.0
+    fleet__patience: Annotated[float, msgspec.Meta(ge=0)] = 1.0
+    fleet__move_after_s: Annotated[float, msgspec.Meta(ge=30)] = 40.0
+    fleet__move_pause_s: Annotated[float, msgspec.Meta(ge=0)] = 12.0
+    fleet__warm_quantile: Annotated[float, msgspec.Meta(ge=0)] = 1.3
+    fleet__warm_share: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.1
+    fleet__warm_window_s: Annotated[float, msgspec.Meta(ge=21)] = 180.0
+    fleet__boot_patience: Annotated[float, msgspec.Meta(ge=1.5)] = 3.0
+    fleet__capacity_backoff_s: Annotated[float, msgspec.Meta(ge=0.1)] = 8.0
+    fleet__silence_reports: Annotated[float, msgspec.Meta(ge=1.5)] = 2.5
+    fleet__silence_floor_s: Annotated[float, msgspec.Meta(ge=0)] = 2.5
+    leader__lease_s: Annotated[float, msgspec.Meta(ge=1, le=60)] = 3.0
 
     @property
     def margin(self) -> float:
@@ -205,9 +206,4 @@
         policy = msgspec.convert(raw, Policy, strict=False)
     except msgspec.ValidationError as error:
         raise ConfigError(f"{path}: {error}") from None
-    for field in msgspec.structs.fields(policy):
-        if getattr(policy, field.name) < 0:
-            raise ConfigError(f"{path}: {field.encode_name} must not be negative")
-    if policy.placement__parts < 1:
-        raise ConfigError(f"{path}: placement.parts must be at least 1")
     return policy
