--- a/src/tideusher/actors/users.py
+++ b/src/tideusher/actors/users.py
@@ -43,6 +43,7 @@
     def __init__(self, config: Config, clock: Clock, store: Store) -> None:
         self.log = logging.getLogger("users")
         self._clock, self._store = clock, store
+        self._max_value = int(config.settings.state.value_kb * 1024)
         self._teams = {team.name: team for team in config.settings.teams}
         self._types_value: Any = None
         self._types: list[MachineType] = []
@@ -84,9 +85,12 @@
                     return self._state(spec.id)
             self.log.info("refused %s: %s", spec.id, reason)
             return refusal(status, reason)
-        key = keys.job_key(spec.id)
+        key, value = keys.job_key(spec.id), open_value(spec, self._clock.wall_us())
+        if len(msgspec.json.encode(value)) > self._max_value:
+            # The state service would refuse it each time; the user must not be told to come back.
+            return refusal(400, "the job's description is too long")
         try:
-            self._store.txn([Guard(key, 0)], [Put(key, open_value(spec, self._clock.wall_us()))])
+            self._store.txn([Guard(key, 0)], [Put(key, value)])
         except Conflict:
             return self._state(spec.id)
         except (Unavailable, NoLease) as error:
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -89,6 +89,11 @@
     assert users.submit(body(job(**fields))).status == status
 
 
+def test_a_description_that_no_record_holds_is_refused_for_good(users, store):
+    reply = users.submit(body(job(image="x" * 5000)))
+    assert reply.status == 400 and not [key for key in store.state.items if key.startswith(keys.JOB_PREFIX)]
+
+
 def test_unsure_is_503_with_a_time_to_come_back(users, store):
     store.state.items.pop(keys.TYPES)
     store.sync()
