--- a/src/tideusher/actors/peers.py
+++ b/src/tideusher/actors/peers.py
@@ -124,7 +124,6 @@
 
     def __init__(self, config: Config, clock: Clock, hello: Callable[[], wire.Hello]) -> None:
         self.log = logging.getLogger("peers")
-        self._config = config
         self._hello = hello
         self.links = {peer.name: Link(peer, self._hello, clock) for peer in config.peers}
         self._handler: Callable[[wire.Message], wire.Message | None] = lambda message: None
--- a/src/tideusher/actors/users.py
+++ b/src/tideusher/actors/users.py
@@ -47,7 +47,6 @@
         self._teams = {team.name: team for team in config.settings.teams}
         self._types_value: Any = None
         self._types: list[MachineType] = []
-        self._counts: dict[str, tuple[int, int, int]] = {}
 
     def handle(self, method: str, path: str, body: bytes) -> Reply:
         """Answer a request for a job's submission, state or cancellation."""
