Merge twins and drop dead fields; no change of behaviour

The count of a job's tasks by zone, its spread limit, and the check of type, zone and kind each stood in two to four places; each now stands once, beside the job. Machine.token and Keeper.busy were never read. The chunk size in a poll's count is the records' own.

--- a/src/tideusher/actors/users.py
+++ b/src/tideusher/actors/users.py
@@ -11,7 +11,7 @@
 from tideusher.config import Config
 from tideusher.core import keys
 from tideusher.core.cluster import open_value
-from tideusher.core.records import JOB_CANCELLED, JOB_DONE, OPEN
+from tideusher.core.records import CHUNK_TASKS, JOB_CANCELLED, JOB_DONE, OPEN
 from tideusher.wire import jobs as wire
 from tideusher.wire.cloud import MachineType
 from tideusher.wire.jobs import InvalidJob, JobSpec, JobStatus
@@ -171,7 +171,7 @@
 
     def _count(self, job_id: str, tasks: int) -> tuple[int, int]:
         done = running = 0
-        for number in range(-(-tasks // 64)):
+        for number in range(-(-tasks // CHUNK_TASKS)):
             chunk = self._store.mirror.get(keys.chunk_key(job_id, number))
             if chunk is not None:
                 done += int(chunk.value.get("d", "0"), 16).bit_count()
--- a/src/tideusher/core/cluster.py
+++ b/src/tideusher/core/cluster.py
@@ -379,7 +379,6 @@
             return None  # late or repeated: what it says is older than what we know
         new_session = machine.reported_us > 0 and report.session > machine.session
         machine.session, machine.serial = report.session, report.serial
-        machine.token = max(machine.token, report.token)
         machine.reported_us, machine.probes_failed = now_us, 0
         self.health.heard(machine.zone, now_us)
         machine.address = report.address
--- a/src/tideusher/core/fleet.py
+++ b/src/tideusher/core/fleet.py
@@ -8,7 +8,7 @@
 from tideusher.clock import SECOND_US, to_s, to_us
 from tideusher.config import Objective, Policy
 from tideusher.core.placement import slots_in
-from tideusher.core.records import BOOTING, UP, Job, Machine
+from tideusher.core.records import BOOTING, UP, Job, Machine, allowed_on
 from tideusher.wire.cloud import MachineType
 from tideusher.wire.jobs import SERVICE, JobSpec
 
@@ -43,11 +43,7 @@
 
     def allows(self, spec: JobSpec) -> bool:
         """May this job's tasks run here?"""
-        return (
-            (spec.types is None or self.type in spec.types)
-            and (spec.zone is None or self.zone == spec.zone)
-            and (spec.spot or not self.spot)
-        )
+        return allowed_on(spec, self.type, self.zone, self.spot)
 
 
 class Fleet:
@@ -172,20 +168,16 @@
         boot_us = min((to_us(kind.boot_s) for kind in self.types.values()), default=0)
         patience_us = round(boot_us * self._policy.fleet__patience)
         for job, count in unplaced:
-            zones = {task.machine.zone for task in job.live.values()}
-            zone_use: dict[str, int] = {}
-            for task in job.live.values():
-                zone_use[task.machine.zone] = zone_use.get(task.machine.zone, 0) + 1
-            limit = -(-job.spec.tasks // 2) if job.spec.spread else None
+            zone_use = job.zone_use()
             # Who has waited for a whole boot already is not put off with room that opens soon: others
             # may have taken it each time.
             offered = bins if now_us - job.seen_us < patience_us else [bin for bin in bins if not bin.soon]
-            self._fit(job.spec, count, offered, zones, zone_use, limit, population, now_us, "work waits", bins)
+            self._fit(job.spec, count, offered, zone_use, job.zone_limit, population, now_us, "work waits", bins)
         free_bins = [
             Bin(m.type, m.zone, m.spot, m.free_cpus, m.free_gpus, m.free_ram) for m in warm_room if not m.reserved
         ]
         for spec, count in self.warm:
-            self._fit(spec, count, free_bins + bins, set(), {}, None, population, now_us, "warm room", bins)
+            self._fit(spec, count, free_bins + bins, {}, None, population, now_us, "warm room", bins)
         counted: dict[tuple[str, str, bool, str], int] = {}
         for bin in bins:
             if bin.new:
@@ -224,7 +216,6 @@
         spec: JobSpec,
         count: int,
         bins: list[Bin],
-        zones: set[str],
         zone_use: dict[str, int],
         limit: int | None,
         population: dict[str, int],
@@ -233,7 +224,7 @@
         rented: list[Bin],
     ) -> None:
         left = count
-        one_zone = next(iter(zones), None) if spec.one_zone else None
+        one_zone = next(iter(zone_use), None) if spec.one_zone else None
         for bin in sorted(bins, key=lambda b: (not b.spot, b.gpus)):
             if not left:
                 return
--- a/src/tideusher/core/keeper.py
+++ b/src/tideusher/core/keeper.py
@@ -76,11 +76,6 @@
         """Is the entry's present value in the state service?"""
         return not entry.dirty and (self._in_flight is None or entry not in self._in_flight.entries)
 
-    @property
-    def busy(self) -> bool:
-        """Is a transaction in flight?"""
-        return self._in_flight is not None
-
     @property
     def waiting(self) -> int:
         """Keys that wait to be written."""
--- a/src/tideusher/core/placement.py
+++ b/src/tideusher/core/placement.py
@@ -41,9 +41,7 @@
             [machine for machine in part if machine.allows(job.spec) and usable(machine)] for part in self._parts
         ]
         ranked = sorted(allowed, key=lambda part: -sum(slots(machine, job) for machine in part))
-        zones_taken: dict[str, int] = {}
-        for task in job.live.values():
-            zones_taken[task.machine.zone] = zones_taken.get(task.machine.zone, 0) + 1
+        zones_taken = job.zone_use()
         if all_or_none or job.spec.one_zone:
             for pool in [*ranked, [machine for part in ranked for machine in part]]:
                 chosen = self._choose(job, count, pool, dict(zones_taken), spread_limit)
--- a/src/tideusher/core/preempt.py
+++ b/src/tideusher/core/preempt.py
@@ -121,10 +121,8 @@
     spec = request.spec
     used: dict[str, Machine] = {}
     victims: dict[Task, None] = {}
-    limit = -(-spec.tasks // 2) if spec.spread else spec.tasks
-    zones: dict[str, int] = {}
-    for task in request.live.values():
-        zones[task.machine.zone] = zones.get(task.machine.zone, 0) + 1
+    limit = request.zone_limit or spec.tasks
+    zones = request.zone_use()
     granted = 0
 
     def grant(machine: Machine) -> None:
--- a/src/tideusher/core/records.py
+++ b/src/tideusher/core/records.py
@@ -107,6 +107,18 @@
         """Runs until cancelled."""
         return self.spec.shape == SERVICE
 
+    @property
+    def zone_limit(self) -> int | None:
+        """How many of its tasks one zone may hold; None: any number."""
+        return -(-self.spec.tasks // 2) if self.spec.spread else None
+
+    def zone_use(self) -> dict[str, int]:
+        """How many of its tasks hold a place in each zone."""
+        use: dict[str, int] = {}
+        for task in self.live.values():
+            use[task.machine.zone] = use.get(task.machine.zone, 0) + 1
+        return use
+
     @property
     def pending(self) -> int:
         """Tasks that hold no place and are not done."""
@@ -186,6 +198,15 @@
     return chunk, places
 
 
+def allowed_on(spec: JobSpec, machine_type: str, zone: str, spot: bool) -> bool:
+    """May tasks of the job run on machines of this type, in this zone, of this kind?"""
+    return (
+        (spec.types is None or machine_type in spec.types)
+        and (spec.zone is None or zone == spec.zone)
+        and (spec.spot or not spot)
+    )
+
+
 @dataclass(slots=True, eq=False)
 class Machine:
     """A machine from its rental to the proof that it is gone."""
@@ -203,7 +224,6 @@
     address: str = ""
     session: int = 0
     serial: int = 0
-    token: int = 0
     reported_us: int = 0
     idle_since_us: int = 0
     recall_us: int | None = None
@@ -234,11 +254,7 @@
 
     def allows(self, spec: JobSpec) -> bool:
         """May this job's tasks run on this type, zone and kind of machine?"""
-        return (
-            (spec.types is None or self.type in spec.types)
-            and (spec.zone is None or self.zone == spec.zone)
-            and (spec.spot or not self.spot)
-        )
+        return allowed_on(spec, self.type, self.zone, self.spot)
 
     def completed(self, job: Job, run_us: int) -> None:
         """Compare a run with the same array's runs on other machines: some machines are far slower."""
--- a/src/tideusher/core/scheduler.py
+++ b/src/tideusher/core/scheduler.py
@@ -104,7 +104,7 @@
         if not count or (job.is_gang and count < job.pending):
             job.waits_for = "its team's limit"
             return 0
-        limit = -(-job.spec.tasks // 2) if job.spec.spread else None
+        limit = job.zone_limit
         avoid = job.error_machines if len(job.error_machines) < 4 else set()
         spec = job.spec
 
@@ -226,7 +226,7 @@
         targets: dict[Task, Machine] = {}
         for task in source.tasks.values():
             spec = task.job.spec
-            limit = -(-spec.tasks // 2) if spec.spread else spec.tasks
+            limit = task.job.zone_limit or spec.tasks
             zones = [targets.get(t, t.machine) for t in task.job.live.values() if t is not task]
             for machine in sorted(others, key=lambda m: (m.zone != source.zone, m.free_gpus, m.name)):
                 if spec.image not in machine.images or not machine.allows(spec) or not machine.fits(spec):
