--- /dev/null
+++ b/src/tideusher/__main__.py
@@ -0,0 +1,5 @@
+"""`python -m tideusher`."""
+
+from tideusher.cli import main
+
+main()
--- /dev/null
+++ b/src/tideusher/actors/cloud.py
@@ -0,0 +1,95 @@
+"""The cloud: rents, returns and lists, within its rate; every answer goes to the leader as a message."""
+
+from typing import Any
+
+import gevent
+import msgspec
+from gevent.queue import PriorityQueue
+
+from tideusher.actors.base import Actor
+from tideusher.actors.http import CallFailed, HttpClient
+from tideusher.actors.store import Bucket
+from tideusher.clock import Clock
+from tideusher.config import Config
+from tideusher.wire import cloud
+
+
+class Cloud(Actor):
+    """Serves calls one after the other, the most useful kind first."""
+
+    RENT, RETURN, READ = 0, 1, 2
+
+    def __init__(self, config: Config, clock: Clock) -> None:
+        super().__init__("cloud")
+        self._client = HttpClient(config.endpoints.cloud, timeout_s=5.0, keep=3)
+        self._bucket = Bucket(config.settings.cloud.rps * 0.9, clock)
+        self._queue: PriorityQueue = PriorityQueue()
+        self._count = 0
+
+    def start(self) -> None:
+        for _ in range(3):
+            gevent.spawn(self._work)
+
+    def submit(self, kind: int, call: Any, then: Any) -> None:
+        """Queue a call; `then` gets its result, or None when the cloud did not answer usefully."""
+        self._count += 1
+        self._queue.put((kind, self._count, call, then))
+
+    def _work(self) -> None:
+        while True:
+            _, _, call, then = self._queue.get()
+            pause_s = self._bucket.wait_s(1)
+            if pause_s:
+                gevent.sleep(pause_s)
+            try:
+                result = call()
+            except CallFailed as error:
+                self.log.info("no answer: %s", error)
+                result = None
+            except msgspec.DecodeError as error:
+                self.log.error("bad answer: %s", error)
+                result = None
+            then(result)
+
+    def rent(self, request: cloud.RentRequest) -> list[str] | None:
+        """Names of the rented machines; an empty list: no capacity. None: ask again, same name."""
+        status, body = self._client.call("POST", "/rentals", cloud.encode(request))
+        if status == 200:
+            return cloud.decode_rented(body).machines
+        if status == 503 and b"no capacity" in body:
+            return []
+        if status == 429:
+            self._bucket.drain()
+        self.log.info("rental %s: %d %s", request.name, status, body[:100].decode("utf-8", "replace"))
+        return None
+
+    def give_back(self, names: list[str]) -> list[str] | None:
+        """The names, once the cloud has confirmed that they are gone."""
+        status, body = self._client.call("POST", "/rentals/return", cloud.encode(cloud.Rented(names)))
+        if status == 200:
+            return names
+        if status == 429:
+            self._bucket.drain()
+        self.log.info("return: %d %s", status, body[:100].decode("utf-8", "replace"))
+        return None
+
+    def types(self) -> list[cloud.MachineType] | None:
+        """The machine types with current prices."""
+        status, body = self._client.call("GET", "/machine_types")
+        return cloud.decode_types(body).types if status == 200 else None
+
+    def machines(self) -> list[cloud.Listed] | None:
+        """The whole list, page by page; None if any page failed."""
+        found: list[cloud.Listed] = []
+        since = ""
+        while True:
+            after = f"since={since}&" if since else ""
+            status, body = self._client.call("GET", f"/rentals?{after}most={cloud.MAX_LIST}")
+            if status != 200:
+                return None
+            page = cloud.decode_list(body)
+            found += page.machines
+            if not page.more or not page.machines:
+                return found
+            since = page.machines[-1].name
+            gevent.sleep(self._bucket.wait_s(1))
--- /dev/null
+++ b/src/tideusher/actors/gateway.py
@@ -0,0 +1,104 @@
+"""Reports of workers: passed to the leader, or answered alone so that no trouble empties a zone.
+
+A worker reports to a controller of its own zone where one lives. That node passes the report on and
+carries the leader's commands back. Where the leader cannot be asked, the node answers by itself with
+the current token and halts for cancelled jobs, never with `run`: leases stay alive, nothing starts.
+Without contact to the state service this lasts at most `cancel_s - lease_s` less a margin, for a
+cancellation that we cannot see must still end its tasks in time (docs/safety.md, 6).
+"""
+
+import logging
+from dataclasses import dataclass
+
+import gevent
+import msgspec
+
+from tideusher.actors.election import Election
+from tideusher.actors.leader import Leader
+from tideusher.actors.peers import Peers
+from tideusher.actors.store import Store
+from tideusher.clock import Clock, to_us
+from tideusher.config import Config
+from tideusher.core import keys
+from tideusher.core.records import JOB_CANCELLED
+from tideusher.wire import workers
+from tideusher.wire.peers import ForwardReport
+
+FORWARD_S = 1.0
+
+
+@dataclass(frozen=True)
+class Answer:
+    """An HTTP answer to a worker."""
+
+    status: int
+    body: bytes
+
+
+class Gateway:
+    """Decides per report who answers it."""
+
+    def __init__(
+        self, config: Config, clock: Clock, store: Store, election: Election, leader: Leader, peers: Peers
+    ) -> None:
+        self.log = logging.getLogger("gateway")
+        self._config, self._clock = config, clock
+        self._store, self._election, self._leader, self._peers = store, election, leader, peers
+        w = config.settings.workers
+        self._alone_us = to_us(max(0.0, (w.cancel_s - w.lease_s) * 0.95 - 1.0))
+
+    def handle(self, body: bytes) -> Answer:
+        """Answer one report."""
+        try:
+            report = workers.decode_report(body)
+        except msgspec.DecodeError as error:
+            self.log.error("refused a report: %s", error)
+            return Answer(400, b'{"error":"malformed report"}')
+        other = self._better_node(report.zone)
+        if other is not None:
+            return Answer(421, workers.encode(workers.Redirect(other)))
+        known = self._election.leader()
+        if known is None or report.token > known[1]:
+            self._store.sync(1.5)  # somebody leads whom we have not heard of
+            known = self._election.leader()
+        if known is not None and report.token <= known[1]:
+            answer = self._from_leader(known[0], report, body)
+            if answer is not None:
+                return Answer(200, answer)
+        return self._alone(report)
+
+    def _better_node(self, zone: str) -> str | None:
+        """A usable controller in the worker's zone, when we are not in it."""
+        if zone == self._config.zone:
+            return None
+        for link in self._peers.links.values():
+            if link.peer.zone == zone and link.usable():
+                return link.peer.name
+        return None
+
+    def _from_leader(self, node: str, report: workers.Report, body: bytes) -> bytes | None:
+        if node == self._config.node:
+            with gevent.Timeout(FORWARD_S, False):
+                commands = self._leader.ask("report", report).get()
+                return workers.encode(commands) if commands is not None else None
+            return None
+        link = self._peers.links.get(node)
+        if link is None or not link.usable():
+            return None
+        answer = link.ask(lambda number: ForwardReport(number, msgspec.Raw(body)), FORWARD_S)
+        return bytes(answer.body) if answer is not None and answer.ok else None
+
+    def _alone(self, report: workers.Report) -> Answer:
+        contact_us = self._store.contact_us
+        if contact_us is None or self._clock.now_us() - contact_us > self._alone_us:
+            return Answer(503, b'{"error":"no contact to the state service"}')
+        known = self._election.leader()
+        token = known[1] if known is not None else report.token
+        if report.token > token:
+            return Answer(503, b'{"error":"a newer leader is not known here yet"}')
+        halts = []
+        for item in report.tasks:
+            job = self._store.mirror.get(keys.job_key(item.task.rpartition("/")[0]))
+            if item.state != workers.EXITED and job is not None and job.value["st"] == JOB_CANCELLED:
+                halts.append(workers.halt(item.task, item.attempt, 0.0))
+        return Answer(200, workers.encode(workers.Commands(token, halts)))
--- /dev/null
+++ b/src/tideusher/actors/peers.py
@@ -0,0 +1,168 @@
+"""Links between controllers: netstrings of JSON over TCP, with heartbeats.
+
+Each node opens one link to every other node and asks its questions on it; answers come back on the
+same link. A link that is silent says nothing about the other node's life, only that we cannot use it.
+"""
+
+import itertools
+import logging
+from collections.abc import Callable
+
+import gevent
+from gevent import socket
+from gevent.event import AsyncResult
+from gevent.server import StreamServer
+
+from tideusher.clock import Clock, to_us
+from tideusher.config import Config, Peer, split_address
+from tideusher.wire import peers as wire
+
+HEARTBEAT_S = 0.5
+SILENCE_US = to_us(1.8)
+
+Handler = Callable[[wire.Message], bytes | None]
+
+
+class Link:
+    """Our own connection to one peer."""
+
+    def __init__(self, peer: Peer, hello: Callable[[], wire.Hello], clock: Clock) -> None:
+        self.peer = peer
+        self.log = logging.getLogger("peers")
+        self._hello, self._clock = hello, clock
+        self._sock: socket.socket | None = None
+        self._heard_us: int | None = None
+        self._numbers = itertools.count(1)
+        self._open: dict[int, AsyncResult] = {}
+        self.in_contact = False
+
+    def usable(self) -> bool:
+        """Connected, and heard from just now."""
+        return (
+            self._sock is not None
+            and self._heard_us is not None
+            and self._clock.now_us() - self._heard_us < SILENCE_US
+        )
+
+    def start(self) -> None:
+        """Connect and keep connecting."""
+        gevent.spawn(self._run)
+
+    def ask(self, make: Callable[[int], wire.Message], timeout_s: float) -> wire.ReportAnswer | None:
+        """Send a question and wait for its answer; None when there is none in time."""
+        sock = self._sock
+        if sock is None:
+            return None
+        number = next(self._numbers)
+        result = self._open[number] = AsyncResult()
+        try:
+            with gevent.Timeout(timeout_s, False):
+                sock.sendall(wire.frame(make(number)))
+                return result.get()
+            return None
+        except OSError:
+            return None
+        finally:
+            self._open.pop(number, None)
+
+    def _run(self) -> None:
+        while True:
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            try:
+                with gevent.Timeout(1.0):
+                    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                    sock.connect(split_address(self.peer.address))
+                self._sock = sock
+                beat = gevent.spawn(self._beat, sock)
+                try:
+                    self._read(sock)
+                finally:
+                    beat.kill(block=False)
+            except (OSError, gevent.Timeout, wire.FrameError) as error:
+                self.log.debug("link to %s: %s", self.peer.name, error)
+            finally:
+                self._sock = None
+                self._heard_us = None
+                self.in_contact = False
+                sock.close()
+                for result in list(self._open.values()):
+                    result.set(None)
+            gevent.sleep(0.3)
+
+    def _beat(self, sock: socket.socket) -> None:
+        while True:
+            try:
+                sock.sendall(wire.frame(self._hello()))
+            except OSError:
+                return
+            gevent.sleep(HEARTBEAT_S)
+
+    def _read(self, sock: socket.socket) -> None:
+        unframer = wire.Unframer()
+        while True:
+            with gevent.Timeout(4.0):
+                data = sock.recv(65536)
+            if not data:
+                return
+            self._heard_us = self._clock.now_us()
+            for message in unframer.feed(data):
+                if isinstance(message, wire.Hello):
+                    self.in_contact = message.in_contact
+                elif isinstance(message, wire.ReportAnswer):
+                    result = self._open.get(message.id)
+                    if result is not None:
+                        result.set(message)
+
+
+class Peers:
+    """All links, and the server that answers the others' questions."""
+
+    def __init__(self, config: Config, clock: Clock, in_contact: Callable[[], bool]) -> None:
+        self.log = logging.getLogger("peers")
+        self._config = config
+        self._hello = lambda: wire.Hello(config.node, in_contact())
+        self.links = {peer.name: Link(peer, self._hello, clock) for peer in config.peers}
+        self._handler: Callable[[wire.Message], wire.Message | None] = lambda message: None
+        self._server = StreamServer(split_address(config.peer_bind), self._serve)
+
+    def start(self, handler: Callable[[wire.Message], wire.Message | None]) -> None:
+        """Listen and connect; `handler` answers questions, in a greenlet of their own."""
+        self._handler = handler
+        self._server.start()
+        for link in self.links.values():
+            link.start()
+
+    def any_in_contact(self) -> bool:
+        """Does any peer that we hear reach the state service?"""
+        return any(link.usable() and link.in_contact for link in self.links.values())
+
+    def _serve(self, sock: socket.socket, address: tuple[str, int]) -> None:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        unframer = wire.Unframer()
+        try:
+            while True:
+                with gevent.Timeout(6.0):
+                    data = sock.recv(65536)
+                if not data:
+                    return
+                for message in unframer.feed(data):
+                    if isinstance(message, wire.Hello):
+                        sock.sendall(wire.frame(self._hello()))
+                    else:
+                        gevent.spawn(self._answer, sock, message)
+        except wire.FrameError as error:
+            self.log.error("refused a frame from %s: %s", address[0], error)
+        except (OSError, gevent.Timeout):
+            pass
+        finally:
+            sock.close()
+
+    def _answer(self, sock: socket.socket, message: wire.Message) -> None:
+        try:
+            answer = self._handler(message)
+            if answer is not None:
+                sock.sendall(wire.frame(answer))
+        except OSError:
+            pass
+        except Exception:
+            self.log.exception("could not answer a peer")
--- /dev/null
+++ b/src/tideusher/actors/store.py
@@ -0,0 +1,285 @@
+"""The state service: a client with a rate budget, and a mirror of our keys kept by watches.
+
+The mirror is what every node answers from. How fresh it is matters (safety 6 and 7), so the time at
+which the newest completed read was *sent* is kept beside it.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+import gevent
+import msgspec
+from gevent.event import AsyncResult, Event
+
+from tideusher.actors.base import Actor
+from tideusher.actors.http import CallFailed, HttpClient
+from tideusher.clock import SECOND_US, Clock
+from tideusher.config import Config
+from tideusher.core import keys
+from tideusher.wire import state
+
+Listener = Callable[[str, Any, int], None]
+
+LONG_POLL_MS = 2000
+
+
+class Unavailable(Exception):
+    """The state service does not answer, or refuses; nothing is known of what was asked."""
+
+
+class Conflict(Exception):
+    """A transaction's guards failed: it did nothing."""
+
+    def __init__(self, failed: list[str]) -> None:
+        super().__init__(", ".join(failed))
+        self.failed = failed
+
+
+class NoLease(Exception):
+    """The lease has run out."""
+
+
+class Bucket:
+    """A token bucket with one second's worth of burst, as the service itself counts."""
+
+    def __init__(self, rate: float, clock: Clock) -> None:
+        self.rate, self._clock = rate, clock
+        self._level, self._at_us = rate, clock.now_us()
+
+    def wait_s(self, amount: float) -> float:
+        """Take the amount; returns how long to wait before using it."""
+        now_us = self._clock.now_us()
+        self._level = min(self.rate, self._level + self.rate * (now_us - self._at_us) / SECOND_US)
+        self._at_us = now_us
+        self._level -= amount
+        return max(0.0, -self._level / self.rate)
+
+    def drain(self) -> None:
+        """The service said 429: whatever we thought was left is not."""
+        self._level = min(self._level, 0.0)
+
+
+@dataclass(slots=True)
+class Stored:
+    """A mirrored key."""
+
+    value: Any
+    stamp: int
+
+
+class Store(Actor):
+    """Owns the mirror. Reads of the mirror are direct; everything else is a message or a call."""
+
+    def __init__(self, config: Config, clock: Clock) -> None:
+        super().__init__("store")
+        self._clock = clock
+        limits = config.settings.state
+        nodes = max(1, config.settings.size)
+        # Half of the budget is the leader's, the rest is shared, so that no node's users can starve
+        # the renewal of leadership (which takes no part in the buckets at all).
+        self._leading_share, self._plain_share = 0.55, 0.45 / max(1, nodes - 1)
+        self._limits = limits
+        self._requests = Bucket(limits.rps * self._plain_share, clock)
+        self._writes = Bucket(limits.write_rps * self._plain_share, clock)
+        self._client = HttpClient(config.endpoints.state, timeout_s=3.0, keep=6)
+        self.mirror: dict[str, Stored] = {}
+        self._removed: dict[str, int] = {}
+        self.revision = 0
+        self.loaded = Event()
+        #: Steady time at which the newest read that was answered had been sent; None: never.
+        self.contact_us: int | None = None
+        self._listeners: list[Listener] = []
+        self._waiting: list[AsyncResult] = []
+        self._syncing = False
+
+    def start(self) -> None:
+        super().start()
+        gevent.spawn(self._follow)
+
+    def lead(self, leading: bool) -> None:
+        """Take the leader's share of the budget, or give it back."""
+        share = self._leading_share if leading else self._plain_share
+        self._requests.rate = self._limits.rps * share
+        self._writes.rate = self._limits.write_rps * share
+
+    def listen(self, listener: Listener) -> None:
+        """Be called with (key, value or None, stamp) at every change of the mirror."""
+        self._listeners.append(listener)
+
+    def stamp_of(self, key: str) -> int:
+        """The mirrored stamp; 0: the key does not exist."""
+        stored = self.mirror.get(key)
+        return stored.stamp if stored else 0
+
+    # ---------------------------------------------------------------- calls
+
+    def call(
+        self, method: str, path: str, body: Any = None, budget: bool = True, timeout_s: float | None = None
+    ) -> tuple[int, bytes]:
+        """One request within the budget; 429 and 503 were not executed and raise Unavailable."""
+        if budget:
+            pause_s = self._requests.wait_s(1)
+            if pause_s:
+                gevent.sleep(pause_s)
+        data = state.encode(body) if body is not None else None
+        try:
+            status, answer = self._client.call(method, path, data, timeout_s)
+        except CallFailed as error:
+            raise Unavailable(str(error)) from None
+        if status == 429:
+            self._requests.drain()
+        if status in (429, 503):
+            raise Unavailable(f"{method} {path}: {status}")
+        return status, answer
+
+    def txn(self, guards: list[state.Guard], writes: list[state.Put | state.Delete], budget: bool = True) -> int:
+        """Commit; returns the revision. Raises Conflict (nothing done) or Unavailable (unknown)."""
+        if budget:
+            pause_s = self._writes.wait_s(len(writes))
+            if pause_s:
+                gevent.sleep(pause_s)
+        status, answer = self.call("POST", "/txn", state.Txn(guards, writes), budget)
+        if status == 200:
+            revision = state.decode_done(answer).revision
+            for write in writes:
+                if isinstance(write, state.Put):
+                    self._apply(write.key, write.value, revision)
+                else:
+                    self._apply(write.key, None, revision)
+            return revision
+        if status == 409:
+            raise Conflict(state.decode_failed(answer).failed)
+        if b"no such lease" in answer:
+            raise NoLease
+        raise Unavailable(f"POST /txn: {status} {answer[:200]!r}")
+
+    # ---------------------------------------------------------------- mirror
+
+    def sync(self, timeout_s: float = 2.0) -> bool:
+        """Wait for a read that was sent after this call; True if it was answered in time.
+
+        One shared read serves all who ask while the last one is under way.
+        """
+        if not self.loaded.is_set():
+            return False
+        result: AsyncResult = AsyncResult()
+        self._waiting.append(result)
+        if not self._syncing:
+            self._syncing = True
+            self.spawn(self._sync_round)
+        try:
+            return bool(result.get(timeout=timeout_s))
+        except gevent.Timeout:
+            return False
+
+    def _sync_round(self) -> None:
+        try:
+            while self._waiting:
+                waiting, self._waiting = self._waiting, []
+                try:
+                    self._poll(0)
+                    answer = True
+                except Unavailable:
+                    answer = False
+                for result in waiting:
+                    result.set(answer)
+                if self._waiting:
+                    gevent.sleep(0.04)
+        finally:
+            self._syncing = False
+
+    def _poll(self, wait_ms: int) -> None:
+        since, sent_us = self.revision, self._clock.now_us()
+        pause_s = self._requests.wait_s(1)
+        if pause_s:
+            gevent.sleep(pause_s)
+            sent_us = self._clock.now_us()
+        status, answer = self.call(
+            "GET",
+            f"/watch?under={keys.PREFIX}&since={since}&wait_ms={wait_ms}",
+            budget=False,
+            timeout_s=wait_ms / 1000 + 1.5,
+        )
+        if status == 410:
+            self._load()
+            return
+        if status != 200:
+            raise Unavailable(f"GET /watch: {status}")
+        changes = state.decode_changes(answer)
+        for event in changes.events:
+            if event.put is not None:
+                self._apply(event.put, event.value, event.stamp)
+            elif event.removed is not None:
+                self._apply(event.removed, None, event.stamp)
+        self._advance(changes.revision)
+        self._touched(sent_us)
+
+    def _touched(self, sent_us: int) -> None:
+        if self.contact_us is None or sent_us > self.contact_us:
+            self.contact_us = sent_us
+
+    def _advance(self, revision: int) -> None:
+        if revision > self.revision:
+            self.revision = revision
+            if self._removed:
+                self._removed = {k: s for k, s in self._removed.items() if s > revision}
+
+    def _apply(self, key: str, value: Any, stamp: int) -> None:
+        """Newest stamp wins, so overlapping answers and our own writes may come in any order."""
+        old = self.mirror.get(key)
+        if stamp <= (old.stamp if old else self._removed.get(key, 0)):
+            return
+        if value is None:
+            self.mirror.pop(key, None)
+            self._removed[key] = stamp
+        else:
+            self.mirror[key] = Stored(value, stamp)
+        for listener in self._listeners:
+            listener(key, value, stamp)
+
+    def _load(self) -> None:
+        """Read everything; what is no longer there is removed from the mirror."""
+        sent_us = self._clock.now_us()
+        found: dict[str, state.Item] = {}
+        first: int | None = None
+        since = ""
+        while True:
+            after = f"&since={since}" if since else ""
+            status, answer = self.call("GET", f"/keys?under={keys.PREFIX}{after}&most=1000", timeout_s=4.0)
+            if status != 200:
+                raise Unavailable(f"GET /keys: {status}")
+            page = state.decode_items(answer)
+            if first is None:
+                first = page.revision
+            for item in page.items:
+                found[item.key] = item
+            if not page.more or not page.items:
+                break
+            since = page.items[-1].key
+        for key in [k for k, stored in self.mirror.items() if k not in found and stored.stamp <= first]:
+            self._apply(key, None, first)
+        for item in found.values():
+            self._apply(item.key, item.value, item.stamp)
+        self.revision = max(self.revision, first)
+        self._touched(sent_us)
+        self.loaded.set()
+
+    def _follow(self) -> None:
+        """Keep the mirror fresh with one watch at a time, spaced so as not to eat the request budget."""
+        pause_s = 0.1
+        while True:
+            try:
+                if not self.loaded.is_set():
+                    self._load()
+                    self.log.info("mirror loaded: %d keys at revision %d", len(self.mirror), self.revision)
+                self._poll(LONG_POLL_MS)
+                pause_s = 0.1
+            except Unavailable as error:
+                self.log.debug("no contact: %s", error)
+                pause_s = 0.3
+            except (msgspec.DecodeError, ValueError) as error:
+                self.log.error("bad answer of the state service: %s", error)
+                pause_s = 1.0
+            gevent.sleep(pause_s)
+
--- /dev/null
+++ b/src/tideusher/actors/users.py
@@ -0,0 +1,188 @@
+"""Users: submissions, polls and cancellations, answered by any node (docs/safety.md, 7)."""
+
+import logging
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+
+from tideusher.actors.store import Conflict, NoLease, Store, Unavailable
+from tideusher.clock import Clock
+from tideusher.config import Config
+from tideusher.core import keys
+from tideusher.core.cluster import open_value
+from tideusher.core.records import JOB_CANCELLED, JOB_DONE, OPEN
+from tideusher.wire import jobs as wire
+from tideusher.wire.cloud import MachineType
+from tideusher.wire.jobs import InvalidJob, JobSpec, JobStatus
+from tideusher.wire.state import Guard, Put
+
+
+@dataclass(frozen=True)
+class Reply:
+    """An HTTP answer to a user."""
+
+    status: int
+    body: Any
+    headers: list[tuple[str, str]] = field(default_factory=list)
+
+
+def refusal(status: int, reason: str) -> Reply:
+    """A refusal in one line; 503 says when to come back instead of holding the request."""
+    headers = [("Retry-After", "1")] if status in (429, 503) else []
+    return Reply(status, {"error": reason}, headers)
+
+
+class Users:
+    """Stateless beside the mirror: every acceptance and cancellation is a guarded transaction."""
+
+    def __init__(self, config: Config, clock: Clock, store: Store) -> None:
+        self.log = logging.getLogger("users")
+        self._clock, self._store = clock, store
+        self._teams = {team.name: team for team in config.settings.teams}
+        self._types_value: Any = None
+        self._types: list[MachineType] = []
+        self._counts: dict[str, tuple[int, int, int]] = {}
+
+    # ---------------------------------------------------------------- POST /work
+
+    def submit(self, body: bytes) -> Reply:
+        """Accept a job once it is in the state service, never before."""
+        try:
+            spec = wire.parse_job(body)
+        except InvalidJob as error:
+            known = self._known_ref(body)
+            if known is not None:
+                return known
+            self.log.info("refused a submission: %s", error)
+            return refusal(400, str(error))
+        if self._store.mirror.get(keys.job_key(spec.id)) is not None:
+            return self._state(spec.id)
+        problem = self._cannot_run(spec)
+        if problem is not None:
+            status, reason = problem
+            if status == 422:
+                # Only a read can tell that this is not a repeat of an accepted job.
+                if not self._store.sync():
+                    return refusal(503, "the state service does not answer")
+                if self._store.mirror.get(keys.job_key(spec.id)) is not None:
+                    return self._state(spec.id)
+            self.log.info("refused %s: %s", spec.id, reason)
+            return refusal(status, reason)
+        key = keys.job_key(spec.id)
+        try:
+            self._store.txn([Guard(key, 0)], [Put(key, open_value(spec, self._clock.wall_us()))])
+        except Conflict:
+            return self._state(spec.id)
+        except (Unavailable, NoLease) as error:
+            self.log.info("could not accept %s now: %s", spec.id, error)
+            return refusal(503, "the state service does not answer")
+        self.log.info("accepted %s of %s: %s of %d", spec.id, spec.team, spec.shape, spec.tasks)
+        return Reply(201, JobStatus(spec.id, wire.PENDING))
+
+    def _known_ref(self, body: bytes) -> Reply | None:
+        """A repeated `ref` gets the job's state whatever its body says."""
+        try:
+            raw = msgspec.json.decode(body)
+        except (msgspec.DecodeError, UnicodeDecodeError):
+            return None
+        ref = raw.get("ref") if isinstance(raw, dict) else None
+        if not isinstance(ref, str) or not wire.JOB_ID.fullmatch(ref):
+            return None
+        if self._store.mirror.get(keys.job_key(ref)) is None:
+            if not self._store.sync():
+                return refusal(503, "the state service does not answer")
+            if self._store.mirror.get(keys.job_key(ref)) is None:
+                return None
+        return self._state(ref)
+
+    def _cannot_run(self, spec: JobSpec) -> tuple[int, str] | None:
+        team = self._teams.get(spec.team)
+        if team is None:
+            return 422, f"unknown team {spec.team}"
+        at_once = 1 if spec.shape == wire.BATCH else spec.tasks
+        for name, need, limit in (("CPUs", spec.cpus, team.cpus_max), ("GPUs", spec.gpus, team.gpus_max)):
+            if limit and need * at_once > limit + 1e-9:
+                return 422, f"the job needs {need * at_once:g} {name}, team {team.name} may use {limit:g}"
+        types = self._known_types()
+        if not types:
+            return 503, "the machine types are not known yet"
+        fitting = [
+            t
+            for t in types
+            if (spec.types is None or t.name in spec.types)
+            and (spec.zone is None or spec.zone in t.zones)
+            and t.cpus + 1e-9 >= spec.cpus
+            and t.gpus + 1e-9 >= spec.gpus
+            and t.ram_gb + 1e-9 >= spec.ram_gb
+        ]
+        return None if fitting else (422, "a task fits no allowed machine type")
+
+    def _known_types(self) -> list[MachineType]:
+        stored = self._store.mirror.get(keys.TYPES)
+        if stored is not None and stored.value is not self._types_value:
+            self._types_value = stored.value
+            self._types = msgspec.convert(stored.value, list[MachineType])
+        return self._types
+
+    # ---------------------------------------------------------------- GET and abort
+
+    def poll(self, job_id: str) -> Reply:
+        """The job's state; 404 only after a read that was sent after the question came."""
+        if not wire.JOB_ID.fullmatch(job_id):
+            return refusal(404, "no such job")
+        return self._state(job_id)
+
+    def _state(self, job_id: str) -> Reply:
+        key = keys.job_key(job_id)
+        stored = self._store.mirror.get(key)
+        if stored is None or stored.value["st"] == OPEN:
+            # Another node may know more: a non-final answer needs a fresh read. Final ones stay.
+            if not self._store.sync():
+                return refusal(503, "the state service does not answer")
+            stored = self._store.mirror.get(key)
+        if stored is None:
+            return refusal(404, "no such job")
+        value = stored.value
+        if value["st"] == JOB_DONE:
+            return Reply(200, JobStatus(job_id, wire.DONE, value["n"], 0))
+        if value["st"] == JOB_CANCELLED:
+            return Reply(200, JobStatus(job_id, wire.CANCELLED, 0, 0))
+        done, running = self._count(job_id, value["spec"]["pieces"])
+        return Reply(200, JobStatus(job_id, wire.RUNNING if running else wire.PENDING, done, running))
+
+    def _count(self, job_id: str, tasks: int) -> tuple[int, int]:
+        done = running = 0
+        for number in range(-(-tasks // 64)):
+            chunk = self._store.mirror.get(keys.chunk_key(job_id, number))
+            if chunk is not None:
+                done += int(chunk.value.get("d", "0"), 16).bit_count()
+                running += len(chunk.value.get("a", ()))
+        return done, running
+
+    def cancel(self, job_id: str) -> Reply:
+        """Cancel; told to the user only when no start can be committed any more."""
+        if not wire.JOB_ID.fullmatch(job_id):
+            return refusal(404, "no such job")
+        key = keys.job_key(job_id)
+        for _ in range(4):
+            stored = self._store.mirror.get(key)
+            if stored is None or stored.value["st"] == OPEN:
+                if not self._store.sync():
+                    return refusal(503, "the state service does not answer")
+                stored = self._store.mirror.get(key)
+            if stored is None:
+                return refusal(404, "no such job")
+            if stored.value["st"] == JOB_DONE:
+                return Reply(200, JobStatus(job_id, wire.DONE))
+            if stored.value["st"] == JOB_CANCELLED:
+                return Reply(200, JobStatus(job_id, wire.CANCELLED))
+            try:
+                self._store.txn([Guard(key, stored.stamp)], [Put(key, {**stored.value, "st": JOB_CANCELLED})])
+            except Conflict:
+                continue
+            except (Unavailable, NoLease):
+                break
+            self.log.info("cancelled %s for its user", job_id)
+            return Reply(200, JobStatus(job_id, wire.CANCELLED))
+        return refusal(503, "the state service does not answer")
--- /dev/null
+++ b/src/tideusher/config.py
@@ -0,0 +1,209 @@
+"""The platform's settings file (TOML) and the operators' own settings (Java-style properties)."""
+
+import tomllib
+from pathlib import Path
+
+import msgspec
+
+from tideusher.clock import to_us
+
+
+class ConfigError(ValueError):
+    """One clear line naming the file and the field."""
+
+
+class Peer(msgspec.Struct):
+    """Another controller."""
+
+    name: str = msgspec.field(name="host_name")
+    zone: str = msgspec.field(name="site")
+    address: str = ""
+
+
+class Endpoints(msgspec.Struct):
+    """Addresses of the region's services."""
+
+    cloud: str
+    state: str
+
+
+class Team(msgspec.Struct):
+    """A team's guarantee and limit; 0 means none."""
+
+    name: str
+    cpus: float = 0.0
+    cpus_max: float = 0.0
+    gpus: float = 0.0
+    gpus_max: float = 0.0
+
+
+class Objective(msgspec.Struct):
+    """An aim that the platform repeats to us; kinds we do not know are ignored."""
+
+    kind: str
+    job_class: str | None = msgspec.field(name="class", default=None)
+    within_s: float | None = None
+    share: float | None = None
+
+
+class WorkerSettings(msgspec.Struct):
+    """Timings of workers."""
+
+    report_s: float
+    lease_s: float
+    gang_wait_s: float
+    gang_peer_s: float
+    cancel_s: float
+
+
+class StateSettings(msgspec.Struct):
+    """Limits of the state service."""
+
+    rps: float
+    write_rps: float
+    value_kb: float
+    txn_ops: int
+
+
+class CloudSettings(msgspec.Struct):
+    """Limits of the cloud's interface."""
+
+    rps: float
+    list_lag_s: float
+
+
+class Resources(msgspec.Struct):
+    """What the platform grants this process."""
+
+    cores: float = 1.0
+    ram_mb: float = 256.0
+    max_sockets: int = 1000
+
+
+class Site(msgspec.Struct):
+    """The `settings` table."""
+
+    size: int
+    zones: list[str]
+    workers: WorkerSettings
+    state: StateSettings
+    cloud: CloudSettings
+    teams: list[Team] = []
+    objectives: list[Objective] = []
+    clock_off_ms: float = 0.0
+    resources: Resources = msgspec.field(default_factory=Resources)
+
+
+class Config(msgspec.Struct):
+    """The whole settings file."""
+
+    node: str = msgspec.field(name="host_name")
+    zone: str = msgspec.field(name="site")
+    bind: str = ""
+    peer_bind: str = msgspec.field(name="cluster_listen", default="")
+    endpoints: Endpoints = msgspec.field(default_factory=lambda: Endpoints("", ""))
+    settings: Site = msgspec.field(default_factory=lambda: Site(0, [], *[None] * 3))  # type: ignore[arg-type]
+    peers: list[Peer] = []
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """`10.0.0.1:8080` as a pair; raises ValueError."""
+    host, _, port = address.rpartition(":")
+    if not host:
+        raise ValueError(f"{address!r} is not host:port")
+    return host, int(port)
+
+
+def load_config(path: str) -> Config:
+    """Read and check the platform's file; unknown fields are ignored."""
+    try:
+        raw = tomllib.loads(Path(path).read_text("utf-8"))
+    except OSError as error:
+        raise ConfigError(f"{path}: {error.strerror}") from None
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise ConfigError(f"{path}: not TOML: {error}") from None
+    for name in ("bind", "cluster_listen", "endpoints", "settings"):
+        if name not in raw:
+            raise ConfigError(f"{path}: field {name} is missing")
+    try:
+        config = msgspec.convert(raw, Config)
+    except msgspec.ValidationError as error:
+        raise ConfigError(f"{path}: {error}") from None
+    addresses = [
+        ("bind", config.bind),
+        ("cluster_listen", config.peer_bind),
+        ("endpoints.cloud", config.endpoints.cloud),
+        ("endpoints.state", config.endpoints.state),
+        *((f"peers.{peer.name}.address", peer.address) for peer in config.peers),
+    ]
+    for name, address in addresses:
+        try:
+            split_address(address)
+        except ValueError as error:
+            raise ConfigError(f"{path}: field {name}: {error}") from None
+    return config
+
+
+class Policy(msgspec.Struct, frozen=True, forbid_unknown_fields=True, rename=lambda n: n.replace("__", ".")):
+    """Operators' settings. Names in the properties file use a dot where these use two underscores."""
+
+    ledger__window_s: float = 3600.0
+    ledger__gather_s: float = 5.0
+    preempt__margin: float = 0.1
+    preempt__stagger: float = 0.25
+    preempt__max_stops: int = 8
+    min_run__cap_s: float = 3600.0
+    min_run__service: float = 3600.0
+    min_run__gang_factor: float = 1.0
+    min_run__batch_factor: float = 0.0
+    placement__parts: int = 2
+    fleet__idle_s: float = 25.0
+    fleet__warm_quantile: float = 1.3
+    fleet__warm_window_s: float = 180.0
+    fleet__boot_patience: float = 3.0
+    fleet__capacity_backoff_s: float = 8.0
+    fleet__silence_reports: float = 4.0
+    fleet__silence_floor_s: float = 5.0
+    leader__lease_s: float = 3.0
+
+    @property
+    def margin(self) -> float:
+        """How much lower a ratio must be to count as clearly lower."""
+        return self.preempt__margin
+
+    def min_run_us(self, shape: str, estimate_s: float, declared_s: float | None) -> int:
+        """The protected runtime of a job: declared, or derived from its shape, up to the cap."""
+        if declared_s is not None:
+            wanted = declared_s
+        elif shape == "service":
+            wanted = self.min_run__service
+        elif shape == "gang":
+            wanted = estimate_s * self.min_run__gang_factor
+        else:
+            wanted = estimate_s * self.min_run__batch_factor
+        return to_us(min(wanted, self.min_run__cap_s))
+
+
+def load_policy(path: str | None) -> Policy:
+    """Read the operators' properties; a name we do not know is refused, it is likely a slip."""
+    if path is None:
+        return Policy()
+    import javaproperties
+
+    try:
+        with open(path, encoding="utf-8") as file:
+            raw = javaproperties.load(file)
+    except OSError as error:
+        raise ConfigError(f"{path}: {error.strerror}") from None
+    except (javaproperties.InvalidUEscapeError, UnicodeDecodeError) as error:
+        raise ConfigError(f"{path}: not a properties file: {error}") from None
+    try:
+        policy = msgspec.convert(raw, Policy, strict=False)
+    except msgspec.ValidationError as error:
+        raise ConfigError(f"{path}: {error}") from None
+    for field in msgspec.structs.fields(policy):
+        if getattr(policy, field.name) < 0:
+            raise ConfigError(f"{path}: {field.encode_name} must not be negative")
+    if policy.placement__parts < 1:
+        raise ConfigError(f"{path}: placement.parts must be at least 1")
+    return policy
--- /dev/null
+++ b/src/tideusher/core/cluster.py
@@ -0,0 +1,905 @@
+"""The leader's picture of jobs, tasks and machines, and every transition in it.
+
+Pure: time is passed in, effects come out as lists (commands in answer to a report, direct commands,
+rental wishes, returns). What must be persisted goes through the Keeper, and what may only be done
+after that hangs on the write as an effect.
+"""
+
+import logging
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+
+from tideusher.clock import SECOND_US, to_s, to_us
+from tideusher.config import Config, Policy, Team
+from tideusher.core import keys
+from tideusher.core.fleet import Fleet, Wish
+from tideusher.core.keeper import Effect, Entry, Keeper
+from tideusher.core.ledger import Ledger
+from tideusher.core.order import order_jobs, urgency_us
+from tideusher.core.placement import Room
+from tideusher.core.preempt import Standing, choose_victims, may_stop, protected_until_us, room_of_halted
+from tideusher.core.records import (
+    ASSIGNED,
+    BOOTING,
+    CHUNK_TASKS,
+    COMMITTING,
+    JOB_CANCELLED,
+    JOB_DONE,
+    OPEN,
+    RETURNING,
+    SEEN,
+    UP,
+    Chunk,
+    Job,
+    Machine,
+    Task,
+    chunk_value,
+    read_chunk,
+)
+from tideusher.wire import workers
+from tideusher.wire.cloud import FAILED, Listed, MachineType
+from tideusher.wire.jobs import JobSpec
+from tideusher.wire.state import Guard
+from tideusher.wire.workers import Command, Report, TaskReport
+
+MAX_STOPS_KEPT = 6
+
+
+@dataclass(slots=True, eq=False)
+class Rental:
+    """A rental request: persisted as an intent first, then with the machines it brought."""
+
+    name: str
+    type: str
+    zone: str
+    spot: bool
+    count: int
+    answered: bool = False
+    machines: list[str] = field(default_factory=list)
+    returning: list[str] = field(default_factory=list)
+    given_up: bool = False
+
+    def value(self) -> dict[str, Any] | None:
+        """As persisted; None once nothing of it is left."""
+        if self.given_up or (self.answered and not self.machines):
+            return None
+        return {
+            "type": self.type,
+            "zone": self.zone,
+            "spot": self.spot,
+            "count": self.count,
+            "answered": self.answered,
+            "machines": self.machines,
+            "returning": self.returning,
+        }
+
+
+@dataclass(slots=True)
+class Direct:
+    """A command to send straight to a worker, beside the answers to its reports."""
+
+    machine: Machine
+    command: Command
+
+
+class Cluster:
+    """Everything the leader decides on."""
+
+    def __init__(
+        self, config: Config, policy: Policy, token: int, now_us: int, wall_us: Callable[[], int]
+    ) -> None:
+        self.log = logging.getLogger("cluster")
+        self.config, self.policy, self.token = config, policy, token
+        self._wall_us = wall_us
+        settings = config.settings
+        self.teams: dict[str, Team] = {team.name: team for team in settings.teams}
+        self.jobs: dict[str, Job] = {}
+        self.machines: dict[str, Machine] = {}
+        self.rentals: dict[str, Rental] = {}
+        self.gone: set[str] = set()
+        self.ledger = Ledger(settings.teams, policy, now_us)
+        self.fleet = Fleet(policy, settings.objectives)
+        self.fleet.began_us = now_us
+        self.keeper = Keeper(keys.LEADER, token, settings.state.txn_ops)
+        self._entries: dict[str, Entry] = {}
+        self._usage: dict[str, list[float]] = {name: [0.0, 0.0] for name in self.teams}
+        self.direct: list[Direct] = []
+        self.to_rent: list[Rental] = []
+        self.to_return: list[Machine] = []
+        self._rental_count = 0
+        self._types_value: Any = None
+        self._objectives = {
+            o.job_class: o.within_s for o in settings.objectives if o.kind == "wait" and o.job_class and o.within_s
+        }
+        self.dirty = True
+        self.stops = {"protected": 0, "unprotected": 0}
+        self.discarded_us = {"protected": 0, "unprotected": 0}
+
+    # ---------------------------------------------------------------- loading
+
+    def load(self, items: Mapping[str, tuple[Any, int]], now_us: int) -> None:
+        """Take over what the state service holds. Nothing that it says is running counts as gone."""
+        if keys.TYPES in items:
+            value, stamp = items[keys.TYPES]
+            self._entry(keys.TYPES, lambda: msgspec.to_builtins(list(self.fleet.types.values()))).stamp = stamp
+            self.fleet.types = {kind.name: kind for kind in msgspec.convert(value, list[MachineType])}
+        for key, (value, stamp) in items.items():
+            if key.startswith(keys.JOB_PREFIX):
+                self.job_changed(key[len(keys.JOB_PREFIX) :], value, stamp, now_us, loading=True)
+            elif key.startswith(keys.RENTAL_PREFIX):
+                self._load_rental(key[len(keys.RENTAL_PREFIX) :], value, stamp, now_us)
+            elif key == keys.RATIOS:
+                self.ledger.restore(value, now_us)
+                self._entry(keys.RATIOS, lambda: self.ledger.to_value(0)).stamp = stamp
+        for key, (value, stamp) in items.items():
+            if key.startswith(keys.CHUNK_PREFIX):
+                job_id, number = keys.split_chunk_key(key)
+                job = self.jobs.get(job_id)
+                if job is not None:
+                    self._load_chunk(job, number, value, stamp, now_us)
+                else:  # its job is done, and `done` is written after the last task was gone
+                    self.keeper.touch(Entry(key, lambda: None, stamp), urgent=False)
+        for job in list(self.jobs.values()):
+            if job.status == OPEN:
+                self._finish_if_done(job)
+                if job.is_gang and 0 < len(job.live) + job.done_count < job.spec.tasks:
+                    # The last leader ended between the transactions of one large gang.
+                    self._stop_job(job, 0.0, "its gang was not placed whole")
+            else:
+                self._stop_job(job, 0.0, "its user cancelled it")
+            self._retire(job)
+        self.ledger.set_fleet(self.machines.values())
+
+    def _load_rental(self, name: str, value: dict[str, Any], stamp: int, now_us: int) -> None:
+        rental = Rental(
+            name,
+            value["type"],
+            value["zone"],
+            value["spot"],
+            value["count"],
+            value["answered"],
+            list(value["machines"]),
+            list(value["returning"]),
+        )
+        self.rentals[name] = rental
+        self._rental_entry(rental).stamp = stamp
+        if not rental.answered:
+            self.to_rent.append(rental)  # same name: the cloud answers what it answered before
+        for host in rental.machines:
+            machine = self._add_machine(host, rental, now_us)
+            if host in rental.returning:
+                machine.phase = RETURNING
+                machine.draining = "its return was asked"
+                self.to_return.append(machine)
+
+    def _load_chunk(self, job: Job, number: int, value: dict[str, Any], stamp: int, now_us: int) -> None:
+        chunk, places = read_chunk(number, value, stamp)
+        job.chunks[number] = chunk
+        job.done_count += chunk.done.bit_count()
+        if number == 0:
+            job.stops = list(value.get("w", []))
+        self._chunk_entry(job, chunk)
+        for index, (attempt, host) in places.items():
+            machine = self.machines.get(host)
+            if machine is None:
+                # The machine's record is gone, and that is written only after its return was
+                # answered: the task went with it.
+                continue
+            task = Task(job, index, attempt, machine, ASSIGNED, now_us, sent=(0, 0), inherited=True)
+            job.started.add(index)
+            self._place(task)
+
+    # ---------------------------------------------------------------- records
+
+    def _entry(self, key: str, value: Callable[[], Any], also: Callable[[], list[Guard]] = list) -> Entry:
+        entry = self._entries.get(key)
+        if entry is None:
+            entry = self._entries[key] = Entry(key, value, 0, also)
+        return entry
+
+    def _chunk_entry(self, job: Job, chunk: Chunk) -> Entry:
+        key = keys.chunk_key(job.spec.id, chunk.number)
+        entry = self._entries.get(key)
+        if entry is None:
+
+            def also() -> list[Guard]:
+                # The job's own key guards every write that may hold an assignment, so that a
+                # cancellation accepted by any node beats the start (docs/safety.md, 1).
+                return [Guard(keys.job_key(job.spec.id), job.stamp)] if job.status == OPEN else []
+
+            def value() -> Any:
+                if job.status != OPEN and not job.live:
+                    return None
+                return chunk_value(job, chunk)
+
+            entry = self._entry(key, value, also)
+            entry.stamp = chunk.stamp
+        return entry
+
+    def _rental_entry(self, rental: Rental) -> Entry:
+        return self._entry(keys.rental_key(rental.name), rental.value)
+
+    def _touch_chunk(self, job: Job, index: int, effect: Effect | None = None, urgent: bool = True) -> None:
+        chunk = job.chunk_of(index)
+        self.keeper.touch(self._chunk_entry(job, chunk), effect, urgent)
+
+    # ---------------------------------------------------------------- jobs
+
+    def job_changed(
+        self, job_id: str, value: dict[str, Any] | None, stamp: int, now_us: int, loading: bool = False
+    ) -> None:
+        """The job's own key changed: a new job, a cancellation by some node, or our own `done`."""
+        if value is None:
+            return
+        job = self.jobs.get(job_id)
+        if job is None:
+            if value["st"] != OPEN and not loading:
+                return
+            if "spec" not in value:
+                return
+            spec = msgspec.convert(value["spec"], JobSpec)
+            job = self.jobs[job_id] = Job(spec, stamp, value["at"], now_us, status=value["st"])
+            if not loading:
+                self.fleet.arrived(spec, now_us)
+            self.dirty = True
+            return
+        if stamp <= job.stamp:
+            return
+        job.stamp = stamp
+        if value["st"] != job.status:
+            job.status = value["st"]
+            if job.status == JOB_CANCELLED:
+                self._stop_job(job, 0.0, "its user cancelled it")
+            self._retire(job)
+            self.dirty = True
+
+    def _finish_if_done(self, job: Job) -> None:
+        """All tasks done and persisted: now the job's own key may say so (safety 2)."""
+        if job.status != OPEN or job.is_service or job.done_count < job.spec.tasks or job.finish_dirty:
+            return
+        if job.live:
+            return  # a gang's other tasks have yet to report their exit
+        if not all(self.keeper.clean(self._chunk_entry(job, c)) for c in job.chunks.values()):
+            return
+        job.finish_dirty = True
+        key = keys.job_key(job.spec.id)
+        # Dropped if a cancellation came first: `done` must not overwrite it.
+        entry = Entry(
+            key, lambda: final_value(job, JOB_DONE), job.stamp, valid=lambda: job.status == OPEN
+        )
+
+        def told() -> None:
+            if job.status == OPEN:
+                job.status, job.stamp = JOB_DONE, entry.stamp
+                self.log.info("job %s is done", job.spec.id)
+                self._retire(job)
+
+        self.keeper.touch(entry, told)
+
+    def _stop_job(self, job: Job, grace_s: float, reason: str) -> None:
+        for task in list(job.live.values()):
+            self._halt(task, grace_s, reason)
+
+    def _retire(self, job: Job) -> None:
+        """Forget a job that is over once nothing of it can be on a machine; its key stays for ever."""
+        if job.status == OPEN or job.live:
+            return
+        for chunk in job.chunks.values():
+            entry = self._chunk_entry(job, chunk)
+            if entry.stamp or not self.keeper.clean(entry):
+                self.keeper.touch(entry, urgent=False)
+        for chunk in list(job.chunks.values()):
+            self._entries.pop(keys.chunk_key(job.spec.id, chunk.number), None)
+        self.jobs.pop(job.spec.id, None)
+
+    # ---------------------------------------------------------------- tasks
+
+    def _place(self, task: Task) -> None:
+        task.job.take(task)
+        task.machine.add(task)
+        usage = self._usage.setdefault(task.job.spec.team, [0.0, 0.0])
+        usage[0] += task.job.spec.cpus
+        usage[1] += task.job.spec.gpus
+
+    def _free(self, task: Task, now_us: int, persist: bool = True) -> None:
+        """The task is proven not to be on its machine: give place, quota and zone back (safety 3)."""
+        job, machine = task.job, task.machine
+        if job.live.get(task.index) is not task:
+            return
+        job.drop(task)
+        machine.remove(task)
+        usage = self._usage[job.spec.team]
+        usage[0] -= job.spec.cpus
+        usage[1] -= job.spec.gpus
+        if not machine.tasks:
+            machine.idle_since_us = now_us
+        if persist:
+            self._touch_chunk(job, task.index, urgent=False)
+        self.dirty = True
+        if job.status != OPEN:
+            self._retire(job)
+        elif job.done_count == job.spec.tasks:
+            self._finish_if_done(job)
+        elif job.is_gang:
+            for other in list(job.live.values()):
+                if other.halt_grace_s is None:
+                    self._halt(other, 0.0, "another task of its gang is gone")
+
+    def _halt(self, task: Task, grace_s: float, reason: str) -> None:
+        """Have a task stopped. One whose `run` was never sent is simply taken back."""
+        if task.halt_grace_s is not None and task.halt_grace_s <= grace_s:
+            return
+        task.halt_grace_s, task.halt_reason = grace_s, reason
+        self.log.info(
+            "stop %s attempt %d on %s: %s", task.name, task.attempt, task.machine.name, reason
+        )
+        self._note_stop(task.job, task, reason)
+        if task.sent is None:
+            self._free(task, task.placed_us)
+            return
+        self.direct.append(Direct(task.machine, workers.halt(task.name, task.attempt, grace_s)))
+
+    def _note_stop(self, job: Job, task: Task, reason: str) -> None:
+        job.stops.append({"at": self._wall_us(), "task": task.index, "on": task.machine.name, "why": reason})
+        del job.stops[:-MAX_STOPS_KEPT]
+
+    # ---------------------------------------------------------------- reports
+
+    def report(self, report: Report, now_us: int) -> list[Command]:
+        """Digest a worker's report; returns the commands for its answer."""
+        machine = self.machines.get(report.machine)
+        if machine is None:
+            machine = self._adopt(report, now_us)
+        strays = self._digest(machine, report, now_us)
+        return [] if strays is None else strays + self._commands(machine)
+
+    def _digest(self, machine: Machine, report: Report, now_us: int) -> list[Command] | None:
+        """Take in what a report says; returns commands for attempts that hold no place, None if stale."""
+        if (report.session, report.serial) <= (machine.session, machine.serial):
+            return None  # late or repeated: what it says is older than what we know
+        new_session = machine.reported_us > 0 and report.session > machine.session
+        machine.session, machine.serial = report.session, report.serial
+        machine.token = max(machine.token, report.token)
+        machine.reported_us, machine.probes_failed = now_us, 0
+        machine.address = report.address
+        if machine.phase == BOOTING:
+            machine.phase = UP
+            machine.idle_since_us = now_us
+            self.log.info("machine %s is up %.0f s after its rental", machine.name, to_s(now_us - machine.rented_us))
+            self.dirty = True
+        if report.recall_s is not None:
+            self._recalled(machine, report.recall_s, now_us)
+        listed: dict[tuple[str, int, int], TaskReport] = {}
+        for item in report.tasks:
+            try:
+                job_id, index = workers.split_task(item.task)
+            except ValueError:
+                self.log.error("machine %s reports a task named %r", machine.name, item.task)
+                continue
+            listed[job_id, index, item.attempt] = item
+        for (job_id, index), task in list(machine.tasks.items()):
+            item_or_none = listed.pop((job_id, index, task.attempt), None)
+            if item_or_none is not None:
+                self._listed(task, item_or_none, report, now_us)
+            elif task.sent is not None and task.phase != COMMITTING:
+                self._absent(task, report, new_session, now_us)
+        return [
+            command
+            for (job_id, index, attempt), item in listed.items()
+            if (command := self._stray(machine, job_id, index, attempt, item)) is not None
+        ]
+
+    def look(self, report: Report, now_us: int) -> None:
+        """Learn from a report that came as the answer to a direct call.
+
+        Its answer is not ours to give, so no `run` may be counted as sent with it.
+        """
+        machine = self.machines.get(report.machine)
+        if machine is not None:
+            self._digest(machine, report, now_us)
+
+    def _listed(self, task: Task, item: TaskReport, report: Report, now_us: int) -> None:
+        task.phase, task.inherited = SEEN, False
+        if task.sent is None:
+            task.sent = (0, 0)
+        if item.state == workers.EXITED:
+            self._exited(task, item, now_us)
+            return
+        if item.state != task.state:
+            self.log.debug("%s attempt %d on %s: %s", task.name, task.attempt, task.machine.name, item.state)
+            task.state = item.state
+        if item.state in (workers.ACTIVE, workers.WAITING):
+            task.machine.images[task.job.spec.image] = task.job.spec.image_gb
+        if item.state == workers.ACTIVE and task.running_us is None:
+            task.running_us = now_us
+
+    def _absent(self, task: Task, report: Report, new_session: bool, now_us: int) -> None:
+        """The report does not list a task that may have been started: is that proof of absence?
+
+        Yes, if the worker has moved on to a new session; or if it has seen our token (no older
+        leader's order can start anything any more) and the report is newer than our order (its
+        answer was executed before this report was sent, or never will be).
+        """
+        assert task.sent is not None
+        if not new_session and (report.token < self.token or (report.session, report.serial) <= task.sent):
+            return
+        if task.phase == ASSIGNED and not task.inherited and not new_session and task.halt_grace_s is None:
+            task.sent = None  # the answer was lost; this attempt never was on the machine: send it again
+            return
+        reason = "its machine's lease ran out" if new_session else "its machine does not have it"
+        self._lost(task, reason, now_us)
+
+    def _lost(self, task: Task, reason: str, now_us: int) -> None:
+        if task.halt_grace_s is None and task.job.status == OPEN:
+            self.log.info("lost %s attempt %d on %s: %s", task.name, task.attempt, task.machine.name, reason)
+            self._note_stop(task.job, task, reason)
+            self._discard(task, now_us)
+        self._free(task, now_us)
+
+    def _discard(self, task: Task, now_us: int, kept: bool = False) -> None:
+        """Count the preemption bill: what a stop threw away."""
+        if task.running_us is None or task.job.is_service or kept:
+            return
+        spent_us = now_us - task.running_us
+        if task.job.spec.checkpoint_s:
+            spent_us %= to_us(task.job.spec.checkpoint_s)
+        kind = "protected" if self.min_run_us(task.job) else "unprotected"
+        self.discarded_us[kind] += spent_us
+
+    def _exited(self, task: Task, item: TaskReport, now_us: int) -> None:
+        job, machine = task.job, task.machine
+        if item.cause == workers.CAUSE_DONE:
+            machine.error_jobs.clear()
+            self._complete(job, task.index)
+            self._free(task, now_us)
+            return
+        if job.status == OPEN and task.halt_grace_s is None:
+            self.log.info("%s attempt %d on %s exited: %s", task.name, task.attempt, machine.name, item.cause)
+            self._note_stop(job, task, f"it exited: {item.cause}")
+        if item.cause == workers.CAUSE_ERROR:
+            self._errored(job, machine, now_us)
+        elif item.cause in (workers.CAUSE_NO_ROOM, workers.CAUSE_BUSY, workers.CAUSE_UNKNOWN):
+            job.not_before_us = now_us + SECOND_US
+        self._discard(task, now_us, kept=bool(item.kept))
+        self._free(task, now_us)
+
+    def _complete(self, job: Job, index: int) -> None:
+        """A task is done (a gang completes as one); told to nobody before it is persisted."""
+        indexes = range(job.spec.tasks) if job.is_gang else (index,)
+        for one in indexes:
+            if job.mark_done(one):
+                self._touch_chunk(job, one, lambda: self._finish_if_done(job))
+        job.failures = 0
+        self.dirty = True
+
+    def _errored(self, job: Job, machine: Machine, now_us: int) -> None:
+        """A failure is mostly the machine's fault; a job that fails everywhere backs off instead."""
+        job.error_machines.add(machine.name)
+        job.failures += 1
+        machine.error_jobs.add(job.spec.id)
+        if job.failures >= 3:
+            job.not_before_us = now_us + min(60, 2 ** min(job.failures, 6)) * SECOND_US
+        honest = [name for name in machine.error_jobs if (j := self.jobs.get(name)) is None or j.failures < 3]
+        if len(machine.error_jobs) >= 2 and honest and not machine.draining:
+            self.drain(machine, "tasks of several jobs failed on it")
+
+    def _stray(
+        self, machine: Machine, job_id: str, index: int, attempt: int, item: TaskReport
+    ) -> Command | None:
+        """A listed attempt that holds no place: exited ones are forgotten, live ones stopped."""
+        job = self.jobs.get(job_id)
+        if item.state != workers.EXITED:
+            self.log.info("stop %s attempt %d on %s: it holds no place", item.task, attempt, machine.name)
+            return workers.halt(item.task, attempt, 0.0)
+        if job is not None and item.cause == workers.CAUSE_DONE and 0 <= index < job.spec.tasks:
+            self._complete(job, index)
+            # `forget` only after the completion is in the state service (safety 4).
+            if job.status == OPEN and not self.keeper.clean(self._chunk_entry(job, job.chunk_of(index))):
+                return None
+        return workers.forget(item.task, attempt)
+
+    def _commands(self, machine: Machine) -> list[Command]:
+        out = []
+        for task in list(machine.tasks.values()):
+            if task.halt_grace_s is not None:
+                if task.phase == SEEN or task.inherited or task.sent is not None:
+                    out.append(workers.halt(task.name, task.attempt, task.halt_grace_s))
+            elif task.phase == ASSIGNED and task.sent is None and machine.phase == UP and task.job.status == OPEN:
+                # The only place where `run` is ever sent (safety 4).
+                task.sent = (machine.session, machine.serial)
+                out.append(workers.run(task.name, task.attempt))
+        return out
+
+    # ---------------------------------------------------------------- machines
+
+    def _add_machine(self, name: str, rental: Rental, now_us: int) -> Machine:
+        kind = self.fleet.types.get(rental.type)
+        cpus, gpus, ram = (kind.cpus, kind.gpus, kind.ram_gb) if kind else (0.0, 0.0, 0.0)
+        machine = Machine(
+            name, rental.type, rental.zone, rental.spot, rental.name, cpus, gpus, ram, now_us, idle_since_us=now_us
+        )
+        self.machines[name] = machine
+        self.dirty = True
+        return machine
+
+    def set_types(self, types: Iterable[MachineType]) -> None:
+        """Machine types became known or prices changed."""
+        first = not self.fleet.types
+        self.fleet.types = {kind.name: kind for kind in types}
+        value = msgspec.to_builtins(list(self.fleet.types.values()))
+        entry = self._entry(keys.TYPES, lambda: msgspec.to_builtins(list(self.fleet.types.values())))
+        if first or value != self._types_value:
+            self._types_value = value
+            self.keeper.touch(entry, urgent=False)
+        if first:
+            for machine in self.machines.values():
+                kind = self.fleet.types.get(machine.type)
+                if kind is not None and not machine.gpus and not machine.cpus:
+                    machine.cpus, machine.gpus, machine.ram_gb = kind.cpus, kind.gpus, kind.ram_gb
+                    machine.free_cpus += kind.cpus
+                    machine.free_gpus += kind.gpus
+                    machine.free_ram += kind.ram_gb
+        self.dirty = True
+
+    def _adopt(self, report: Report, now_us: int) -> Machine:
+        """A machine that we do not know reports: a late rental. It is used, or returned when idle."""
+        returned = report.machine in self.gone
+        self.log.info("adopt %s: it reports and no rental names it", report.machine)
+        rental = Rental(
+            f"adopted-{report.machine}", report.type, report.zone, report.spot, 1, True, [report.machine]
+        )
+        self.rentals[rental.name] = rental
+        self.keeper.touch(self._rental_entry(rental), urgent=False)
+        machine = self._add_machine(report.machine, rental, now_us)
+        if returned:
+            self.give_back(machine, "its return was answered before")
+        return machine
+
+    def _recalled(self, machine: Machine, recall_s: float, now_us: int) -> None:
+        machine.recall_us = now_us + to_us(recall_s)
+        if machine.draining:
+            return
+        machine.draining = "the cloud takes it back"
+        self.log.info("machine %s will be taken in %.0f s", machine.name, recall_s)
+        self.dirty = True
+        for task in list(machine.tasks.values()):
+            if task.job.spec.checkpoint_s and recall_s > task.job.spec.save_s:
+                group = list(task.job.live.values()) if task.job.is_gang else [task]
+                for member in group:
+                    self._halt(member, task.job.spec.save_s + 1.0, "the cloud takes its machine back")
+
+    def drain(self, machine: Machine, reason: str) -> None:
+        """Stop what runs on a machine that does harm, and return it."""
+        self.log.info("drain %s: %s", machine.name, reason)
+        machine.draining = reason
+        self.give_back(machine, reason)
+
+    def give_back(self, machine: Machine, reason: str) -> None:
+        """Ask for a machine's return: persisted before the cloud hears of it, never used again."""
+        if machine.phase == RETURNING:
+            return
+        rental = self.rentals[machine.rental]
+        machine.phase = RETURNING
+        machine.draining = machine.draining or reason
+        rental.returning.append(machine.name)
+        self.log.info("return %s: %s", machine.name, reason)
+        self.keeper.touch(self._rental_entry(rental), lambda: self.to_return.append(machine))
+        self.dirty = True
+
+    def returned(self, names: Iterable[str], now_us: int) -> None:
+        """The cloud confirmed: the machines and everything on them are gone."""
+        for name in names:
+            machine = self.machines.pop(name, None)
+            if machine is None:
+                continue
+            self.gone.add(name)
+            for task in list(machine.tasks.values()):
+                self._lost(task, f"its machine is gone ({machine.draining or 'returned'})", now_us)
+            rental = self.rentals[machine.rental]
+            rental.machines.remove(name)
+            rental.returning.remove(name)
+            self._settle(rental)
+        self.ledger.set_fleet(self.machines.values())
+
+    def _settle(self, rental: Rental) -> None:
+        self.keeper.touch(self._rental_entry(rental), urgent=False)
+        if rental.value() is None:
+            self.rentals.pop(rental.name, None)
+            self._entries.pop(keys.rental_key(rental.name), None)
+
+    def rented(self, rental: Rental, names: list[str], now_us: int) -> None:
+        """A rental request was answered with machines."""
+        if rental.answered:
+            return
+        rental.answered = True
+        rental.machines = [name for name in names if name not in self.gone]
+        self.fleet.granted((rental.type, rental.zone, rental.spot))
+        for name in rental.machines:
+            known = self.machines.get(name)
+            if known is not None:  # it reported before the answer came
+                self.rentals.pop(known.rental, None)
+                entry = self._entries.pop(keys.rental_key(known.rental), None)
+                if entry is not None:
+                    entry.value = lambda: None
+                    self.keeper.touch(entry, urgent=False)
+                known.rental = rental.name
+                if known.phase == RETURNING:
+                    rental.returning.append(name)
+            else:
+                self._add_machine(name, rental, now_us)
+        self._settle(rental)
+        if len(names) < rental.count:
+            self.fleet.refused((rental.type, rental.zone, rental.spot), now_us)
+        self.log.info("rental %s brought %d of %d machines", rental.name, len(names), rental.count)
+        self.ledger.set_fleet(self.machines.values())
+
+    def refused(self, rental: Rental, now_us: int) -> None:
+        """No capacity of this kind."""
+        self.log.info(
+            "rental %s refused: no %s %s in %s", rental.name, "spot" if rental.spot else "ordinary",
+            rental.type, rental.zone,
+        )
+        self.fleet.refused((rental.type, rental.zone, rental.spot), now_us)
+        rental.given_up = True
+        self._settle(rental)
+        self.dirty = True
+
+    def listed(self, listing: list[Listed], now_us: int) -> None:
+        """The cloud's (lagging) list: failed machines are returned, unknown ones adopted in time."""
+        for item in listing:
+            machine = self.machines.get(item.name)
+            if machine is None:
+                if item.name not in self.gone and item.age_s > 6 * self.config.settings.cloud.list_lag_s + 20:
+                    self.log.info("adopt %s: the cloud lists it and no rental names it", item.name)
+                    rental = Rental(f"adopted-{item.name}", item.type, item.zone, item.spot, 1, True, [item.name])
+                    self.rentals[rental.name] = rental
+                    self.keeper.touch(self._rental_entry(rental), urgent=False)
+                    machine = self._add_machine(item.name, rental, now_us - to_us(item.age_s))
+                continue
+            machine.listed = item.status
+            machine.address = machine.address or item.address
+            machine.rented_us = min(machine.rented_us, now_us - to_us(item.age_s))
+            if item.status == FAILED and machine.phase != RETURNING:
+                self.give_back(machine, "it stopped on its own")
+
+    def suspects(self, now_us: int) -> list[Machine]:
+        """Machines that have been silent for long and should be probed, while their zone is not."""
+        silence_us = max(
+            to_us(self.policy.fleet__silence_reports * self.config.settings.workers.report_s),
+            to_us(self.policy.fleet__silence_floor_s),
+        )
+        return [
+            machine
+            for machine in self.machines.values()
+            if machine.phase == UP and machine.reported_us and now_us - machine.reported_us > silence_us
+        ]
+
+    def zone_heard(self, zone: str, now_us: int, but: Machine) -> bool:
+        """Has any other machine of the zone reported just now? Else the zone is cut, not the machine."""
+        recent_us = to_us(2 * self.config.settings.workers.report_s)
+        return any(
+            m.zone == zone and m is not but and m.reported_us and now_us - m.reported_us < recent_us
+            for m in self.machines.values()
+        )
+
+    def overdue(self, now_us: int) -> list[Machine]:
+        """Machines that never came up in all patience."""
+        out = []
+        for machine in self.machines.values():
+            kind = self.fleet.types.get(machine.type)
+            if kind is None or machine.phase != BOOTING:
+                continue
+            if now_us - machine.rented_us > to_us(kind.boot_s * self.policy.fleet__boot_patience + 10):
+                out.append(machine)
+        return out
+
+    # ---------------------------------------------------------------- scheduling
+
+    def min_run_us(self, job: Job) -> int:
+        """The job's protected runtime."""
+        spec = job.spec
+        return self.policy.min_run_us(spec.shape, spec.estimate_s, spec.min_run_s)
+
+    def schedule(self, now_us: int) -> None:
+        """One pass: place what fits, stop what must yield, rent what is missing, return what idles."""
+        self.dirty = False
+        if not self.fleet.types:
+            return
+        within = self._within_guarantee()
+        waiting = [job for job in self.jobs.values() if job.status == OPEN and job.pending > 0]
+        queue = order_jobs(
+            waiting,
+            self.ledger.ratio,
+            lambda job: job.spec.id in within,
+            self.policy.margin,
+            lambda job: urgency_us(job, self._objectives.get(job.spec.job_class)),
+        )
+        fresh_us = to_us(3 * self.config.settings.workers.report_s + 1)
+        usable = [
+            m
+            for m in self.machines.values()
+            if m.phase == UP and not m.draining and now_us - m.reported_us < fresh_us and m.free_cpus > 0
+        ]
+        room = Room(usable, self.policy.placement__parts)
+        unplaced: list[tuple[Job, int]] = []
+        for job in queue:
+            left = self._place_job(job, room, now_us)
+            if left:
+                unplaced.append((job, left))
+        self._preempt(unplaced, now_us)
+        self._plan_fleet(unplaced, now_us)
+
+    def _within_guarantee(self) -> set[str]:
+        """Jobs that fit their team's guarantee along with the team's earlier unfinished jobs."""
+        sums: dict[str, list[float]] = {}
+        within = set()
+        for job in sorted(self.jobs.values(), key=lambda j: (j.submitted_us, j.spec.id)):
+            if job.status != OPEN:
+                continue
+            team = self.teams.get(job.spec.team)
+            if team is None or not (team.cpus or team.gpus):
+                continue
+            total = sums.setdefault(team.name, [0.0, 0.0])
+            total[0] += job.spec.cpus * job.spec.tasks
+            total[1] += job.spec.gpus * job.spec.tasks
+            if (not team.cpus or total[0] <= team.cpus + 1e-9) and (not team.gpus or total[1] <= team.gpus + 1e-9):
+                within.add(job.spec.id)
+        return within
+
+    def _quota_room(self, job: Job) -> int:
+        """How many more tasks the team's limit allows; tasks not proven gone count."""
+        team = self.teams.get(job.spec.team)
+        if team is None:
+            return 0
+        usage = self._usage[team.name]
+        room = [job.pending]
+        if team.cpus_max and job.spec.cpus:
+            room.append(int((team.cpus_max - usage[0] + 1e-6) / job.spec.cpus))
+        if team.gpus_max and job.spec.gpus:
+            room.append(int((team.gpus_max - usage[1] + 1e-6) / job.spec.gpus))
+        return max(0, min(room))
+
+    def _place_job(self, job: Job, room: Room, now_us: int) -> int:
+        """Place what can be placed of a job; returns how many more tasks wait for a machine."""
+        if now_us < job.not_before_us:
+            job.waits_for = "a pause after failed starts"
+            return 0
+        if job.is_gang and job.live:
+            job.waits_for = "the end of its last attempt"
+            return 0
+        count = self._quota_room(job)
+        if not count or (job.is_gang and count < job.spec.tasks):
+            job.waits_for = "its team's limit"
+            return 0
+        limit = -(-job.spec.tasks // 2) if job.spec.spread else None
+        avoid = job.error_machines if len(job.error_machines) < 4 else set()
+        machines = room.place(job, count, job.is_gang, lambda m: m.name not in avoid, limit)
+        if machines:
+            self._assign(job, machines, now_us)
+        left = count - len(machines)
+        if left:
+            job.waits_for = "room on a machine"
+        return left
+
+    def _assign(self, job: Job, machines: list[Machine], now_us: int) -> None:
+        indexes = job.pick(len(machines))
+        chunks = {index // CHUNK_TASKS: job.chunk_of(index) for index in indexes}
+        attempt = 1 + max(chunk.attempts for chunk in (job.chunks if job.is_gang else chunks).values())
+        tasks = []
+        for index, machine in zip(indexes, machines, strict=True):
+            chunk = job.chunk_of(index)
+            number = attempt if job.is_gang else chunk.attempts + 1
+            task = Task(job, index, number, machine, COMMITTING, now_us)
+            self._place(task)
+            self.ledger.charge_start(task, self.min_run_us(job), now_us)
+            tasks.append(task)
+        unsaved = set(chunks)
+        for chunk in chunks.values():
+            chunk.attempts = attempt if job.is_gang else chunk.attempts + 1
+
+            def persisted(number: int = chunk.number) -> None:
+                # Only now may anyone hear of the assignment (safety 2). A gang that needs several
+                # transactions is told once all of them are through: until then none of it starts.
+                unsaved.discard(number)
+                for task in tasks:
+                    ready = not unsaved if job.is_gang else task.index // CHUNK_TASKS == number
+                    if ready and task.phase == COMMITTING:
+                        task.phase = ASSIGNED
+
+            self.keeper.touch(self._chunk_entry(job, chunk), persisted)
+        self.log.debug(
+            "place %s: %s", job.spec.id, ", ".join(f"{t.index}@{t.machine.name}" for t in tasks[:8])
+        )
+
+    def standing(self, team_name: str, extra: JobSpec | None = None) -> Standing:
+        """The team's ratio, and whether its present use (and the request) is within its guarantee."""
+        team = self.teams.get(team_name)
+        if team is None:
+            return Standing(1e12, False)
+        usage = self._usage[team_name]
+        cpus, gpus = usage[0], usage[1]
+        if extra is not None:
+            cpus, gpus = cpus + extra.cpus, gpus + extra.gpus
+        guaranteed = bool(team.cpus or team.gpus)
+        inside = (not team.cpus or cpus <= team.cpus + 1e-9) and (not team.gpus or gpus <= team.gpus + 1e-9)
+        return Standing(self.ledger.ratio(team_name), guaranteed and inside)
+
+    def _preempt(self, unplaced: list[tuple[Job, int]], now_us: int) -> None:
+        stops = 0
+        usable = [m for m in self.machines.values() if m.phase == UP and not m.draining]
+        coming_free = room_of_halted(usable)
+        coming = sum(m.gpus for m in self.machines.values() if m.phase == BOOTING and not m.draining and not m.spot)
+        for job, count in unplaced:
+            if stops >= self.policy.preempt__max_stops:
+                return
+            if not self.min_run_us(job):
+                continue
+            need = job.spec.gpus * count
+            if coming >= need > 0:
+                coming -= need  # booting room holds it
+                continue
+
+            def allowed(task: Task, job: Job = job) -> bool:
+                def standing(team: str) -> Standing:
+                    return self.standing(team, job.spec if team == job.spec.team else None)
+
+                return may_stop(job, task, standing, self.min_run_us, self.policy, now_us)
+
+            def lost_us(task: Task) -> int:
+                if task.running_us is None or task.job.is_service:
+                    return 0
+                spent = now_us - task.running_us
+                return min(spent, to_us(task.job.spec.save_s)) if task.job.spec.checkpoint_s else spent
+
+            victims = choose_victims(job, count, usable, coming_free, allowed, lost_us)
+            for task in victims:
+                minimum = self.min_run_us(task.job)
+                kind = "protected" if minimum else "unprotected"
+                self.stops[kind] += 1
+                grace = task.job.spec.save_s + 1.0 if task.job.spec.checkpoint_s else 0.0
+                over = "past its protected time" if minimum else "without protected time"
+                self._halt(task, grace, f"it is {over} and job {job.spec.id} of team {job.spec.team} needs the room")
+                stops += 1
+
+    def _plan_fleet(self, unplaced: list[tuple[Job, int]], now_us: int) -> None:
+        asked = [(r.type, r.zone, r.spot, r.count) for r in self.rentals.values() if not r.answered]
+        for wish in self.fleet.plan(now_us, unplaced, self.machines.values(), asked):
+            self.rent(wish)
+        for machine, reason in self.fleet.surplus(now_us, list(self.machines.values())):
+            self.give_back(machine, reason)
+
+    def rent(self, wish: Wish) -> None:
+        """Persist the intent; the cloud hears of it after that. The name holds our token: never reused."""
+        self._rental_count += 1
+        rental = Rental(f"{self.token}-{self._rental_count}", wish.type, wish.zone, wish.spot, min(50, wish.count))
+        self.rentals[rental.name] = rental
+        self.log.info(
+            "rent %d %s %s in %s as %s: %s", rental.count, "spot" if wish.spot else "ordinary", wish.type,
+            wish.zone, rental.name, wish.reason,
+        )
+        self.keeper.touch(self._rental_entry(rental), lambda: self.to_rent.append(rental))
+
+    def gather(self, now_us: int) -> None:
+        """Charge what ran; the ratios go out as one value."""
+        self.ledger.set_fleet(m for m in self.machines.values() if m.phase != RETURNING)
+        self.ledger.gather(
+            ((t, self.min_run_us(t.job)) for m in self.machines.values() for t in m.tasks.values()), now_us
+        )
+        self.keeper.touch(self._entry(keys.RATIOS, lambda: self.ledger.to_value(now_us)), urgent=False)
+
+    def protected(self, task: Task, now_us: int) -> bool:
+        """Is the task still inside its protected runtime?"""
+        return protected_until_us(task, self.min_run_us(task.job), self.policy.preempt__stagger) > now_us
+
+
+def open_value(spec: JobSpec, wall_us: int) -> dict[str, Any]:
+    """A job's own record as accepted."""
+    return {"st": OPEN, "at": wall_us, "spec": msgspec.to_builtins(spec)}
+
+
+def final_value(job: Job, status: str) -> dict[str, Any]:
+    """A job's own record once it is over: kept for ever, so kept small."""
+    return {"st": status, "at": job.submitted_us, "n": job.spec.tasks}
--- /dev/null
+++ b/src/tideusher/core/fleet.py
@@ -0,0 +1,268 @@
+"""How many machines to rent, keep and return."""
+
+from collections import deque
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+from math import ceil, sqrt
+
+from tideusher.clock import SECOND_US, to_s, to_us
+from tideusher.config import Objective, Policy
+from tideusher.core.placement import slots_in
+from tideusher.core.records import BOOTING, UP, Job, Machine
+from tideusher.wire.cloud import MachineType
+from tideusher.wire.jobs import JobSpec
+
+
+@dataclass(frozen=True)
+class Wish:
+    """A rental that the plan asks for."""
+
+    type: str
+    zone: str
+    spot: bool
+    count: int
+    reason: str
+
+
+@dataclass(slots=True)
+class Bin:
+    """Room that exists soon: a booting machine, one asked for, or one that the plan would rent."""
+
+    type: str
+    zone: str
+    spot: bool
+    cpus: float
+    gpus: float
+    ram: float
+    new: bool = False
+    reason: str = ""
+
+    def allows(self, spec: JobSpec) -> bool:
+        """May this job's tasks run here?"""
+        return (
+            (spec.types is None or self.type in spec.types)
+            and (spec.zone is None or self.zone == spec.zone)
+            and (spec.spot or not self.spot)
+        )
+
+
+class Fleet:
+    """Remembers refusals and arrivals; plans from what the cluster holds."""
+
+    def __init__(self, policy: Policy, objectives: Iterable[Objective]) -> None:
+        self._policy = policy
+        self._waits = {
+            o.job_class: to_us(o.within_s)
+            for o in sorted(objectives, key=lambda o: -(o.within_s or 0))
+            if o.kind == "wait" and o.job_class and o.within_s
+        }
+        self.types: dict[str, MachineType] = {}
+        self._refused: dict[tuple[str, str, bool], tuple[int, int]] = {}
+        self._arrivals: dict[str, deque[tuple[int, int]]] = {}
+        self._class_spec: dict[str, JobSpec] = {}
+        self.began_us: int | None = None
+
+    # What is remembered
+
+    def arrived(self, spec: JobSpec, now_us: int) -> None:
+        """A job was submitted: the warm room follows the rate of its class."""
+        self._class_spec[spec.job_class] = spec
+        self._arrivals.setdefault(spec.job_class, deque(maxlen=200)).append((now_us, spec.tasks))
+
+    def refused(self, kind: tuple[str, str, bool], now_us: int) -> None:
+        """The cloud has no capacity of this kind: back off, longer each time."""
+        _, times = self._refused.get(kind, (0, 0))
+        pause = to_us(self._policy.fleet__capacity_backoff_s) * (1 << min(times, 2))
+        self._refused[kind] = (now_us + pause, times + 1)
+
+    def granted(self, kind: tuple[str, str, bool]) -> None:
+        """The cloud had capacity of this kind."""
+        self._refused.pop(kind, None)
+
+    def available(self, kind: tuple[str, str, bool], now_us: int) -> bool:
+        """May this kind be asked for now?"""
+        return self._refused.get(kind, (0, 0))[0] <= now_us
+
+    # Warm room
+
+    def warm_tasks(self, now_us: int) -> list[tuple[JobSpec, int]]:
+        """Per class whose aim is faster than boot and fetch: how many free places to keep."""
+        wanted = []
+        for job_class, within_us in self._waits.items():
+            spec = self._class_spec.get(job_class)
+            if spec is None or not self.types:
+                continue
+            usable = [t for t in self.types.values() if spec.types is None or t.name in spec.types]
+            if not usable:
+                continue
+            fastest_us = min(
+                to_us(t.boot_s * 1.2 + spec.image_gb / max(t.fetch_gb_per_s, 1e-6)) for t in usable
+            )
+            if fastest_us < within_us or self.began_us is None:
+                continue
+            window_us = min(to_us(self._policy.fleet__warm_window_s), now_us - self.began_us)
+            sizes = [n for at, n in self._arrivals[job_class] if now_us - at <= window_us and at > self.began_us]
+            if window_us < 10 * SECOND_US:
+                continue
+            horizon = min(t.boot_s for t in usable) * 1.2 / to_s(window_us)
+            mean = sum(sizes) * horizon
+            deviation = sqrt(sum(n * n for n in sizes) * horizon)
+            count = ceil(mean + self._policy.fleet__warm_quantile * deviation)
+            if count:
+                wanted.append((spec, count))
+        return wanted
+
+    # Plan
+
+    def plan(
+        self,
+        now_us: int,
+        unplaced: Sequence[tuple[Job, int]],
+        machines: Iterable[Machine],
+        asked: Iterable[tuple[str, str, bool, int]],
+    ) -> list[Wish]:
+        """What to rent so that unplaced tasks and warm room find a place."""
+        bins: list[Bin] = []
+        warm_room: list[Machine] = []
+        population: dict[str, int] = {}
+        for machine in machines:
+            population[machine.zone] = population.get(machine.zone, 0) + 1
+            if machine.draining:
+                continue
+            if machine.phase == BOOTING:
+                bins.append(
+                    Bin(machine.type, machine.zone, machine.spot, machine.cpus, machine.gpus, machine.ram_gb)
+                )
+            elif machine.phase == UP:
+                warm_room.append(machine)
+        for type_name, zone, spot, count in asked:
+            kind = self.types.get(type_name)
+            if kind is not None:
+                bins += [Bin(type_name, zone, spot, kind.cpus, kind.gpus, kind.ram_gb) for _ in range(count)]
+                population[zone] = population.get(zone, 0) + count
+        for job, count in unplaced:
+            zones = {task.machine.zone for task in job.live.values()}
+            zone_use: dict[str, int] = {}
+            for task in job.live.values():
+                zone_use[task.machine.zone] = zone_use.get(task.machine.zone, 0) + 1
+            limit = -(-job.spec.tasks // 2) if job.spec.spread else None
+            self._fit(job.spec, count, bins, zones, zone_use, limit, population, now_us, "work waits")
+        for spec, count in self.warm_tasks(now_us):
+            free = sum(slots_in(m.free_cpus, m.free_gpus, m.free_ram, spec) for m in warm_room if m.allows(spec))
+            if count > free:
+                self._fit(spec, count - free, bins, set(), {}, None, population, now_us, "warm room")
+        counted: dict[tuple[str, str, bool, str], int] = {}
+        for bin in bins:
+            if bin.new:
+                key = (bin.type, bin.zone, bin.spot, bin.reason)
+                counted[key] = counted.get(key, 0) + 1
+        return [Wish(t, z, s, n, why) for (t, z, s, why), n in counted.items()]
+
+    def _fit(
+        self,
+        spec: JobSpec,
+        count: int,
+        bins: list[Bin],
+        zones: set[str],
+        zone_use: dict[str, int],
+        limit: int | None,
+        population: dict[str, int],
+        now_us: int,
+        reason: str,
+    ) -> None:
+        left = count
+        one_zone = next(iter(zones), None) if spec.one_zone else None
+        for bin in sorted(bins, key=lambda b: (not b.spot, b.gpus)):
+            if not left:
+                return
+            if not bin.allows(spec) or (one_zone and bin.zone != one_zone):
+                continue
+            while left and slots_in(bin.cpus, bin.gpus, bin.ram, spec):
+                if limit is not None and zone_use.get(bin.zone, 0) >= limit:
+                    break
+                self._take(bin, spec, zone_use)
+                left -= 1
+                if spec.one_zone:
+                    one_zone = bin.zone
+        while left:
+            bin_or_none = self._new_bin(spec, one_zone, zone_use, limit, population, now_us)
+            if bin_or_none is None:
+                return
+            bin_or_none.reason = reason
+            bins.append(bin_or_none)
+            population[bin_or_none.zone] = population.get(bin_or_none.zone, 0) + 1
+            if spec.one_zone:
+                one_zone = bin_or_none.zone
+            while left and slots_in(bin_or_none.cpus, bin_or_none.gpus, bin_or_none.ram, spec):
+                if limit is not None and zone_use.get(bin_or_none.zone, 0) >= limit:
+                    break
+                self._take(bin_or_none, spec, zone_use)
+                left -= 1
+
+    @staticmethod
+    def _take(bin: Bin, spec: JobSpec, zone_use: dict[str, int]) -> None:
+        bin.cpus -= spec.cpus
+        bin.gpus -= spec.gpus
+        bin.ram -= spec.ram_gb
+        zone_use[bin.zone] = zone_use.get(bin.zone, 0) + 1
+
+    def _new_bin(
+        self,
+        spec: JobSpec,
+        one_zone: str | None,
+        zone_use: dict[str, int],
+        limit: int | None,
+        population: dict[str, int],
+        now_us: int,
+    ) -> Bin | None:
+        best: tuple[tuple[bool, float, int, str], Bin] | None = None
+        for kind in self.types.values():
+            if spec.types is not None and kind.name not in spec.types:
+                continue
+            held = slots_in(kind.cpus, kind.gpus, kind.ram_gb, spec)
+            if not held:
+                continue
+            for zone in kind.zones:
+                if (spec.zone and zone != spec.zone) or (one_zone and zone != one_zone):
+                    continue
+                if limit is not None and zone_use.get(zone, 0) >= limit:
+                    continue
+                for spot in (True, False) if spec.spot else (False,):
+                    if not self.available((kind.name, zone, spot), now_us):
+                        continue
+                    price = (kind.spot_price if spot else kind.price) / held
+                    rank = (not spot, price, population.get(zone, 0), zone)
+                    if best is None or rank < best[0]:
+                        best = (rank, Bin(kind.name, zone, spot, kind.cpus, kind.gpus, kind.ram_gb, new=True))
+        return best[1] if best else None
+
+    def surplus(self, now_us: int, machines: Sequence[Machine]) -> list[tuple[Machine, str]]:
+        """Idle machines to return, with the reason; warm room is kept."""
+        warm = self.warm_tasks(now_us)
+        idle_us = to_us(self._policy.fleet__idle_s)
+        free = {
+            spec.job_class: sum(
+                slots_in(m.free_cpus, m.free_gpus, m.free_ram, spec)
+                for m in machines
+                if m.phase == UP and not m.draining and m.allows(spec)
+            )
+            for spec, _ in warm
+        }
+        out = []
+        for machine in sorted(machines, key=lambda m: (m.spot, m.name)):
+            if machine.phase != UP or machine.tasks or machine.draining:
+                continue
+            if now_us - machine.idle_since_us < idle_us:
+                continue
+            holds = {
+                spec.job_class: slots_in(machine.free_cpus, machine.free_gpus, machine.free_ram, spec)
+                for spec, _ in warm
+                if machine.allows(spec)
+            }
+            if any(free[s.job_class] - holds.get(s.job_class, 0) < n for s, n in warm if machine.allows(s)):
+                continue
+            for name, count in holds.items():
+                free[name] -= count
+            out.append((machine, f"idle for {to_s(now_us - machine.idle_since_us):.0f} s and not needed as warm room"))
+        return out
+
--- /dev/null
+++ b/src/tideusher/core/placement.py
@@ -0,0 +1,113 @@
+"""Where tasks go: machines are hashed into parts, and a job goes to the roomiest part.
+
+Inside a part a task goes to the machine that has its image, then to the cheaper kind, then to the
+one that it fills best, so that other machines run empty and can be returned.
+"""
+
+from collections.abc import Callable, Sequence
+from zlib import crc32
+
+from tideusher.core.records import Job, Machine
+from tideusher.wire.jobs import JobSpec
+
+
+def part_of(machine: str, parts: int) -> int:
+    """The part that a machine is hashed into; the same on every node and for the machine's life."""
+    return crc32(machine.encode()) % parts
+
+
+class Room:
+    """The machines that a pass may place on, with room tentatively taken during the pass."""
+
+    def __init__(self, machines: Sequence[Machine], parts: int) -> None:
+        self._parts: list[list[Machine]] = [[] for _ in range(parts)]
+        for machine in machines:
+            self._parts[part_of(machine.name, parts)].append(machine)
+        self._all = list(machines)
+
+    def place(
+        self, job: Job, count: int, all_or_none: bool, usable: Callable[[Machine], bool], spread_limit: int | None
+    ) -> list[Machine]:
+        """A machine for each of up to `count` tasks; with all_or_none the full count or nothing.
+
+        The roomiest part is tried first; what no single part holds may span parts.
+        """
+        allowed = [
+            [machine for machine in part if machine.allows(job.spec) and usable(machine)] for part in self._parts
+        ]
+        ranked = sorted(allowed, key=lambda part: -sum(slots(machine, job) for machine in part))
+        zones_taken: dict[str, int] = {}
+        for task in job.live.values():
+            zones_taken[task.machine.zone] = zones_taken.get(task.machine.zone, 0) + 1
+        if all_or_none or job.spec.one_zone:
+            for pool in [*ranked, [machine for part in ranked for machine in part]]:
+                chosen = self._choose(job, count, pool, dict(zones_taken), spread_limit)
+                if len(chosen) == count:
+                    return chosen
+            if all_or_none:
+                return []
+            return self._choose(job, count, [m for part in ranked for m in part], zones_taken, spread_limit)
+        chosen = []
+        for part in ranked:
+            chosen += self._choose(job, count - len(chosen), part, zones_taken, spread_limit)
+            if len(chosen) == count:
+                break
+        return chosen
+
+    def _choose(
+        self, job: Job, count: int, pool: list[Machine], zones_taken: dict[str, int], spread_limit: int | None
+    ) -> list[Machine]:
+        if not job.spec.one_zone:
+            return _fill(job, count, pool, zones_taken, spread_limit)
+        zones = list(zones_taken) or sorted({machine.zone for machine in pool})
+        if len(zones_taken) > 1:
+            return []  # an old attempt sits in two zones: wait until it is gone
+        best: list[Machine] = []
+        for zone in zones:
+            chosen = _fill(job, count, [m for m in pool if m.zone == zone], {}, None)
+            if len(chosen) > len(best):
+                best = chosen
+        return best
+
+
+def slots(machine: Machine, job: Job) -> int:
+    """How many tasks of the job the machine's free room holds."""
+    return slots_in(machine.free_cpus, machine.free_gpus, machine.free_ram, job.spec)
+
+
+def slots_in(cpus: float, gpus: float, ram: float, spec: JobSpec) -> int:
+    """How many tasks of the job fit in the given room."""
+    counts = [
+        int((room + 1e-9) / need)
+        for room, need in ((cpus, spec.cpus), (gpus, spec.gpus), (ram, spec.ram_gb))
+        if need > 0
+    ]
+    return max(0, min(counts, default=spec.tasks))
+
+
+def _fill(
+    job: Job, count: int, pool: list[Machine], zones_taken: dict[str, int], spread_limit: int | None
+) -> list[Machine]:
+    room = {machine.name: slots(machine, job) for machine in pool}
+    order = sorted(
+        (machine for machine in pool if room[machine.name]),
+        key=lambda m: (
+            m.name in job.error_machines,
+            job.spec.image not in m.images,
+            not m.spot,
+            m.free_gpus,
+            m.free_cpus,
+            m.name,
+        ),
+    )
+    chosen: list[Machine] = []
+    for machine in order:
+        while len(chosen) < count and room[machine.name]:
+            if spread_limit is not None and zones_taken.get(machine.zone, 0) >= spread_limit:
+                break
+            zones_taken[machine.zone] = zones_taken.get(machine.zone, 0) + 1
+            room[machine.name] -= 1
+            chosen.append(machine)
+        if len(chosen) == count:
+            break
+    return chosen
--- /dev/null
+++ b/src/tideusher/core/preempt.py
@@ -0,0 +1,149 @@
+"""Which tasks are stopped to make room for a request.
+
+The design: unprotected work is stopped for a team whose ratio is lower by the margin; zero-runtime
+work is free, any funded request may stop it. The protocol bounds this: a stop needs a higher rank, or
+a team claiming its guarantee from another that runs beyond its own. Both must agree. The fewest tasks
+stop, and a gang stops whole.
+"""
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from zlib import crc32
+
+from tideusher.config import Policy
+from tideusher.core.placement import slots_in
+from tideusher.core.records import COMMITTING, Job, Machine, Task
+
+
+@dataclass(frozen=True)
+class Standing:
+    """What the rules need to know of a team at this moment."""
+
+    ratio: float
+    within_guarantee: bool  # its present use, the request included where it is the asking team
+
+
+def protected_until_us(task: Task, min_run_us: int, stagger: float) -> int:
+    """When the task's protection ends.
+
+    Windows that began in one burst would expire together and release one wave of stops, so each
+    job's window is stretched by its own fixed share of up to `stagger`.
+    """
+    if not min_run_us:
+        return 0
+    begin_us = task.running_us if task.running_us is not None else task.placed_us
+    stretch = crc32(task.job.spec.id.encode()) % 1000 / 1000 * stagger
+    return begin_us + round(min_run_us * (1 + stretch))
+
+
+def may_stop(
+    request: Job,
+    victim: Task,
+    standing: Callable[[str], Standing],
+    min_run_us: Callable[[Job], int],
+    policy: Policy,
+    now_us: int,
+) -> bool:
+    """Do the design's rule and the protocol's bounds both allow stopping this task?"""
+    job = victim.job
+    if job is request or victim.halt_grace_s is not None or victim.phase == COMMITTING:
+        return False
+    asking, holding = standing(request.spec.team), standing(job.spec.team)
+    higher = request.spec.rank < job.spec.rank
+    claims = (
+        request.spec.team != job.spec.team and asking.within_guarantee and not holding.within_guarantee
+    )
+    if not (higher or claims):
+        return False
+    if not min_run_us(request):
+        return False  # only funded requests stop anything
+    minimum_us = min_run_us(job)
+    if not minimum_us:
+        return True
+    if protected_until_us(victim, minimum_us, policy.preempt__stagger) > now_us:
+        return False
+    return asking.ratio + policy.margin <= holding.ratio
+
+
+def room_of_halted(machines: Sequence[Machine]) -> dict[str, list[float]]:
+    """Per machine with tasks on their way out: the room there will be once they are gone."""
+    rooms = {}
+    for machine in machines:
+        halted = [task.job.spec for task in machine.tasks.values() if task.halt_grace_s is not None]
+        if halted:
+            rooms[machine.name] = [
+                machine.free_cpus + sum(spec.cpus for spec in halted),
+                machine.free_gpus + sum(spec.gpus for spec in halted),
+                machine.free_ram + sum(spec.ram_gb for spec in halted),
+            ]
+    return rooms
+
+
+def choose_victims(
+    request: Job,
+    count: int,
+    machines: Sequence[Machine],
+    coming: dict[str, list[float]],
+    allowed: Callable[[Task], bool],
+    lost_us: Callable[[Task], int],
+) -> list[Task]:
+    """The fewest tasks to stop so that `count` tasks of the request fit; empty if no set does.
+
+    Room that earlier stops will free (`coming`) is used first, and taken out of `coming`, so that one
+    stop is not counted for two requests.
+    """
+    spec = request.spec
+    chosen: dict[Task, None] = {}
+    granted = 0
+    for machine in machines:
+        room = coming.get(machine.name)
+        while granted < count and room and machine.allows(spec) and slots_in(*room, spec):
+            room[0] -= spec.cpus
+            room[1] -= spec.gpus
+            room[2] -= spec.ram_gb
+            granted += 1
+    taken: set[str] = set()
+    while granted < count:
+        best: tuple[int, int, str, list[Task], Machine] | None = None
+        for machine in machines:
+            if machine.name in taken or machine.name in coming or not machine.allows(spec):
+                continue
+            option = _on_machine(request, machine, allowed, lost_us)
+            if option is None:
+                continue
+            rank = (len(option), sum(lost_us(task) for task in option), machine.name)
+            if best is None or rank < best[:3]:
+                best = (*rank, option, machine)
+        if best is None:
+            return [] if request.is_gang else list(chosen)
+        chosen.update(dict.fromkeys(best[3]))
+        taken.add(best[4].name)
+        granted += 1
+    return list(chosen)
+
+
+def _on_machine(
+    request: Job, machine: Machine, allowed: Callable[[Task], bool], lost_us: Callable[[Task], int]
+) -> list[Task] | None:
+    cpus, gpus, ram = machine.free_cpus, machine.free_gpus, machine.free_ram
+    stopped: list[Task] = []
+    candidates = sorted(
+        (task for task in machine.tasks.values() if allowed(task)),
+        key=lambda task: (-task.job.spec.gpus, -task.job.spec.cpus, lost_us(task), task.name),
+    )
+    for task in candidates:
+        if slots_in(cpus, gpus, ram, request.spec):
+            break
+        group = list(task.job.live.values()) if task.job.is_gang else [task]
+        if not all(allowed(member) for member in group):
+            continue
+        for member in group:
+            if member not in stopped:
+                stopped.append(member)
+                if member.machine is machine:
+                    cpus += member.job.spec.cpus
+                    gpus += member.job.spec.gpus
+                    ram += member.job.spec.ram_gb
+    if not stopped or not slots_in(cpus, gpus, ram, request.spec):
+        return None
+    return stopped
--- /dev/null
+++ b/src/tideusher/core/records.py
@@ -0,0 +1,240 @@
+"""Jobs, tasks and machines as the leader knows them, and how they are written to the state service.
+
+Attempt numbers come from a counter per chunk (per job for gangs) that is persisted with every
+assignment, so a number is never used twice for a task, whoever leads (docs/safety.md, 2).
+"""
+
+from dataclasses import dataclass, field
+from typing import Any
+
+from tideusher.wire.jobs import GANG, SERVICE, JobSpec
+
+#: Tasks per chunk record: at most some 30 bytes a task, well inside the smallest value limit.
+CHUNK_TASKS = 64
+
+# Phases of a task that holds a place.
+COMMITTING = "committing"  # assignment not yet in the state service; nobody has heard of it
+ASSIGNED = "assigned"  # persisted; `run` goes out with answers to reports
+SEEN = "seen"  # the worker has listed it
+
+OPEN, JOB_DONE, JOB_CANCELLED = "open", "done", "cancelled"
+
+# Machine phases.
+BOOTING, UP, RETURNING = "booting", "up", "returning"
+
+
+@dataclass(slots=True, eq=False)
+class Task:
+    """One attempt of a task that holds a place on a machine until it is proven gone."""
+
+    job: "Job"
+    index: int
+    attempt: int
+    machine: "Machine"
+    phase: str
+    placed_us: int
+    #: (session, serial) of the last report that was answered with `run`; None: never sent by us.
+    sent: tuple[int, int] | None = None
+    inherited: bool = False
+    state: str = ""
+    running_us: int | None = None
+    halt_grace_s: float | None = None
+    halt_reason: str = ""
+
+    @property
+    def name(self) -> str:
+        """The wire's name of the task."""
+        return f"{self.job.spec.id}/{self.index}"
+
+
+@dataclass(slots=True, eq=False)
+class Chunk:
+    """The persisted part of up to CHUNK_TASKS consecutive tasks."""
+
+    number: int
+    attempts: int = 0
+    done: int = 0  # bit i: task number*CHUNK_TASKS+i is done
+    stamp: int = 0
+    dirty: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class Job:
+    """An accepted job that is not over, or whose tasks are not all proven gone."""
+
+    spec: JobSpec
+    stamp: int
+    submitted_us: int  # time of day
+    seen_us: int  # steady time at which this leader first saw it
+    status: str = OPEN
+    live: dict[int, Task] = field(default_factory=dict)
+    chunks: dict[int, Chunk] = field(default_factory=dict)
+    done_count: int = 0
+    next_fresh: int = 0
+    retry: set[int] = field(default_factory=set)
+    error_machines: set[str] = field(default_factory=set)
+    not_before_us: int = 0
+    failures: int = 0
+    stops: list[dict[str, Any]] = field(default_factory=list)
+    finish_dirty: bool = False
+    started: set[int] = field(default_factory=set)  # tasks whose minimum runtime was charged
+    waits_for: str = "its first look by the scheduler"
+
+    @property
+    def is_gang(self) -> bool:
+        """All tasks at once or none."""
+        return self.spec.shape == GANG
+
+    @property
+    def is_service(self) -> bool:
+        """Runs until cancelled."""
+        return self.spec.shape == SERVICE
+
+    @property
+    def pending(self) -> int:
+        """Tasks that hold no place and are not done."""
+        return self.spec.tasks - self.done_count - len(self.live)
+
+    def chunk_of(self, index: int) -> Chunk:
+        """The chunk record of a task, made when first needed."""
+        number = index // CHUNK_TASKS
+        chunk = self.chunks.get(number)
+        if chunk is None:
+            chunk = self.chunks[number] = Chunk(number)
+        return chunk
+
+    def is_done(self, index: int) -> bool:
+        """Has this task completed?"""
+        chunk = self.chunks.get(index // CHUNK_TASKS)
+        return chunk is not None and bool(chunk.done >> (index % CHUNK_TASKS) & 1)
+
+    def pick(self, count: int) -> list[int]:
+        """Up to `count` tasks that wait for a place, interrupted ones first."""
+        picked = sorted(self.retry)[:count]
+        index = self.next_fresh
+        while len(picked) < count and index < self.spec.tasks:
+            if index not in self.live and index not in self.retry and not self.is_done(index):
+                picked.append(index)
+            index += 1
+        return picked
+
+    def take(self, task: Task) -> None:
+        """The task holds a place from now on."""
+        self.live[task.index] = task
+        self.retry.discard(task.index)
+        while self.next_fresh < self.spec.tasks and (
+            self.next_fresh in self.live or self.is_done(self.next_fresh)
+        ):
+            self.next_fresh += 1
+
+    def drop(self, task: Task) -> None:
+        """The task holds no place any more; unless done it waits again."""
+        if self.live.get(task.index) is task:
+            del self.live[task.index]
+            if not self.is_done(task.index) and task.index < self.next_fresh:
+                self.retry.add(task.index)
+
+    def mark_done(self, index: int) -> bool:
+        """Record completion; True if it was news."""
+        if self.is_done(index):
+            return False
+        chunk = self.chunk_of(index)
+        chunk.done |= 1 << (index % CHUNK_TASKS)
+        chunk.dirty = True
+        self.done_count += 1
+        self.retry.discard(index)
+        return True
+
+
+def chunk_value(job: Job, chunk: Chunk) -> dict[str, Any]:
+    """A chunk as persisted: attempt counter, done bits, and who is where with which attempt."""
+    first = chunk.number * CHUNK_TASKS
+    places = {}
+    for index in range(first, min(first + CHUNK_TASKS, job.spec.tasks)):
+        task = job.live.get(index)
+        if task is not None:
+            places[str(index)] = [task.attempt, task.machine.name]
+    value: dict[str, Any] = {"n": chunk.attempts}
+    if chunk.done:
+        value["d"] = f"{chunk.done:x}"
+    if places:
+        value["a"] = places
+    if chunk.number == 0 and job.stops:
+        value["w"] = job.stops
+    return value
+
+
+def read_chunk(number: int, value: dict[str, Any], stamp: int) -> tuple[Chunk, dict[int, tuple[int, str]]]:
+    """The inverse of chunk_value: the chunk and its places."""
+    chunk = Chunk(number, int(value.get("n", 0)), int(value.get("d", "0"), 16), stamp)
+    places = {int(index): (place[0], place[1]) for index, place in value.get("a", {}).items()}
+    return chunk, places
+
+
+@dataclass(slots=True, eq=False)
+class Machine:
+    """A machine from its rental to the proof that it is gone."""
+
+    name: str
+    type: str
+    zone: str
+    spot: bool
+    rental: str
+    cpus: float
+    gpus: float
+    ram_gb: float
+    rented_us: int
+    phase: str = BOOTING
+    address: str = ""
+    session: int = 0
+    serial: int = 0
+    token: int = 0
+    reported_us: int = 0
+    idle_since_us: int = 0
+    recall_us: int | None = None
+    draining: str = ""  # why no new work goes here; empty: it may
+    tasks: dict[tuple[str, int], Task] = field(default_factory=dict)
+    images: dict[str, float] = field(default_factory=dict)
+    error_jobs: set[str] = field(default_factory=set)
+    probes_failed: int = 0
+    listed: str = ""
+    forgettable: dict[tuple[str, int], bool] = field(default_factory=dict)
+    free_cpus: float = 0.0
+    free_gpus: float = 0.0
+    free_ram: float = 0.0
+
+    def __post_init__(self) -> None:
+        self.free_cpus, self.free_gpus, self.free_ram = self.cpus, self.gpus, self.ram_gb
+
+    def fits(self, spec: JobSpec) -> bool:
+        """Is there room for one task of this job?"""
+        return (
+            self.free_cpus + 1e-9 >= spec.cpus
+            and self.free_gpus + 1e-9 >= spec.gpus
+            and self.free_ram + 1e-9 >= spec.ram_gb
+        )
+
+    def allows(self, spec: JobSpec) -> bool:
+        """May this job's tasks run on this type, zone and kind of machine?"""
+        return (
+            (spec.types is None or self.type in spec.types)
+            and (spec.zone is None or self.zone == spec.zone)
+            and (spec.spot or not self.spot)
+        )
+
+    def add(self, task: Task) -> None:
+        """Reserve the task's room."""
+        spec = task.job.spec
+        self.tasks[spec.id, task.index] = task
+        self.free_cpus -= spec.cpus
+        self.free_gpus -= spec.gpus
+        self.free_ram -= spec.ram_gb
+
+    def remove(self, task: Task) -> None:
+        """Give the task's room back."""
+        spec = task.job.spec
+        if self.tasks.get((spec.id, task.index)) is task:
+            del self.tasks[spec.id, task.index]
+            self.free_cpus += spec.cpus
+            self.free_gpus += spec.gpus
+            self.free_ram += spec.ram_gb
--- /dev/null
+++ b/src/tideusher/node.py
@@ -0,0 +1,79 @@
+"""One controller: its actors, wired together."""
+
+import logging
+import os
+import random
+import sys
+
+import gevent
+import msgspec
+from gevent.event import Event
+
+from tideusher.actors.cloud import Cloud
+from tideusher.actors.election import Election
+from tideusher.actors.gateway import Gateway
+from tideusher.actors.leader import Leader
+from tideusher.actors.peers import Peers
+from tideusher.actors.store import Store
+from tideusher.actors.users import Users
+from tideusher.clock import Clock, to_us
+from tideusher.config import Config, Policy
+from tideusher.web import Web
+from tideusher.wire import peers as peer_wire
+from tideusher.wire import workers
+
+CONTACT_US = to_us(4.0)
+
+
+class Node:
+    """Builds and runs everything."""
+
+    def __init__(self, config: Config, policy: Policy, clock: Clock | None = None) -> None:
+        level = {"error": logging.ERROR, "debug": logging.DEBUG}.get(os.environ.get("LOG_LEVEL", ""), logging.INFO)
+        logging.basicConfig(stream=sys.stderr, level=level, format="%(levelname).1s %(name)s: %(message)s")
+        self.log = logging.getLogger("node")
+        self._config, self._clock = config, clock or Clock()
+        rng = random.Random()
+        self.store = Store(config, self._clock)
+        self.election = Election(config, policy, self.store, self._clock, rng)
+        self.cloud = Cloud(config, self._clock)
+        self.leader = Leader(config, policy, self._clock, self.store, self.election, self.cloud)
+        self.peers = Peers(config, self._clock, self.in_contact)
+        self.gateway = Gateway(config, self._clock, self.store, self.election, self.leader, self.peers)
+        self.users = Users(config, self._clock, self.store)
+        self.web = Web(config.bind, self.users, self.gateway, self.healthy)
+
+    def run(self) -> None:
+        """Serve until killed."""
+        gevent.get_hub().NOT_ERROR += (OSError,)  # a peer's reset connection is not our error
+        for part in (self.store, self.election, self.cloud, self.leader):
+            part.start()
+        self.peers.start(self._answer)
+        self.web.start()
+        self.log.info("%s in %s serves on %s", self._config.node, self._config.zone, self._config.bind)
+        Event().wait()
+
+    def in_contact(self) -> bool:
+        """Has the state service answered us lately?"""
+        contact_us = self.store.contact_us
+        return contact_us is not None and self._clock.now_us() - contact_us < CONTACT_US
+
+    def healthy(self) -> bool:
+        """Can this node take requests at least as well as any other?
+
+        In an outage that all nodes share, none gains from leaving the balancer; a node that alone is
+        cut off should.
+        """
+        return self.store.loaded.is_set() and (self.in_contact() or not self.peers.any_in_contact())
+
+    def _answer(self, message: peer_wire.Message) -> peer_wire.Message | None:
+        if not isinstance(message, peer_wire.ForwardReport):
+            return None
+        try:
+            report = workers.decode_report(bytes(message.body))
+        except msgspec.DecodeError:
+            return peer_wire.ReportAnswer(message.id, False)
+        commands = self.leader.ask("report", report).get()
+        if commands is None:
+            return peer_wire.ReportAnswer(message.id, False)
+        return peer_wire.ReportAnswer(message.id, True, msgspec.Raw(workers.encode(commands)))
--- /dev/null
+++ b/src/tideusher/web.py
@@ -0,0 +1,79 @@
+"""The HTTP face of a node: routes requests of users, workers and health checks."""
+
+from collections.abc import Callable, Iterable
+from typing import Any
+
+import msgspec
+from gevent.pywsgi import WSGIServer
+
+from tideusher.actors.gateway import Gateway
+from tideusher.actors.users import Reply, Users, refusal
+from tideusher.config import split_address
+from tideusher.wire.jobs import MAX_BODY
+
+REASONS = {
+    200: "200 OK",
+    201: "201 Created",
+    400: "400 Bad Request",
+    404: "404 Not Found",
+    405: "405 Method Not Allowed",
+    421: "421 Misdirected Request",
+    422: "422 Unprocessable Content",
+    429: "429 Too Many Requests",
+    503: "503 Service Unavailable",
+}
+
+StartResponse = Callable[[str, list[tuple[str, str]]], Any]
+
+
+class Web:
+    """A WSGI application. Whatever is asked, it answers at once or as soon as the answer is known."""
+
+    def __init__(self, bind: str, users: Users, gateway: Gateway, healthy: Callable[[], bool]) -> None:
+        self._users, self._gateway, self._healthy = users, gateway, healthy
+        self._server = WSGIServer(split_address(bind), self, log=None, error_log=None)
+
+    def start(self) -> None:
+        """Begin to accept connections."""
+        self._server.start()
+
+    def __call__(self, environ: dict[str, Any], start_response: StartResponse) -> Iterable[bytes]:
+        method, path = environ["REQUEST_METHOD"], environ["PATH_INFO"]
+        try:
+            reply = self._route(method, path, environ)
+        except Exception:
+            self._users.log.exception("%s %s failed", method, path)
+            reply = refusal(503, "an error of this node")
+        body = reply.body if isinstance(reply.body, bytes) else msgspec.json.encode(reply.body)
+        start_response(
+            REASONS[reply.status],
+            [("Content-Type", "application/json"), ("Content-Length", str(len(body))), *reply.headers],
+        )
+        return [body]
+
+    def _route(self, method: str, path: str, environ: dict[str, Any]) -> Reply:
+        if path == "/checkin":
+            if method != "POST":
+                return refusal(405, "POST only")
+            answer = self._gateway.handle(environ["wsgi.input"].read())
+            return Reply(answer.status, answer.body)
+        if path == "/healthz":
+            return Reply(200, b"{}") if self._healthy() else refusal(503, "this node cannot take requests")
+        if path == "/work":
+            if method != "POST":
+                return refusal(405, "POST only")
+            body = self._body(environ)
+            return refusal(400, "the body is over 64 KiB") if body is None else self._users.submit(body)
+        if path.startswith("/work/"):
+            name, _, action = path[len("/work/") :].partition("/")
+            if not action:
+                return self._users.poll(name) if method == "GET" else refusal(405, "GET only")
+            if action == "abort":
+                return self._users.cancel(name) if method == "POST" else refusal(405, "POST only")
+        return refusal(404, "no such path")
+
+    @staticmethod
+    def _body(environ: dict[str, Any]) -> bytes | None:
+        """The body, or None if it is over the limit."""
+        body = environ["wsgi.input"].read(MAX_BODY + 1)
+        return None if len(body) > MAX_BODY else body
--- /dev/null
+++ b/src/tideusher/wire/cloud.py
@@ -0,0 +1,70 @@
+"""Messages of the cloud's rental interface."""
+
+import msgspec
+
+BOOTING, UP, FAILED = "booting", "running", "failed"
+MAX_RENT = 50
+MAX_RETURN = 100
+MAX_LIST = 500
+
+
+class MachineType(msgspec.Struct):
+    """One entry of /machine_types. Prices are per hour."""
+
+    name: str = msgspec.field(name="sku")
+    cpus: float = msgspec.field(name="cores")
+    gpus: float = 0.0
+    ram_gb: float = 0.0
+    cache_gb: float = msgspec.field(name="local_gb", default=0.0)
+    fetch_gb_per_s: float = 1.0
+    price: float = 0.0
+    spot_price: float = msgspec.field(name="market_price", default=0.0)
+    boot_s: float = 0.0
+    zones: list[str] = msgspec.field(name="harbors", default_factory=list)
+
+
+class MachineTypes(msgspec.Struct):
+    """The answer of GET /machine_types."""
+
+    types: list[MachineType] = msgspec.field(name="hulls")
+
+
+class RentRequest(msgspec.Struct):
+    """POST /rentals. The name must never be reused, by any node."""
+
+    name: str = msgspec.field(name="charter")
+    type: str = msgspec.field(name="hull")
+    zone: str = msgspec.field(name="harbor")
+    spot: bool = msgspec.field(name="loaned")
+    count: int
+
+
+class Rented(msgspec.Struct):
+    """Names of rented machines; also the body of a return request."""
+
+    machines: list[str] = msgspec.field(name="berths")
+
+
+class Listed(msgspec.Struct):
+    """One machine of the (lagging) list."""
+
+    name: str = msgspec.field(name="ref")
+    address: str = msgspec.field(name="addr")
+    type: str = msgspec.field(name="hull")
+    zone: str = msgspec.field(name="harbor")
+    spot: bool = msgspec.field(name="loaned")
+    status: str
+    age_s: float = msgspec.field(name="held_s")
+
+
+class MachineList(msgspec.Struct):
+    """A page of GET /rentals."""
+
+    machines: list[Listed] = msgspec.field(name="berths")
+    more: bool = msgspec.field(name="truncated", default=False)
+
+
+decode_types = msgspec.json.Decoder(MachineTypes).decode
+decode_rented = msgspec.json.Decoder(Rented).decode
+decode_list = msgspec.json.Decoder(MachineList).decode
+encode = msgspec.json.Encoder().encode
