--- a/src/tideusher/actors/cloud.py
+++ b/src/tideusher/actors/cloud.py
@@ -11,6 +11,7 @@
 from tideusher.actors.store import Bucket
 from tideusher.clock import Clock
 from tideusher.config import Config
+from tideusher.metrics import Metrics
 from tideusher.wire import cloud
 
 
@@ -19,8 +20,9 @@
 
     RENT, RETURN, READ = 0, 1, 2
 
-    def __init__(self, config: Config, clock: Clock) -> None:
+    def __init__(self, config: Config, clock: Clock, metrics: Metrics) -> None:
         super().__init__("cloud")
+        self._metrics = metrics
         self._client = HttpClient(config.endpoints.cloud, timeout_s=5.0, keep=3)
         self._bucket = Bucket(config.settings.cloud.rps * 0.9, clock)
         self._queue: PriorityQueue = PriorityQueue()
@@ -37,10 +39,11 @@
 
     def _work(self) -> None:
         while True:
-            _, _, call, then = self._queue.get()
+            kind, _, call, then = self._queue.get()
             pause_s = self._bucket.wait_s(1)
             if pause_s:
                 gevent.sleep(pause_s)
+            self._metrics.count("cloud_requests", ("rent", "return", "read")[kind])
             try:
                 result = call()
             except CallFailed as error:
--- a/src/tideusher/actors/election.py
+++ b/src/tideusher/actors/election.py
@@ -18,9 +18,7 @@
 class Election:
     """Runs for the leadership whenever the key is free; renews while it is ours."""
 
-    def __init__(
-        self, config: Config, policy: Policy, store: Store, clock: Clock, rng: random.Random
-    ) -> None:
+    def __init__(self, config: Config, policy: Policy, store: Store, clock: Clock, rng: random.Random) -> None:
         import logging
 
         self.log = logging.getLogger("election")
--- a/src/tideusher/actors/leader.py
+++ b/src/tideusher/actors/leader.py
@@ -1,5 +1,7 @@
 """The leader: feeds the cluster's picture, persists its changes, and carries out what it decides."""
 
+from typing import Any
+
 import gevent
 import msgspec
 
@@ -10,10 +12,11 @@
 from tideusher.actors.store import Conflict, NoLease, Store, Unavailable
 from tideusher.clock import Clock, to_us
 from tideusher.config import Config, Policy
-from tideusher.core import keys
+from tideusher.core import explain, keys
 from tideusher.core.cluster import Cluster, Rental
 from tideusher.core.keeper import Batch
 from tideusher.core.records import RETURNING, UP, Machine
+from tideusher.metrics import Metrics
 from tideusher.wire import cloud as cloud_wire
 from tideusher.wire import workers
 
@@ -24,16 +27,23 @@
     """Owns a Cluster while this node leads; forgets it when it does not."""
 
     def __init__(
-        self, config: Config, policy: Policy, clock: Clock, store: Store, election: Election, cloud: Cloud
+        self,
+        config: Config,
+        policy: Policy,
+        clock: Clock,
+        store: Store,
+        election: Election,
+        cloud: Cloud,
+        metrics: Metrics,
     ) -> None:
         super().__init__("leader")
         self._config, self._policy, self._clock = config, policy, clock
         self._store, self._election, self._cloud = store, election, cloud
+        self._metrics = metrics
         self._cluster: Cluster | None = None
         self._loading = False
         self._probing: set[str] = set()
         self._direct: dict[str, HttpClient] = {}
-        self._kick_queued = False
         self._last_pass_us = 0
 
     def start(self) -> None:
@@ -49,11 +59,6 @@
 
     # ---------------------------------------------------------------- leadership
 
-    @property
-    def cluster(self) -> Cluster | None:
-        """The present picture, for questions; None on a node that does not lead."""
-        return self._cluster
-
     def on_tick(self) -> None:
         """Follow the election; run a scheduling pass when something changed."""
         token = self._election.token
@@ -93,9 +98,10 @@
         """Build the picture from the mirror."""
         self._loading = False
         now_us = self._clock.now_us()
-        cluster = Cluster(self._config, self._policy, token, now_us, self._clock.wall_us)
+        cluster = Cluster(self._config, self._policy, token, now_us, self._clock.wall_us, self._metrics)
         cluster.load({key: (s.value, s.stamp) for key, s in self._store.mirror.items()}, now_us)
         self._cluster = cluster
+        self._metrics.count("leaderships")
         self.log.info(
             "took over with token %d: %d jobs, %d machines", token, len(cluster.jobs), len(cluster.machines)
         )
@@ -146,6 +152,19 @@
             self._cluster.listed(listing, self._clock.now_us())
             self._act(self._cluster)
 
+    def on_question(self, what: str, arg: str) -> Any:
+        """A question of an operator or a user; None if we cannot answer it."""
+        cluster, now_us = self._cluster, self._clock.now_us()
+        if cluster is None:
+            return None
+        if what == "why":
+            return explain.explain_job(cluster, arg, now_us)
+        if what == "teams":
+            return explain.teams(cluster)
+        if what == "machines":
+            return explain.machines(cluster, now_us)
+        return None
+
     # ---------------------------------------------------------------- acting
 
     def _act(self, cluster: Cluster) -> None:
--- /dev/null
+++ b/src/tideusher/actors/questions.py
@@ -0,0 +1,70 @@
+"""Questions of people to any node: answered by the leader, or from the mirror where it cannot be asked."""
+
+from typing import Any
+
+import gevent
+import msgspec
+
+from tideusher.actors.election import Election
+from tideusher.actors.leader import Leader
+from tideusher.actors.peers import Peers
+from tideusher.actors.store import Store
+from tideusher.actors.users import Reply, refusal
+from tideusher.config import Config
+from tideusher.core import keys
+from tideusher.core.explain import told_stops
+from tideusher.core.records import JOB_CANCELLED, JOB_DONE
+from tideusher.wire.peers import Ask
+
+ASK_S = 1.5
+
+
+class Questions:
+    """Finds who can answer."""
+
+    def __init__(self, config: Config, store: Store, election: Election, leader: Leader, peers: Peers) -> None:
+        self._node, self._store, self._election = config.node, store, election
+        self._leader, self._peers = leader, peers
+
+    def answer(self, what: str, arg: str = "") -> Reply:
+        """The answer, or a refusal that says why there is none."""
+        body = self._from_leader(what, arg)
+        if body is not None:
+            return Reply(200, body)
+        if what == "why":
+            return self._from_mirror(arg)
+        return refusal(503, "the leader cannot be asked at the moment")
+
+    def _from_leader(self, what: str, arg: str) -> bytes | None:
+        known = self._election.leader()
+        if known is None:
+            return None
+        if known[0] == self._node:
+            with gevent.Timeout(ASK_S, False):
+                answer = self._leader.ask("question", what, arg).get()
+                return None if answer is None else msgspec.json.encode(answer)
+            return None
+        link = self._peers.links.get(known[0])
+        if link is None or not link.usable():
+            return None
+        reply = link.ask(lambda number: Ask(number, what, arg), ASK_S)
+        return bytes(reply.body) if reply is not None and reply.ok else None
+
+    def _from_mirror(self, job_id: str) -> Reply:
+        """What the state service holds of a job: enough to tell how it ended and what was stopped."""
+        stored = self._store.mirror.get(keys.job_key(job_id))
+        if stored is None:
+            if not self._store.sync():
+                return refusal(503, "the state service does not answer")
+            stored = self._store.mirror.get(keys.job_key(job_id))
+            if stored is None:
+                return refusal(404, "no such job")
+        chunk = self._store.mirror.get(keys.chunk_key(job_id, 0))
+        status = stored.value["st"]
+        reason = {
+            JOB_DONE: "It is done.",
+            JOB_CANCELLED: "Its user cancelled it.",
+        }.get(status, "It is accepted; the leader cannot be asked at the moment what it waits for.")
+        stops: list[dict[str, Any]] = (chunk.value if chunk else stored.value).get("w", [])
+        answer = {"job": job_id, "status": status, "reasons": [reason], "stops": told_stops(stops)}
+        return Reply(200, answer)
--- a/src/tideusher/actors/store.py
+++ b/src/tideusher/actors/store.py
@@ -17,6 +17,7 @@
 from tideusher.clock import SECOND_US, Clock
 from tideusher.config import Config
 from tideusher.core import keys
+from tideusher.metrics import Metrics
 from tideusher.wire import state
 
 Listener = Callable[[str, Any, int], None]
@@ -71,8 +72,9 @@
 class Store(Actor):
     """Owns the mirror. Reads of the mirror are direct; everything else is a message or a call."""
 
-    def __init__(self, config: Config, clock: Clock) -> None:
+    def __init__(self, config: Config, clock: Clock, metrics: Metrics) -> None:
         super().__init__("store")
+        self._metrics = metrics
         self._clock = clock
         limits = config.settings.state
         nodes = max(1, config.settings.size)
@@ -123,6 +125,7 @@
             if pause_s:
                 gevent.sleep(pause_s)
         data = state.encode(body) if body is not None else None
+        self._metrics.count("state_requests", method)
         try:
             status, answer = self._client.call(method, path, data, timeout_s)
         except CallFailed as error:
@@ -130,14 +133,14 @@
         if status == 429:
             self._requests.drain()
         if status in (429, 503):
+            self._metrics.count("state_refusals", str(status))
             raise Unavailable(f"{method} {path}: {status}")
         return status, answer
 
-    def txn(
-        self, guards: list[state.Guard], writes: list[state.Put | state.Delete], budget: bool = True
-    ) -> int:
+    def txn(self, guards: list[state.Guard], writes: list[state.Put | state.Delete], budget: bool = True) -> int:
         """Commit; returns the revision. Raises Conflict (nothing done) or Unavailable (unknown)."""
         if budget:
+            self._metrics.count("state_writes", "", len(writes))
             pause_s = self._writes.wait_s(len(writes))
             if pause_s:
                 gevent.sleep(pause_s)
--- /dev/null
+++ b/src/tideusher/client.py
@@ -0,0 +1,69 @@
+"""A client of the service, for programs and the command line. Needs the wire package, not the daemon."""
+
+import http.client
+from typing import Any
+
+import msgspec
+
+from tideusher.wire.jobs import JobSpec, JobStatus
+
+
+class ServiceError(Exception):
+    """The service refused or could not be reached; the text is one line for people."""
+
+    def __init__(self, reason: str, status: int | None = None) -> None:
+        super().__init__(reason)
+        self.status = status
+
+
+class Client:
+    """Calls to one node."""
+
+    def __init__(self, node: str, timeout_s: float = 5.0) -> None:
+        host, _, port = node.rpartition(":")
+        if not host or not port.isdigit():
+            raise ServiceError(f"{node!r} is not host:port")
+        self._host, self._port, self._timeout_s = host, int(port), timeout_s
+
+    def submit(self, spec: JobSpec | bytes) -> JobStatus:
+        """Submit a job; returns its state."""
+        body = spec if isinstance(spec, bytes) else msgspec.json.encode(spec)
+        return msgspec.json.decode(self._call("POST", "/work", body), type=JobStatus)
+
+    def status(self, job: str) -> JobStatus:
+        """The job's state."""
+        return msgspec.json.decode(self._call("GET", f"/work/{job}"), type=JobStatus)
+
+    def cancel(self, job: str) -> JobStatus:
+        """Cancel the job; returns its final state."""
+        return msgspec.json.decode(self._call("POST", f"/work/{job}/abort"), type=JobStatus)
+
+    def explain(self, job: str) -> dict[str, Any]:
+        """Why the job waits, and why its tasks were stopped."""
+        return msgspec.json.decode(self._call("GET", f"/why/{job}"))
+
+    def teams(self) -> list[dict[str, Any]]:
+        """Ratios, charges and guarantees."""
+        return msgspec.json.decode(self._call("GET", "/teams"))
+
+    def machines(self) -> list[dict[str, Any]]:
+        """The fleet."""
+        return msgspec.json.decode(self._call("GET", "/machines"))
+
+    def _call(self, method: str, path: str, body: bytes | None = None) -> bytes:
+        connection = http.client.HTTPConnection(self._host, self._port, timeout=self._timeout_s)
+        try:
+            connection.request(method, path, body)
+            response = connection.getresponse()
+            data = response.read()
+        except (OSError, http.client.HTTPException) as error:
+            raise ServiceError(f"cannot reach {self._host}:{self._port}: {error}") from None
+        finally:
+            connection.close()
+        if response.status in (200, 201):
+            return data
+        try:
+            reason = msgspec.json.decode(data).get("error", "")
+        except (msgspec.DecodeError, AttributeError):
+            reason = ""
+        raise ServiceError(reason or f"the node answered {response.status}", response.status)
--- a/src/tideusher/core/cluster.py
+++ b/src/tideusher/core/cluster.py
@@ -39,6 +39,7 @@
     chunk_value,
     read_chunk,
 )
+from tideusher.metrics import Metrics
 from tideusher.wire import cloud, workers
 from tideusher.wire.cloud import FAILED, Listed, MachineType
 from tideusher.wire.jobs import JobSpec
@@ -91,10 +92,17 @@
     """Everything the leader decides on."""
 
     def __init__(
-        self, config: Config, policy: Policy, token: int, now_us: int, wall_us: Callable[[], int]
+        self,
+        config: Config,
+        policy: Policy,
+        token: int,
+        now_us: int,
+        wall_us: Callable[[], int],
+        metrics: Metrics | None = None,
     ) -> None:
         self.log = logging.getLogger("cluster")
         self.config, self.policy, self.token = config, policy, token
+        self.metrics = metrics or Metrics()
         self._wall_us = wall_us
         settings = config.settings
         self.teams: dict[str, Team] = {team.name: team for team in settings.teams}
@@ -118,13 +126,9 @@
         self._next_move_us = now_us + to_us(2 * config.settings.workers.lease_s)
         self.saved_us = 0  # when the state service last took a write of ours
         self._objectives = {
-            o.job_class: o.within_s
-            for o in settings.objectives
-            if o.kind == "wait" and o.job_class and o.within_s
+            o.job_class: o.within_s for o in settings.objectives if o.kind == "wait" and o.job_class and o.within_s
         }
         self.dirty = True
-        self.stops = {"protected": 0, "unprotected": 0}
-        self.discarded_us = {"protected": 0, "unprotected": 0}
 
     # ---------------------------------------------------------------- loading
 
@@ -132,9 +136,7 @@
         """Take over what the state service holds. Nothing that it says is running counts as gone."""
         if keys.TYPES in items:
             value, stamp = items[keys.TYPES]
-            self._entry(
-                keys.TYPES, lambda: msgspec.to_builtins(list(self.fleet.types.values()))
-            ).stamp = stamp
+            self._entry(keys.TYPES, lambda: msgspec.to_builtins(list(self.fleet.types.values()))).stamp = stamp
             self.fleet.types = {kind.name: kind for kind in msgspec.convert(value, list[MachineType])}
         for key, (value, stamp) in items.items():
             if key.startswith(keys.JOB_PREFIX):
@@ -362,6 +364,7 @@
     def _note_stop(self, job: Job, task: Task, reason: str) -> None:
         job.stops.append({"at": self._wall_us(), "task": task.index, "on": task.machine.name, "why": reason})
         del job.stops[:-MAX_STOPS_KEPT]
+        self._touch_chunk(job, 0, urgent=False)  # the record of stops outlives this leader
 
     # ---------------------------------------------------------------- reports
 
@@ -386,9 +389,7 @@
         if machine.phase == BOOTING:
             machine.phase = UP
             machine.idle_since_us = now_us
-            self.log.info(
-                "machine %s is up %.0f s after its rental", machine.name, to_s(now_us - machine.rented_us)
-            )
+            self.log.info("machine %s is up %.0f s after its rental", machine.name, to_s(now_us - machine.rented_us))
             self.dirty = True
         if report.recall_s is not None:
             self._recalled(machine, report.recall_s, now_us)
@@ -435,6 +436,8 @@
             task.machine.images[task.job.spec.image] = task.job.spec.image_gb
         if item.state == workers.ACTIVE and task.running_us is None:
             task.running_us = now_us
+            waited_us = self._wall_us() - task.job.submitted_us
+            self.metrics.waited(task.job.spec.job_class, max(0.0, to_s(waited_us)))
 
     def _absent(self, task: Task, report: Report, new_session: bool, now_us: int) -> None:
         """The report does not list a task that may have been started: is that proof of absence?
@@ -467,12 +470,14 @@
         if task.job.spec.checkpoint_s:
             spent_us %= to_us(task.job.spec.checkpoint_s)
         kind = "protected" if self.min_run_us(task.job) else "unprotected"
-        self.discarded_us[kind] += spent_us
+        self.metrics.count("discarded_seconds", kind, to_s(spent_us))
 
     def _exited(self, task: Task, item: TaskReport, now_us: int) -> None:
         job, machine = task.job, task.machine
         if item.cause == workers.CAUSE_DONE:
             machine.error_jobs.clear()
+            if task.running_us is not None:
+                self.metrics.ran(job.spec.job_class, to_s(now_us - task.running_us))
             self._complete(job, task.index)
             self._free(task, now_us)
             return
@@ -506,9 +511,7 @@
         if len(machine.error_jobs) >= 2 and honest and not machine.draining:
             self.drain(machine, "tasks of several jobs failed on it")
 
-    def _stray(
-        self, machine: Machine, job_id: str, index: int, attempt: int, item: TaskReport
-    ) -> Command | None:
+    def _stray(self, machine: Machine, job_id: str, index: int, attempt: int, item: TaskReport) -> Command | None:
         """A listed attempt that holds no place: exited ones are forgotten, live ones stopped."""
         job = self.jobs.get(job_id)
         if item.state != workers.EXITED:
@@ -527,12 +530,7 @@
             if task.halt_grace_s is not None:
                 if task.phase == SEEN or task.inherited or task.sent is not None:
                     out.append(workers.halt(task.name, task.attempt, task.halt_grace_s))
-            elif (
-                task.phase == ASSIGNED
-                and task.sent is None
-                and machine.phase == UP
-                and task.job.status == OPEN
-            ):
+            elif task.phase == ASSIGNED and task.sent is None and machine.phase == UP and task.job.status == OPEN:
                 # The only place where `run` is ever sent (safety 4).
                 task.sent = (machine.session, machine.serial)
                 out.append(workers.run(task.name, task.attempt))
@@ -582,9 +580,7 @@
         """A machine that we do not know reports: a late rental. It is used, or returned when idle."""
         returned = report.machine in self.gone
         self.log.info("adopt %s: it reports and no rental names it", report.machine)
-        rental = Rental(
-            f"adopted-{report.machine}", report.type, report.zone, report.spot, 1, True, [report.machine]
-        )
+        rental = Rental(f"adopted-{report.machine}", report.type, report.zone, report.spot, 1, True, [report.machine])
         self.rentals[rental.name] = rental
         self.keeper.touch(self._rental_entry(rental), urgent=False)
         machine = self._add_machine(report.machine, rental, now_us)
@@ -691,9 +687,7 @@
             if machine is None:
                 if item.name not in self.gone and item.age_s > 6 * self.config.settings.cloud.list_lag_s + 20:
                     self.log.info("adopt %s: the cloud lists it and no rental names it", item.name)
-                    rental = Rental(
-                        f"adopted-{item.name}", item.type, item.zone, item.spot, 1, True, [item.name]
-                    )
+                    rental = Rental(f"adopted-{item.name}", item.type, item.zone, item.spot, 1, True, [item.name])
                     self.rentals[rental.name] = rental
                     self.keeper.touch(self._rental_entry(rental), urgent=False)
                     machine = self._add_machine(item.name, rental, now_us - to_us(item.age_s))
@@ -736,9 +730,7 @@
     def zone_heard(self, zone: str, now_us: int) -> bool:
         """Are most machines of the zone being heard? Else the zone is cut, not the machine dead."""
         recent_us = to_us(2 * self.config.settings.workers.report_s + 0.5)
-        known = [
-            m for m in self.machines.values() if m.zone == zone and m.phase == UP and m.recall_us is None
-        ]
+        known = [m for m in self.machines.values() if m.zone == zone and m.phase == UP and m.recall_us is None]
         heard = sum(now_us - m.reported_us < recent_us for m in known)
         return heard > 0 and 2 * heard >= len(known) - 1
 
@@ -828,9 +820,7 @@
             total = sums.setdefault(team.name, [0.0, 0.0])
             total[0] += job.spec.cpus * job.spec.tasks
             total[1] += job.spec.gpus * job.spec.tasks
-            if (not team.cpus or total[0] <= team.cpus + 1e-9) and (
-                not team.gpus or total[1] <= team.gpus + 1e-9
-            ):
+            if (not team.cpus or total[0] <= team.cpus + 1e-9) and (not team.gpus or total[1] <= team.gpus + 1e-9):
                 within.add(job.spec.id)
         return within
 
@@ -912,9 +902,12 @@
                         task.phase = ASSIGNED
 
             self.keeper.touch(self._chunk_entry(job, chunk), persisted)
-        self.log.debug(
-            "place %s: %s", job.spec.id, ", ".join(f"{t.index}@{t.machine.name}" for t in tasks[:8])
-        )
+        self.log.debug("place %s: %s", job.spec.id, ", ".join(f"{t.index}@{t.machine.name}" for t in tasks[:8]))
+
+    def use(self, team_name: str) -> tuple[float, float]:
+        """CPUs and GPUs of the team's tasks that are not proven gone."""
+        usage = self._usage[team_name]
+        return usage[0], usage[1]
 
     def standing(self, team_name: str, extra: JobSpec | None = None) -> Standing:
         """The team's ratio, and whether its present use (and the request) is within its guarantee."""
@@ -933,9 +926,7 @@
         stops = 0
         usable = [m for m in self.machines.values() if m.phase == UP and not m.draining]
         coming_free = room_of_halted(usable)
-        coming = sum(
-            m.gpus for m in self.machines.values() if m.phase == BOOTING and not m.draining and not m.spot
-        )
+        coming = sum(m.gpus for m in self.machines.values() if m.phase == BOOTING and not m.draining and not m.spot)
         for job, count in unplaced:
             if stops >= self.policy.preempt__max_stops:
                 return
@@ -968,12 +959,10 @@
             for task in victims:
                 minimum = self.min_run_us(task.job)
                 kind = "protected" if minimum else "unprotected"
-                self.stops[kind] += 1
+                self.metrics.count("preemptions", kind)
                 grace = task.job.spec.save_s + 1.0 if task.job.spec.checkpoint_s else 0.0
                 over = "past its protected time" if minimum else "without protected time"
-                self._halt(
-                    task, grace, f"it is {over} and job {job.spec.id} of team {job.spec.team} needs the room"
-                )
+                self._halt(task, grace, f"it is {over} and job {job.spec.id} of team {job.spec.team} needs the room")
                 stops += 1
 
     def consolidate(self, now_us: int) -> None:
@@ -1057,9 +1046,7 @@
     def rent(self, wish: Wish) -> None:
         """Persist the intent; the cloud hears of it after that. The name holds our token: never reused."""
         self._rental_count += 1
-        rental = Rental(
-            f"{self.token}-{self._rental_count}", wish.type, wish.zone, wish.spot, min(50, wish.count)
-        )
+        rental = Rental(f"{self.token}-{self._rental_count}", wish.type, wish.zone, wish.spot, min(50, wish.count))
         self.rentals[rental.name] = rental
         self.log.info(
             "rent %d %s %s in %s as %s: %s",
@@ -1075,6 +1062,12 @@
     def gather(self, now_us: int) -> None:
         """Charge what ran; the ratios go out as one value."""
         self.ledger.set_fleet(m for m in self.machines.values() if m.phase != RETURNING)
+        elapsed_h = self.policy.ledger__gather_s / 3600
+        for machine in self.machines.values():
+            kind = self.fleet.types.get(machine.type)
+            if kind is not None:
+                price = kind.spot_price if machine.spot else kind.price
+                self.metrics.count("money", "spot" if machine.spot else "ordinary", price * elapsed_h)
         self.ledger.gather(
             ((t, self.min_run_us(t.job)) for m in self.machines.values() for t in m.tasks.values()), now_us
         )
@@ -1092,4 +1085,7 @@
 
 def final_value(job: Job, status: str) -> dict[str, Any]:
     """A job's own record once it is over: kept for ever, so kept small."""
-    return {"st": status, "at": job.submitted_us, "n": job.spec.tasks}
+    value: dict[str, Any] = {"st": status, "at": job.submitted_us, "n": job.spec.tasks}
+    if job.stops:
+        value["w"] = job.stops[-MAX_STOPS_KEPT // 2 :]
+    return value
--- /dev/null
+++ b/src/tideusher/core/explain.py
@@ -0,0 +1,110 @@
+"""Plain answers to what people ask: why does a job wait, why did it stop, where do teams stand?"""
+
+from typing import Any
+
+from tideusher.clock import to_s
+from tideusher.core.cluster import Cluster
+from tideusher.core.records import BOOTING, JOB_CANCELLED, JOB_DONE, OPEN, SEEN, Job
+from tideusher.wire.workers import FETCHING, SAVING, WAITING
+
+
+def told_stops(stops: list[dict[str, Any]]) -> list[dict[str, Any]]:
+    """The persisted record of stops as told to people."""
+    return [
+        {"at_s": round(to_s(s["at"]), 1), "task": s["task"], "machine": s["on"], "reason": s["why"]} for s in stops
+    ]
+
+
+def explain_job(cluster: Cluster, job_id: str, now_us: int) -> dict[str, Any] | None:
+    """What the job waits for and why its tasks were stopped; None if nothing of it is open here."""
+    job = cluster.jobs.get(job_id)
+    if job is None:
+        return None
+    return {
+        "job": job_id,
+        "team": job.spec.team,
+        "status": job.status,
+        "tasks": job.spec.tasks,
+        "done": job.done_count,
+        "placed": len(job.live),
+        "reasons": _reasons(cluster, job, now_us),
+        "stops": told_stops(job.stops),
+    }
+
+
+def _reasons(cluster: Cluster, job: Job, now_us: int) -> list[str]:
+    if job.status == JOB_CANCELLED:
+        return ["Its user cancelled it; what is left of it is being stopped."]
+    if job.status == JOB_DONE:
+        return ["It is done."]
+    reasons = []
+    if job.pending > 0:
+        text = f"{job.pending} tasks wait for {job.waits_for}."
+        booting = sum(m.phase == BOOTING and not m.draining and m.allows(job.spec) for m in cluster.machines.values())
+        if booting and job.waits_for == "room on a machine":
+            text += f" {booting} machines that it may use are booting."
+        reasons.append(text)
+        ratio = cluster.ledger.ratio(job.spec.team)
+        ahead = {
+            other.spec.team
+            for other in cluster.jobs.values()
+            if other.status == OPEN and other.pending > 0 and cluster.ledger.ratio(other.spec.team) < ratio
+        }
+        if ahead:
+            reasons.append(
+                f"Team {job.spec.team} has used {ratio:.3f} of its budget; {len(ahead)} teams with waiting "
+                "work have used less and go first."
+            )
+        if not cluster.settled(now_us) and cluster.keeper.waiting:
+            reasons.append("The state service does not take our writes at the moment; nothing starts until then.")
+    for state, text in (
+        (FETCHING, f"wait for image {job.spec.image} to be fetched"),
+        (WAITING, "have their place and wait for the rest of their gang"),
+        (SAVING, "were told to stop and are saving"),
+    ):
+        count = sum(task.state == state for task in job.live.values())
+        if count:
+            reasons.append(f"{count} tasks {text}.")
+    unheard = sum(task.phase != SEEN for task in job.live.values())
+    if unheard:
+        reasons.append(f"{unheard} tasks have a place; their machine has yet to confirm them.")
+    return reasons or [f"{len(job.live)} tasks run; nothing holds it up."]
+
+
+def teams(cluster: Cluster) -> list[dict[str, Any]]:
+    """Ratios, charges, guarantees and present use."""
+    rows = []
+    for team in cluster.teams.values():
+        cpus, gpus = cluster.use(team.name)
+        rows.append(
+            {
+                "team": team.name,
+                "ratio": round(cluster.ledger.ratio(team.name), 4) if team.gpus or team.cpus else None,
+                "charged_machine_s": round(cluster.ledger.charged(team.name), 1),
+                "guaranteed_gpus": team.gpus,
+                "guaranteed_cpus": team.cpus,
+                "limit_gpus": team.gpus_max,
+                "limit_cpus": team.cpus_max,
+                "used_gpus": round(gpus, 3),
+                "used_cpus": round(cpus, 3),
+            }
+        )
+    return rows
+
+
+def machines(cluster: Cluster, now_us: int) -> list[dict[str, Any]]:
+    """The fleet as the leader knows it."""
+    return [
+        {
+            "machine": m.name,
+            "type": m.type,
+            "zone": m.zone,
+            "spot": m.spot,
+            "phase": m.phase,
+            "tasks": len(m.tasks),
+            "free_gpus": round(m.free_gpus, 3),
+            "silent_s": round(to_s(now_us - m.reported_us), 1) if m.reported_us else None,
+            "note": m.draining or (f"kept for {m.reserved}" if m.reserved else ""),
+        }
+        for m in sorted(cluster.machines.values(), key=lambda m: m.name)
+    ]
--- a/src/tideusher/core/fleet.py
+++ b/src/tideusher/core/fleet.py
@@ -116,9 +116,7 @@
             usable = [t for t in self.types.values() if spec.types is None or t.name in spec.types]
             if not usable:
                 continue
-            fastest_us = min(
-                to_us(t.boot_s * 1.2 + spec.image_gb / max(t.fetch_gb_per_s, 1e-6)) for t in usable
-            )
+            fastest_us = min(to_us(t.boot_s * 1.2 + spec.image_gb / max(t.fetch_gb_per_s, 1e-6)) for t in usable)
             if fastest_us < within_us or self._first_us is None:
                 continue
             # What was there at the start says nothing of the rate at which work comes.
@@ -161,9 +159,7 @@
             if machine.draining:
                 continue
             if machine.phase == BOOTING:
-                bins.append(
-                    Bin(machine.type, machine.zone, machine.spot, machine.cpus, machine.gpus, machine.ram_gb)
-                )
+                bins.append(Bin(machine.type, machine.zone, machine.spot, machine.cpus, machine.gpus, machine.ram_gb))
             elif machine.phase == UP:
                 warm_room.append(machine)
                 if not machine.reserved:
@@ -184,13 +180,9 @@
             # Who has waited for a whole boot already is not put off with room that opens soon: others
             # may have taken it each time.
             offered = bins if now_us - job.seen_us < patience_us else [bin for bin in bins if not bin.soon]
-            self._fit(
-                job.spec, count, offered, zones, zone_use, limit, population, now_us, "work waits", bins
-            )
+            self._fit(job.spec, count, offered, zones, zone_use, limit, population, now_us, "work waits", bins)
         free_bins = [
-            Bin(m.type, m.zone, m.spot, m.free_cpus, m.free_gpus, m.free_ram)
-            for m in warm_room
-            if not m.reserved
+            Bin(m.type, m.zone, m.spot, m.free_cpus, m.free_gpus, m.free_ram) for m in warm_room if not m.reserved
         ]
         for spec, count in self.warm:
             self._fit(spec, count, free_bins + bins, set(), {}, None, population, now_us, "warm room", bins)
--- a/src/tideusher/core/ledger.py
+++ b/src/tideusher/core/ledger.py
@@ -122,9 +122,7 @@
 
     def to_value(self, now_us: int) -> dict[str, Any]:
         """All teams' windowed charges and ratios as the one value that the leader writes."""
-        return {
-            name: [round(self._totals[name], 1), round(min(self.ratio(name), 1e6), 4)] for name in self._teams
-        }
+        return {name: [round(self._totals[name], 1), round(min(self.ratio(name), 1e6), 4)] for name in self._teams}
 
     def restore(self, value: dict[str, Any], now_us: int) -> None:
         """Take over the charges that the last leader wrote; their age within the window is not kept."""
--- a/src/tideusher/core/placement.py
+++ b/src/tideusher/core/placement.py
@@ -38,8 +38,7 @@
         The roomiest part is tried first; what no single part holds may span parts.
         """
         allowed = [
-            [machine for machine in part if machine.allows(job.spec) and usable(machine)]
-            for part in self._parts
+            [machine for machine in part if machine.allows(job.spec) and usable(machine)] for part in self._parts
         ]
         ranked = sorted(allowed, key=lambda part: -sum(slots(machine, job) for machine in part))
         zones_taken: dict[str, int] = {}
@@ -102,9 +101,7 @@
     """
     if image in machine.images:
         return 0
-    fetching = {
-        task.job.spec.image for task in machine.tasks.values() if task.job.spec.image not in machine.images
-    }
+    fetching = {task.job.spec.image for task in machine.tasks.values() if task.job.spec.image not in machine.images}
     if image in fetching:
         return 1
     return BLOCKED if fetching else 2
--- a/src/tideusher/core/records.py
+++ b/src/tideusher/core/records.py
@@ -123,9 +123,7 @@
         """The task holds a place from now on."""
         self.live[task.index] = task
         self.retry.discard(task.index)
-        while self.next_fresh < self.spec.tasks and (
-            self.next_fresh in self.live or self.is_done(self.next_fresh)
-        ):
+        while self.next_fresh < self.spec.tasks and (self.next_fresh in self.live or self.is_done(self.next_fresh)):
             self.next_fresh += 1
 
     def drop(self, task: Task) -> None:
--- /dev/null
+++ b/src/tideusher/metrics.py
@@ -0,0 +1,74 @@
+"""Counters and histograms, from prometheus_client; their meaning is in docs/operations.md.
+
+The library is imported when the first scrape or the first event comes, not at start-up: it costs a
+small node more than the rest of this package. What happened before is kept in plain numbers.
+"""
+
+from collections import defaultdict, deque
+from typing import Any
+
+MAX_KEPT = 2000
+
+
+class Metrics:
+    """Owned by a node; core code hands over numbers, this turns them into text on demand."""
+
+    def __init__(self) -> None:
+        self.counts: dict[tuple[str, str], float] = defaultdict(float)
+        self.gauges: dict[str, float] = {}
+        self._waits: deque[tuple[str, float]] = deque(maxlen=MAX_KEPT)
+        self._runs: deque[tuple[str, float]] = deque(maxlen=MAX_KEPT)
+        self._registry: Any = None
+
+    def count(self, name: str, label: str = "", amount: float = 1) -> None:
+        """Add to a counter."""
+        self.counts[name, label] += amount
+
+    def waited(self, job_class: str, seconds: float) -> None:
+        """A task began to run so long after its job was submitted."""
+        self._waits.append((job_class, seconds))
+
+    def ran(self, job_class: str, seconds: float) -> None:
+        """A task completed after running so long."""
+        self._runs.append((job_class, seconds))
+
+    def text(self) -> bytes:
+        """All metrics in the Prometheus text format."""
+        from prometheus_client import CollectorRegistry, Histogram, generate_latest
+        from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
+
+        if self._registry is None:
+            self._registry = CollectorRegistry()
+            buckets = (1, 2, 5, 8, 15, 30, 50, 60, 90, 120, 250, 600, 1800)
+            self._wait_histogram = Histogram(
+                "tideusher_wait_seconds", "From submission to running, per task", ["job_class"],
+                registry=self._registry, buckets=buckets,
+            )  # fmt: skip
+            self._run_histogram = Histogram(
+                "tideusher_run_seconds", "Run time of completed tasks", ["job_class"],
+                registry=self._registry, buckets=buckets,
+            )  # fmt: skip
+            self._registry.register(_Numbers(self, CounterMetricFamily, GaugeMetricFamily))
+        for kept, histogram in ((self._waits, self._wait_histogram), (self._runs, self._run_histogram)):
+            while kept:
+                job_class, seconds = kept.popleft()
+                histogram.labels(job_class).observe(seconds)
+        return generate_latest(self._registry)
+
+
+class _Numbers:
+    """Hands the plain numbers to the library at each scrape."""
+
+    def __init__(self, metrics: Metrics, counter: type, gauge: type) -> None:
+        self._metrics, self._counter, self._gauge = metrics, counter, gauge
+
+    def collect(self):  # type: ignore[no-untyped-def]
+        """Called by the registry."""
+        families: dict[str, object] = {}
+        for (name, label), value in sorted(self._metrics.counts.items()):
+            if name not in families:
+                families[name] = self._counter(f"tideusher_{name}", name.replace("_", " "), labels=["kind"])
+            families[name].add_metric([label], value)  # type: ignore[attr-defined]
+        yield from families.values()
+        for name, value in sorted(self._metrics.gauges.items()):
+            yield self._gauge(f"tideusher_{name}", name.replace("_", " "), value=value)
--- a/src/tideusher/node.py
+++ b/src/tideusher/node.py
@@ -14,10 +14,12 @@
 from tideusher.actors.gateway import Gateway
 from tideusher.actors.leader import Leader
 from tideusher.actors.peers import Peers
+from tideusher.actors.questions import Questions
 from tideusher.actors.store import Store
 from tideusher.actors.users import Users
 from tideusher.clock import Clock, to_us
 from tideusher.config import Config, Policy
+from tideusher.metrics import Metrics
 from tideusher.web import Web
 from tideusher.wire import peers as peer_wire
 from tideusher.wire import workers
@@ -29,21 +31,21 @@
     """Builds and runs everything."""
 
     def __init__(self, config: Config, policy: Policy, clock: Clock | None = None) -> None:
-        level = {"error": logging.ERROR, "debug": logging.DEBUG}.get(
-            os.environ.get("LOG_LEVEL", ""), logging.INFO
-        )
+        level = {"error": logging.ERROR, "debug": logging.DEBUG}.get(os.environ.get("LOG_LEVEL", ""), logging.INFO)
         logging.basicConfig(stream=sys.stderr, level=level, format="%(levelname).1s %(name)s: %(message)s")
         self.log = logging.getLogger("node")
         self._config, self._clock = config, clock or Clock()
         rng = random.Random()
-        self.store = Store(config, self._clock)
+        self.metrics = Metrics()
+        self.store = Store(config, self._clock, self.metrics)
         self.election = Election(config, policy, self.store, self._clock, rng)
-        self.cloud = Cloud(config, self._clock)
-        self.leader = Leader(config, policy, self._clock, self.store, self.election, self.cloud)
+        self.cloud = Cloud(config, self._clock, self.metrics)
+        self.leader = Leader(config, policy, self._clock, self.store, self.election, self.cloud, self.metrics)
         self.peers = Peers(config, self._clock, self.in_contact)
         self.gateway = Gateway(config, self._clock, self.store, self.election, self.leader, self.peers)
         self.users = Users(config, self._clock, self.store)
-        self.web = Web(config.bind, self.users, self.gateway, self.healthy)
+        questions = Questions(config, self.store, self.election, self.leader, self.peers)
+        self.web = Web(config.bind, self.users, self.gateway, questions, self._metrics_text, self.healthy)
 
     def run(self) -> None:
         """Serve until killed."""
@@ -68,7 +70,17 @@
         """
         return self.store.loaded.is_set() and (self.in_contact() or not self.peers.any_in_contact())
 
+    def _metrics_text(self) -> bytes:
+        self.metrics.gauges["leads"] = float(self.election.token is not None)
+        self.metrics.gauges["in_contact"] = float(self.in_contact())
+        self.metrics.gauges["mirrored_keys"] = float(len(self.store.mirror))
+        return self.metrics.text()
+
     def _answer(self, message: peer_wire.Message) -> peer_wire.Message | None:
+        if isinstance(message, peer_wire.Ask):
+            answer = self.leader.ask("question", message.what, message.arg).get()
+            body = msgspec.Raw(msgspec.json.encode(answer))
+            return peer_wire.ReportAnswer(message.id, answer is not None, body)
         if not isinstance(message, peer_wire.ForwardReport):
             return None
         try:
--- a/src/tideusher/web.py
+++ b/src/tideusher/web.py
@@ -7,6 +7,7 @@
 from gevent.pywsgi import WSGIServer
 
 from tideusher.actors.gateway import Gateway
+from tideusher.actors.questions import Questions
 from tideusher.actors.users import Reply, Users, refusal
 from tideusher.config import split_address
 from tideusher.wire.jobs import MAX_BODY
@@ -29,8 +30,17 @@
 class Web:
     """A WSGI application. Whatever is asked, it answers at once or as soon as the answer is known."""
 
-    def __init__(self, bind: str, users: Users, gateway: Gateway, healthy: Callable[[], bool]) -> None:
-        self._users, self._gateway, self._healthy = users, gateway, healthy
+    def __init__(
+        self,
+        bind: str,
+        users: Users,
+        gateway: Gateway,
+        questions: Questions,
+        metrics: Callable[[], bytes],
+        healthy: Callable[[], bool],
+    ) -> None:
+        self._users, self._gateway, self._questions = users, gateway, questions
+        self._metrics, self._healthy = metrics, healthy
         self._server = WSGIServer(split_address(bind), self, log=None, error_log=None)
 
     def start(self) -> None:
@@ -70,6 +80,14 @@
                 return self._users.poll(name) if method == "GET" else refusal(405, "GET only")
             if action == "abort":
                 return self._users.cancel(name) if method == "POST" else refusal(405, "POST only")
+        if path in ("/teams", "/machines", "/metrics") or path.startswith("/why/"):
+            if method != "GET":
+                return refusal(405, "GET only")
+            if path == "/metrics":
+                return Reply(200, self._metrics())
+            if path.startswith("/why/"):
+                return self._questions.answer("why", path[len("/why/") :])
+            return self._questions.answer(path[1:])
         return refusal(404, "no such path")
 
     @staticmethod
