--- a/src/tideusher/actors/peers.py
+++ b/src/tideusher/actors/peers.py
@@ -19,6 +19,7 @@
 
 HEARTBEAT_S = 0.5
 SILENCE_US = to_us(1.8)
+REQUEST_S = 1.0
 
 Handler = Callable[[wire.Message], bytes | None]
 
@@ -140,6 +141,15 @@
         """The newest leadership that any peer has told of, for a node that the state service shuns."""
         return max((link.told for link in self.links.values()), key=lambda told: told[1], default=("", 0))
 
+    def pass_on(self, method: str, path: str, body: str) -> wire.ReportAnswer | None:
+        """Have a user's request answered by a peer that reaches the state service, if there is one."""
+        for link in self.links.values():
+            if link.usable() and link.in_contact:
+                answer = link.ask(lambda number: wire.UserRequest(number, method, path, body), REQUEST_S)
+                if answer is not None and answer.ok:
+                    return answer
+        return None
+
     def any_in_contact(self) -> bool:
         """Does any peer that we hear reach the state service?"""
         return any(link.usable() and link.in_contact for link in self.links.values())
--- a/src/tideusher/actors/store.py
+++ b/src/tideusher/actors/store.py
@@ -22,7 +22,7 @@
 
 Listener = Callable[[str, Any, int], None]
 
-LONG_POLL_MS = 2000
+LONG_POLL_MS = 1000
 
 
 class Unavailable(Exception):
--- a/src/tideusher/actors/users.py
+++ b/src/tideusher/actors/users.py
@@ -28,9 +28,13 @@
 
 
 def refusal(status: int, reason: str) -> Reply:
-    """A refusal in one line; 503 says when to come back instead of holding the request."""
-    headers = [("Retry-After", "1")] if status in (429, 503) else []
-    return Reply(status, {"error": reason}, headers)
+    """A refusal in one line, at once."""
+    return Reply(status, {"error": reason}, retry_later(status))
+
+
+def retry_later(status: int) -> list[tuple[str, str]]:
+    """What cannot be taken now is told when to come back, instead of being held."""
+    return [("Retry-After", "1")] if status in (429, 503) else []
 
 
 class Users:
@@ -44,6 +48,17 @@
         self._types: list[MachineType] = []
         self._counts: dict[str, tuple[int, int, int]] = {}
 
+    def handle(self, method: str, path: str, body: bytes) -> Reply:
+        """Answer a request for a job's submission, state or cancellation."""
+        if path == "/work":
+            return self.submit(body) if method == "POST" else refusal(405, "POST only")
+        name, _, action = path[len("/work/") :].partition("/")
+        if not action:
+            return self.poll(name) if method == "GET" else refusal(405, "GET only")
+        if action == "abort":
+            return self.cancel(name) if method == "POST" else refusal(405, "POST only")
+        return refusal(404, "no such path")
+
     # ---------------------------------------------------------------- POST /work
 
     def submit(self, body: bytes) -> Reply:
--- a/src/tideusher/node.py
+++ b/src/tideusher/node.py
@@ -24,7 +24,7 @@
 from tideusher.wire import peers as peer_wire
 from tideusher.wire import workers
 
-CONTACT_US = to_us(4.0)
+CONTACT_US = to_us(3.0)
 
 
 class Node:
@@ -45,7 +45,16 @@
         self.gateway = Gateway(config, self._clock, self.store, self.election, self.leader, self.peers)
         self.users = Users(config, self._clock, self.store)
         questions = Questions(config, self.store, self.election, self.leader, self.peers)
-        self.web = Web(config.bind, self.users, self.gateway, questions, self._metrics_text, self.healthy)
+        self.web = Web(
+            config.bind,
+            self.users,
+            self.gateway,
+            questions,
+            self.peers,
+            self._metrics_text,
+            self.in_contact,
+            self.healthy,
+        )
 
     def run(self) -> None:
         """Serve until killed."""
@@ -85,6 +94,11 @@
             answer = self.leader.ask("question", message.what, message.arg).get()
             body = msgspec.Raw(msgspec.json.encode(answer))
             return peer_wire.ReportAnswer(message.id, answer is not None, body)
+        if isinstance(message, peer_wire.UserRequest):
+            reply = self.users.handle(message.method, message.path, message.body.encode())
+            return peer_wire.ReportAnswer(
+                message.id, True, msgspec.Raw(msgspec.json.encode(reply.body)), reply.status
+            )
         if not isinstance(message, peer_wire.ForwardReport):
             return None
         try:
--- a/src/tideusher/web.py
+++ b/src/tideusher/web.py
@@ -7,8 +7,9 @@
 from gevent.pywsgi import WSGIServer
 
 from tideusher.actors.gateway import Gateway
+from tideusher.actors.peers import Peers
 from tideusher.actors.questions import Questions
-from tideusher.actors.users import Reply, Users, refusal
+from tideusher.actors.users import Reply, Users, refusal, retry_later
 from tideusher.config import split_address
 from tideusher.wire.jobs import MAX_BODY
 
@@ -36,11 +37,13 @@
         users: Users,
         gateway: Gateway,
         questions: Questions,
+        peers: Peers,
         metrics: Callable[[], bytes],
+        in_contact: Callable[[], bool],
         healthy: Callable[[], bool],
     ) -> None:
-        self._users, self._gateway, self._questions = users, gateway, questions
-        self._metrics, self._healthy = metrics, healthy
+        self._users, self._gateway, self._questions, self._peers = users, gateway, questions, peers
+        self._metrics, self._in_contact, self._healthy = metrics, in_contact, healthy
         self._server = WSGIServer(split_address(bind), self, log=None, error_log=None)
 
     def start(self) -> None:
@@ -69,17 +72,15 @@
             return Reply(answer.status, answer.body)
         if path == "/healthz":
             return Reply(200, b"{}") if self._healthy() else refusal(503, "this node cannot take requests")
-        if path == "/work":
-            if method != "POST":
-                return refusal(405, "POST only")
+        if path == "/work" or path.startswith("/work/"):
             body = self._body(environ)
-            return refusal(400, "the body is over 64 KiB") if body is None else self._users.submit(body)
-        if path.startswith("/work/"):
-            name, _, action = path[len("/work/") :].partition("/")
-            if not action:
-                return self._users.poll(name) if method == "GET" else refusal(405, "GET only")
-            if action == "abort":
-                return self._users.cancel(name) if method == "POST" else refusal(405, "POST only")
+            if body is None:
+                return refusal(400, "the body is over 64 KiB")
+            passed_on = None if self._in_contact() else self._through_peer(method, path, body)
+            if passed_on is not None:
+                return passed_on
+            reply = self._users.handle(method, path, body)
+            return (self._through_peer(method, path, body) or reply) if reply.status == 503 else reply
         if path in ("/teams", "/machines", "/metrics") or path.startswith("/why/"):
             if method != "GET":
                 return refusal(405, "GET only")
@@ -90,6 +91,16 @@
             return self._questions.answer(path[1:])
         return refusal(404, "no such path")
 
+    def _through_peer(self, method: str, path: str, body: bytes) -> Reply | None:
+        """What we cannot decide, a peer that reaches the state service may: any node may answer."""
+        try:
+            answer = self._peers.pass_on(method, path, body.decode())
+        except UnicodeDecodeError:
+            return None
+        if answer is None or answer.status not in REASONS:
+            return None
+        return Reply(answer.status, bytes(answer.body), retry_later(answer.status))
+
     @staticmethod
     def _body(environ: dict[str, Any]) -> bytes | None:
         """The body, or None if it is over the limit."""
--- a/src/tideusher/wire/peers.py
+++ b/src/tideusher/wire/peers.py
@@ -33,11 +33,12 @@
 
 
 class ReportAnswer(PeerMessage, tag="answer"):
-    """The leader's answer to a forwarded report; `ok` is false from a node that does not lead."""
+    """The answer to a forwarded report or request; `ok` is false from a node that cannot give one."""
 
     id: int
     ok: bool
     body: msgspec.Raw = msgspec.Raw(b"null")
+    status: int = 0
 
 
 class Ask(PeerMessage, tag="ask"):
@@ -48,7 +49,16 @@
     arg: str = ""
 
 
-Message = Hello | ForwardReport | ReportAnswer | Ask
+class UserRequest(PeerMessage, tag="request"):
+    """A user's request, passed on by a node that the state service does not answer."""
+
+    id: int
+    method: str
+    path: str
+    body: str = ""
+
+
+Message = Hello | ForwardReport | ReportAnswer | Ask | UserRequest
 _decode: Callable[[bytes], Message] = msgspec.json.Decoder(Message).decode
 _encode = msgspec.json.Encoder().encode
 
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -1,5 +1,6 @@
 """Users, gateways, settings and the command line at their edges, with scripted stores and leaders."""
 
+import io
 import json
 
 import msgspec
@@ -18,6 +19,7 @@
 from tideusher.core.cluster import open_value
 from tideusher.core.records import JOB_CANCELLED, JOB_DONE
 from tideusher.metrics import Metrics
+from tideusher.web import Web
 from tideusher.wire.peers import ReportAnswer
 from tideusher.wire.workers import Commands, Report, TaskReport, encode
 
@@ -125,6 +127,45 @@
     assert users.cancel(spec.id).body.status == "done"
 
 
+def call(web, method, path, data=b""):
+    answered = []
+    environ = {"REQUEST_METHOD": method, "PATH_INFO": path, "wsgi.input": io.BytesIO(data)}
+    (content,) = web(environ, lambda status, headers: answered.append((int(status[:3]), dict(headers))))
+    return answered[0][0], json.loads(content), answered[0][1]
+
+
+def test_what_a_shunned_node_cannot_decide_a_peer_answers_and_else_it_is_refused_at_once(users, store):
+    told = ReportAnswer(1, True, msgspec.Raw(b'{"ref":"req-000001","status":"withdrawn"}'), 200)
+    peers = Part(pass_on=lambda method, path, body: told)
+    web = Web("127.0.0.1:0", users, Part(), Part(), peers, Part(), lambda: store.up, lambda: True)
+    assert call(web, "GET", "/work/req-000001")[0] == 404  # in contact, it answers itself
+    store.up = False
+    assert call(web, "GET", "/work/req-000001")[:2] == (200, {"ref": "req-000001", "status": "withdrawn"})
+    peers.pass_on = lambda method, path, body: None
+    status, _, headers = call(web, "POST", "/work", body(job()))
+    assert status == 503 and headers["Retry-After"] == "1"
+
+
+@pytest.mark.parametrize(
+    "method, path, status",
+    [
+        ("GET", "/work", 405),
+        ("PUT", "/work/req-000001", 405),
+        ("GET", "/work/req-000001/abort", 405),
+        ("GET", "/nowhere", 404),
+        ("GET", "/work/req-000001/else", 404),
+        ("GET", "/checkin", 405),
+        ("POST", "/teams", 405),
+        ("GET", "/healthz", 200),
+    ],
+)
+def test_paths_and_methods(users, method, path, status):
+    peers = Part(pass_on=lambda method, path, body: None)
+    web = Web("127.0.0.1:0", users, Part(), Part(), peers, Part(), lambda: True, lambda: True)
+    assert call(web, method, path)[0] == status
+    assert call(web, "POST", "/work", b"x" * 70_000)[0] == 400
+
+
 # Gateways
 
 
