Judge what may be stopped once a job; keep the plan's bins sorted

Now standings are judged once a team and claims once a job; the cost of a machine once a request; bins stay sorted and leave the list when they hold nothing that is asked for; a pass looks at machines that hold the least of what waits. The decisions are the same: tests/test_scale.py compares each with its plain definition on seeded fleets. Ruled out: fewer passes (the same work, later), the ledger.

--- a/src/tideusher/core/fleet.py
+++ b/src/tideusher/core/fleet.py
@@ -1,13 +1,15 @@
 """How many machines to rent, keep and return."""
 
+import itertools
+from bisect import insort
 from collections import deque
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
 from math import ceil, sqrt
 
 from tideusher.clock import SECOND_US, to_s, to_us
 from tideusher.config import Objective, Policy
-from tideusher.core.placement import slots_in
+from tideusher.core.placement import Demand, slots_in
 from tideusher.core.records import BOOTING, UP, Job, Machine, allowed_on
 from tideusher.wire.cloud import MachineType
 from tideusher.wire.jobs import SERVICE, JobSpec
@@ -37,7 +39,6 @@
     cpus: float
     gpus: float
     ram: float
-    new: bool = False
     reason: str = ""
     soon: bool = False  # room of running work that should end before a new machine would be up
 
@@ -46,6 +47,56 @@
         return allowed_on(spec, self.type, self.zone, self.spot)
 
 
+class Bins:
+    """Bins in the order in which they are filled: spot first, then the fullest, then as they came.
+
+    Kept sorted while requests take room from them, and without those that hold none of the requests
+    any more: sorting a whole fleet anew for each waiting job cost a leader a tenth of its processor.
+    """
+
+    def __init__(self, bins: Iterable[Bin], least: Demand) -> None:
+        self._least = least
+        self._came = itertools.count()
+        self._order: list[tuple[bool, float, int, Bin]] = []
+        for bin in bins:
+            if least.fits(bin.cpus, bin.gpus, bin.ram):
+                self._order.append((not bin.spot, bin.gpus, next(self._came), bin))
+        self._order.sort(key=_place)
+
+    def fill(self, left: int, usable: Callable[[Bin], bool], take: Callable[[Bin], bool]) -> int:
+        """Offer the usable bins, each until `take` refuses it; returns how many found none."""
+        touched: list[tuple[bool, float, int, Bin]] = []
+        for entry in self._order:
+            if not left:
+                break
+            bin = entry[3]
+            if not usable(bin):
+                continue
+            before = left
+            while left and take(bin):
+                left -= 1
+            if left < before:
+                touched.append(entry)
+        if touched:
+            moved = {entry[2] for entry in touched}
+            self._order = [entry for entry in self._order if entry[2] not in moved]
+            for spot, _, came, bin in touched:
+                self._insert(spot, came, bin)
+        return left
+
+    def add(self, bin: Bin) -> None:
+        """A bin that is rented; what room it has left may serve later requests."""
+        self._insert(not bin.spot, next(self._came), bin)
+
+    def _insert(self, ordinary: bool, came: int, bin: Bin) -> None:
+        if self._least.fits(bin.cpus, bin.gpus, bin.ram):
+            insort(self._order, (ordinary, bin.gpus, came, bin), key=_place)
+
+
+def _place(entry: tuple[bool, float, int, Bin]) -> tuple[bool, float, int]:
+    return entry[:3]
+
+
 class Fleet:
     """Remembers refusals and arrivals; plans from what the cluster holds."""
 
@@ -167,22 +218,24 @@
                 population[zone] = population.get(zone, 0) + count
         boot_us = min((to_us(kind.boot_s) for kind in self.types.values()), default=0)
         patience_us = round(boot_us * self._policy.fleet__patience)
+        rented: list[Bin] = []
+        offered = Bins(bins, Demand.least_of(job.spec for job, _ in unplaced))
         for job, count in unplaced:
-            zone_use = job.zone_use()
             # Who has waited for a whole boot already is not put off with room that opens soon: others
             # may have taken it each time.
-            offered = bins if now_us - job.seen_us < patience_us else [bin for bin in bins if not bin.soon]
-            self._fit(job.spec, count, offered, zone_use, job.zone_limit, population, now_us, "work waits", bins)
+            soon = now_us - job.seen_us < patience_us
+            zone_use, limit = job.zone_use(), job.zone_limit
+            self._fit(job.spec, count, offered, soon, zone_use, limit, population, now_us, "work waits", rented)
         free_bins = [
             Bin(m.type, m.zone, m.spot, m.free_cpus, m.free_gpus, m.free_ram) for m in warm_room if not m.reserved
         ]
+        offered = Bins([*free_bins, *bins, *rented], Demand.least_of(spec for spec, _ in self.warm))
         for spec, count in self.warm:
-            self._fit(spec, count, free_bins + bins, {}, None, population, now_us, "warm room", bins)
+            self._fit(spec, count, offered, True, {}, None, population, now_us, "warm room", rented)
         counted: dict[tuple[str, str, bool, str], int] = {}
-        for bin in bins:
-            if bin.new:
-                key = (bin.type, bin.zone, bin.spot, bin.reason)
-                counted[key] = counted.get(key, 0) + 1
+        for bin in rented:
+            key = (bin.type, bin.zone, bin.spot, bin.reason)
+            counted[key] = counted.get(key, 0) + 1
         return [Wish(t, z, s, n, why) for (t, z, s, why), n in counted.items()]
 
     def _soon_room(self, machine: Machine, now_us: int) -> list[Bin]:
@@ -215,7 +268,8 @@
         self,
         spec: JobSpec,
         count: int,
-        bins: list[Bin],
+        bins: Bins,
+        soon: bool,
         zone_use: dict[str, int],
         limit: int | None,
         population: dict[str, int],
@@ -223,36 +277,36 @@
         reason: str,
         rented: list[Bin],
     ) -> None:
-        left = count
         one_zone = next(iter(zone_use), None) if spec.one_zone else None
-        for bin in sorted(bins, key=lambda b: (not b.spot, b.gpus)):
-            if not left:
-                return
-            if not bin.allows(spec) or (one_zone and bin.zone != one_zone):
-                continue
-            if bin.soon and spec.shape == SERVICE:
-                continue  # replicas are wanted now, not when other work ends
-            while left and slots_in(bin.cpus, bin.gpus, bin.ram, spec):
-                if limit is not None and zone_use.get(bin.zone, 0) >= limit:
-                    break
-                self._take(bin, spec, zone_use)
-                left -= 1
-                if spec.one_zone:
-                    one_zone = bin.zone
+        soon = soon and spec.shape != SERVICE  # replicas are wanted now, not when other work ends
+
+        def usable(bin: Bin) -> bool:
+            return bin.allows(spec) and (soon or not bin.soon) and one_zone in (None, bin.zone)
+
+        def take(bin: Bin) -> bool:
+            nonlocal one_zone
+            if limit is not None and zone_use.get(bin.zone, 0) >= limit:
+                return False
+            if not slots_in(bin.cpus, bin.gpus, bin.ram, spec):
+                return False
+            self._take(bin, spec, zone_use)
+            if spec.one_zone:
+                one_zone = bin.zone
+            return True
+
+        left = bins.fill(count, usable, take)
         while left:
-            bin_or_none = self._new_bin(spec, one_zone, zone_use, limit, population, now_us)
-            if bin_or_none is None:
+            bin = self._new_bin(spec, one_zone, zone_use, limit, population, now_us)
+            if bin is None:
                 return
-            bin_or_none.reason = reason
-            rented.append(bin_or_none)
-            population[bin_or_none.zone] = population.get(bin_or_none.zone, 0) + 1
-            if spec.one_zone:
-                one_zone = bin_or_none.zone
-            while left and slots_in(bin_or_none.cpus, bin_or_none.gpus, bin_or_none.ram, spec):
-                if limit is not None and zone_use.get(bin_or_none.zone, 0) >= limit:
-                    break
-                self._take(bin_or_none, spec, zone_use)
+            bin.reason = reason
+            rented.append(bin)
+            population[bin.zone] = population.get(bin.zone, 0) + 1
+            while left and take(bin):
                 left -= 1
+            if spec.one_zone:
+                one_zone = bin.zone
+            bins.add(bin)
 
     @staticmethod
     def _take(bin: Bin, spec: JobSpec, zone_use: dict[str, int]) -> None:
@@ -288,7 +342,7 @@
                     price = (kind.spot_price if spot else kind.price) / held
                     rank = (not spot, price, population.get(zone, 0), zone)
                     if best is None or rank < best[0]:
-                        best = (rank, Bin(kind.name, zone, spot, kind.cpus, kind.gpus, kind.ram_gb, new=True))
+                        best = (rank, Bin(kind.name, zone, spot, kind.cpus, kind.gpus, kind.ram_gb))
         return best[1] if best else None
 
     def unmet_without(self, source: Machine, machines: Sequence[Machine]) -> bool:
@@ -303,18 +357,21 @@
     def surplus(self, now_us: int, machines: Sequence[Machine]) -> list[tuple[Machine, str]]:
         """Idle machines to return, with the reason; warm room is kept."""
         idle_us = to_us(self._policy.fleet__idle_s)
-        kept = {m.name: m for m in machines if m.phase == UP and not m.draining and not m.reserved}
-        unmet = _unmet(self.warm, kept.values())
+        kept = [m for m in machines if m.phase == UP and not m.draining and not m.reserved]
+        idle = [m for m in kept if not m.tasks and now_us - m.idle_since_us >= idle_us]
+        if not idle:
+            return []
+        least = Demand.least_of(spec for spec, _ in self.warm)
+        warm = {m.name: m for m in kept if least.fits(m.free_cpus, m.free_gpus, m.free_ram)}
+        unmet = _unmet(self.warm, warm.values())
         out = []
-        for machine in sorted(kept.values(), key=lambda m: (not m.slow, m.spot, len(m.images), m.name)):
-            idle_for_us = now_us - machine.idle_since_us
-            if machine.tasks or idle_for_us < idle_us:
-                continue
-            rest = [m for m in kept.values() if m is not machine]
-            if _unmet(self.warm, rest) > unmet:
+        for machine in sorted(idle, key=lambda m: (not m.slow, m.spot, len(m.images), m.name)):
+            rest = {name: m for name, m in warm.items() if m is not machine}
+            if _unmet(self.warm, rest.values()) > unmet:
                 continue
-            del kept[machine.name]
-            out.append((machine, f"idle for {to_s(idle_for_us):.0f} s and not needed as warm room"))
+            warm = rest
+            idle_for_s = to_s(now_us - machine.idle_since_us)
+            out.append((machine, f"idle for {idle_for_s:.0f} s and not needed as warm room"))
         return out
 
 
--- a/src/tideusher/core/placement.py
+++ b/src/tideusher/core/placement.py
@@ -4,7 +4,8 @@
 one that it fills best, so that other machines run empty and can be returned.
 """
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass
 from zlib import crc32
 
 from tideusher.core.records import Job, Machine
@@ -16,6 +17,29 @@
     return crc32(machine.encode()) % parts
 
 
+@dataclass(frozen=True, slots=True)
+class Demand:
+    """The least that any of some requests asks for: room that does not hold this holds none of them.
+
+    Most machines of a busy fleet are full; a pass that looks at each of them for each job in the
+    queue grows with the square of the deployment.
+    """
+
+    cpus: float
+    gpus: float
+    ram: float
+
+    @classmethod
+    def least_of(cls, specs: Iterable[JobSpec]) -> "Demand":
+        """Of each resource the least that one task of any of the requests takes."""
+        asked = [(spec.cpus, spec.gpus, spec.ram_gb) for spec in specs]
+        return cls(*map(min, zip(*asked, strict=True))) if asked else cls(0.0, 0.0, 0.0)
+
+    def fits(self, cpus: float, gpus: float, ram: float) -> bool:
+        """Could one of them have its place in this room?"""
+        return cpus + 1e-9 >= self.cpus and gpus + 1e-9 >= self.gpus and ram + 1e-9 >= self.ram
+
+
 class Room:
     """The machines that a pass may place on, with room tentatively taken during the pass."""
 
@@ -37,9 +61,8 @@
 
         The roomiest part is tried first; what no single part holds may span parts.
         """
-        allowed = [
-            [machine for machine in part if machine.allows(job.spec) and usable(machine)] for part in self._parts
-        ]
+        spec = job.spec
+        allowed = [[m for m in part if m.fits(spec) and m.allows(spec) and usable(m)] for part in self._parts]
         ranked = sorted(allowed, key=lambda part: -sum(slots(machine, job) for machine in part))
         zones_taken = job.zone_use()
         if all_or_none or job.spec.one_zone:
@@ -109,20 +132,21 @@
     job: Job, count: int, pool: list[Machine], zones_taken: dict[str, int], spread_limit: int | None
 ) -> list[Machine]:
     room = {machine.name: slots(machine, job) for machine in pool}
+    ranked = [(m, _fetch_rank(m, job.spec.image)) for m in pool if room[m.name]]
     order = sorted(
-        (m for m in pool if room[m.name] and _fetch_rank(m, job.spec.image) != BLOCKED),
-        key=lambda m: (
-            m.name in job.error_machines,
-            m.slow,
-            _fetch_rank(m, job.spec.image),
-            not m.spot,
-            m.free_gpus,
-            m.free_cpus,
-            m.name,
+        (pair for pair in ranked if pair[1] != BLOCKED),
+        key=lambda pair: (
+            pair[0].name in job.error_machines,
+            pair[0].slow,
+            pair[1],
+            not pair[0].spot,
+            pair[0].free_gpus,
+            pair[0].free_cpus,
+            pair[0].name,
         ),
     )
     chosen: list[Machine] = []
-    for machine in order:
+    for machine, _ in order:
         while len(chosen) < count and room[machine.name]:
             if spread_limit is not None and zones_taken.get(machine.zone, 0) >= spread_limit:
                 break
--- a/src/tideusher/core/preempt.py
+++ b/src/tideusher/core/preempt.py
@@ -6,7 +6,7 @@
 stop, and a gang stops whole.
 """
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence, Set
 from dataclasses import dataclass
 from zlib import crc32
 
@@ -36,31 +36,59 @@
     return begin_us + round(min_run_us * (1 + stretch))
 
 
-def may_stop(
+def may_claim(
     request: Job,
-    victim: Task,
+    job: Job,
     standing: Callable[[str], Standing],
     min_run_us: Callable[[Job], int],
     policy: Policy,
-    now_us: int,
 ) -> bool:
-    """Do the design's rule and the protocol's bounds both allow stopping this task?"""
-    job = victim.job
-    if job is request or victim.halt_grace_s is not None or victim.phase == COMMITTING:
-        return False
+    """Do the design's rule and the protocol's bounds allow stopping this job once it is unprotected?"""
+    if job is request or not min_run_us(request):
+        return False  # only funded requests stop anything
     asking, holding = standing(request.spec.team), standing(job.spec.team)
     higher = request.spec.rank < job.spec.rank
     claims = request.spec.team != job.spec.team and asking.within_guarantee and not holding.within_guarantee
     if not (higher or claims):
         return False
-    if not min_run_us(request):
-        return False  # only funded requests stop anything
-    minimum_us = min_run_us(job)
-    if not minimum_us:
-        return True
-    if protected_until_us(victim, minimum_us, policy.preempt__stagger) > now_us:
-        return False
-    return asking.ratio + policy.margin <= holding.ratio
+    return not min_run_us(job) or asking.ratio + policy.margin <= holding.ratio
+
+
+def stoppable(
+    request: Job,
+    jobs: Iterable[Job],
+    standing: Callable[[str], Standing],
+    min_run_us: Callable[[Job], int],
+    policy: Policy,
+    now_us: int,
+) -> set[Task]:
+    """Every task that may be stopped for the request; of a gang all or none.
+
+    Standings are judged once a team and claims once a job: judged for every task of a large fleet they
+    cost a leader most of its processor.
+    """
+    known: dict[str, Standing] = {}
+
+    def judged(team: str) -> Standing:
+        if team not in known:
+            known[team] = standing(team)
+        return known[team]
+
+    found: set[Task] = set()
+    for job in jobs:
+        if not job.live or not may_claim(request, job, judged, min_run_us, policy):
+            continue
+        minimum_us = min_run_us(job)
+        open_now = [
+            task
+            for task in job.live.values()
+            if task.halt_grace_s is None
+            and task.phase != COMMITTING
+            and protected_until_us(task, minimum_us, policy.preempt__stagger) <= now_us
+        ]
+        if not job.is_gang or len(open_now) == len(job.live):
+            found.update(open_now)
+    return found
 
 
 def room_of_halted(machines: Sequence[Machine]) -> dict[str, list[float]]:
@@ -82,26 +110,26 @@
     count: int,
     machines: Sequence[Machine],
     coming: dict[str, list[float]],
-    allowed: Callable[[Task], bool],
+    victims: Set[Task],
     lost_us: Callable[[Task], int],
 ) -> tuple[list[Machine], list[Task]]:
-    """Where `count` tasks of the request will fit, and the fewest tasks to stop for that.
+    """Where `count` tasks of the request will fit, and the fewest of `victims` to stop for that.
 
     A gang gets all of its room or none is made, and with one_zone all of it in one zone: the zone
     that costs the fewest stops. Room that earlier stops will free (`coming`) is used first, and taken
     out of `coming`, so that one stop is not counted for two requests.
     """
     if not request.spec.one_zone:
-        return _choose_in(request, count, machines, coming, allowed, lost_us)
+        return _choose_in(request, count, machines, coming, victims, lost_us)
     options = []
     for zone in sorted({machine.zone for machine in machines}):
         if any(task.machine.zone != zone for task in request.live.values()):
             continue
         trial = {name: list(room) for name, room in coming.items()}
         pool = [machine for machine in machines if machine.zone == zone]
-        chosen, victims = _choose_in(request, count, pool, trial, allowed, lost_us)
+        chosen, stopped = _choose_in(request, count, pool, trial, victims, lost_us)
         if chosen:
-            options.append((len(victims), sum(map(lost_us, victims)), zone, chosen, victims, trial))
+            options.append((len(stopped), sum(map(lost_us, stopped)), zone, chosen, stopped, trial))
     if not options:
         return [], []
     best = min(options, key=lambda option: option[:3])
@@ -115,12 +143,12 @@
     count: int,
     machines: Sequence[Machine],
     coming: dict[str, list[float]],
-    allowed: Callable[[Task], bool],
+    victims: Set[Task],
     lost_us: Callable[[Task], int],
 ) -> tuple[list[Machine], list[Task]]:
     spec = request.spec
     used: dict[str, Machine] = {}
-    victims: dict[Task, None] = {}
+    stopped: dict[Task, None] = {}
     limit = request.zone_limit or spec.tasks
     zones = request.zone_use()
     granted = 0
@@ -132,58 +160,50 @@
         granted += 1
 
     for machine in machines:
-        if not machine.allows(spec):
-            continue
         room = coming.get(machine.name)
-        if room is None and request.is_gang:
+        if room is None and request.is_gang and machine.fits(spec):
             room = [machine.free_cpus, machine.free_gpus, machine.free_ram]
-        while (
-            granted < count
-            and room
-            and slots_in(room[0], room[1], room[2], spec)
-            and zones.get(machine.zone, 0) < limit
-        ):
+        if room is None or not machine.allows(spec):
+            continue
+        while granted < count and slots_in(room[0], room[1], room[2], spec) and zones.get(machine.zone, 0) < limit:
             room[0] -= spec.cpus
             room[1] -= spec.gpus
             room[2] -= spec.ram_gb
             grant(machine)
-    while granted < count:
-        best: tuple[int, int, str, list[Task], Machine] | None = None
+    if granted < count and victims:
+        # What a machine would cost does not depend on what else is chosen: one look at each suffices.
+        held = {task.machine for task in victims}
+        options = []
         for machine in machines:
-            if machine.name in used or machine.name in coming or not machine.allows(spec):
-                continue
-            if zones.get(machine.zone, 0) >= limit:
-                continue
-            option = _on_machine(request, machine, allowed, lost_us)
-            if option is None:
+            if machine not in held or machine.name in used or machine.name in coming or not machine.allows(spec):
                 continue
-            rank = (len(option), sum(lost_us(task) for task in option), machine.name)
-            if best is None or rank < best[:3]:
-                best = (*rank, option, machine)
-        if best is None:
-            if request.is_gang:
-                return [], []
-            break
-        victims.update(dict.fromkeys(best[3]))
-        grant(best[4])
-    return list(used.values()), list(victims)
+            option = _on_machine(request, machine, victims, lost_us)
+            if option is not None:
+                options.append((len(option), sum(map(lost_us, option)), machine.name, option, machine))
+        for _, _, _, option, machine in sorted(options, key=lambda option: option[:3]):
+            if granted == count:
+                break
+            if zones.get(machine.zone, 0) < limit:
+                stopped.update(dict.fromkeys(option))
+                grant(machine)
+    if granted < count and request.is_gang:
+        return [], []
+    return list(used.values()), list(stopped)
 
 
 def _on_machine(
-    request: Job, machine: Machine, allowed: Callable[[Task], bool], lost_us: Callable[[Task], int]
+    request: Job, machine: Machine, victims: Set[Task], lost_us: Callable[[Task], int]
 ) -> list[Task] | None:
     cpus, gpus, ram = machine.free_cpus, machine.free_gpus, machine.free_ram
     stopped: list[Task] = []
     candidates = sorted(
-        (task for task in machine.tasks.values() if allowed(task)),
+        (task for task in machine.tasks.values() if task in victims),
         key=lambda task: (-task.job.spec.gpus, -task.job.spec.cpus, lost_us(task), task.name),
     )
     for task in candidates:
         if slots_in(cpus, gpus, ram, request.spec):
             break
         group = list(task.job.live.values()) if task.job.is_gang else [task]
-        if not all(allowed(member) for member in group):
-            continue
         for member in group:
             if member not in stopped:
                 stopped.append(member)
--- a/src/tideusher/core/scheduler.py
+++ b/src/tideusher/core/scheduler.py
@@ -3,8 +3,8 @@
 from tideusher.clock import to_us
 from tideusher.core.cluster import Cluster
 from tideusher.core.order import order_jobs, urgency_us
-from tideusher.core.placement import Room
-from tideusher.core.preempt import Standing, choose_room, may_stop, room_of_halted
+from tideusher.core.placement import Demand, Room
+from tideusher.core.preempt import Standing, choose_room, room_of_halted, stoppable
 from tideusher.core.records import BOOTING, OPEN, UP, Job, Machine, Task
 
 RESERVE_S = 12.0
@@ -51,7 +51,9 @@
         ]
         used_gpus = sum(usage[1] for usage in self._c.usage.values())
         self._c.fleet.refresh_warm(now_us, used_gpus)
-        room = Room(usable, self._c.policy.placement__parts)
+        least = Demand.least_of(job.spec for job in waiting)
+        holding = [m for m in usable if least.fits(m.free_cpus, m.free_gpus, m.free_ram)]
+        room = Room(holding, self._c.policy.placement__parts)
         self._spare_gpus = sum(m.free_gpus for m in usable if not m.spot) - self._c.fleet.reserve_gpus()
         unplaced: list[tuple[Job, int]] = []
         for job in queue:
@@ -148,11 +150,10 @@
                 coming -= need  # booting room holds it
                 continue
 
-            def allowed(task: Task, job: Job = job) -> bool:
-                def standing(team: str) -> Standing:
-                    return self._c.standing(team, job.spec if team == job.spec.team else None)
+            def standing(team: str, job: Job = job) -> Standing:
+                return self._c.standing(team, job.spec if team == job.spec.team else None)
 
-                return may_stop(job, task, standing, self._c.min_run_us, self._c.policy, now_us)
+            victims = stoppable(job, self._c.jobs.values(), standing, self._c.min_run_us, self._c.policy, now_us)
 
             def lost_us(task: Task) -> int:
                 if task.running_us is None or task.job.is_service:
@@ -161,13 +162,13 @@
                 return min(spent, to_us(task.job.spec.save_s)) if task.job.spec.checkpoint_s else spent
 
             free_for = [m for m in usable if m.reserved in ("", job.spec.id)]
-            machines, victims = choose_room(job, count, free_for, coming_free, allowed, lost_us)
+            machines, stopped = choose_room(job, count, free_for, coming_free, victims, lost_us)
             for machine in machines:
                 # Kept for this job until its room is whole, or what it stops would only make way for
                 # the next request in the queue.
                 machine.reserved = job.spec.id
                 machine.reserved_until_us = now_us + to_us(RESERVE_S)
-            for task in victims:
+            for task in stopped:
                 minimum = self._c.min_run_us(task.job)
                 kind = "protected" if minimum else "unprotected"
                 self._c.metrics.count("preemptions", kind)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -9,7 +9,7 @@
 from tideusher.core.ledger import NO_GUARANTEE, Ledger
 from tideusher.core.order import order_jobs
 from tideusher.core.placement import Room, part_of
-from tideusher.core.preempt import Standing, choose_room, may_stop, protected_until_us
+from tideusher.core.preempt import Standing, choose_room, protected_until_us, stoppable
 from tideusher.core.records import SEEN, UP, Job, Machine, Task
 
 POLICY = Policy()
@@ -158,7 +158,7 @@
     def standing(team):
         return Standing(*asking) if team == request.spec.team else Standing(*holding)
 
-    return may_stop(request, victim, standing, min_run, POLICY, now_us)
+    return victim in stoppable(request, [victim.job], standing, min_run, POLICY, now_us)
 
 
 def test_a_stop_needs_the_designs_rule_and_the_protocols_bounds():
@@ -192,10 +192,11 @@
     first.job.take(second)
     b.add(second)
     request = Job(job("gang", 1, gpus=4.0, one_zone=True, priority="critical"), 1, 0, 0)
-    machines, victims = choose_room(request, 1, [a, b], {}, lambda t: True, lambda t: 0)
+    everything = {*a.tasks.values(), *b.tasks.values()}
+    machines, victims = choose_room(request, 1, [a, b], {}, everything, lambda t: 0)
     assert machines == [b] and set(victims) == {first, second}
     # What was stopped for the request already is not stopped for again.
-    assert choose_room(request, 1, [a, b], {"host-2": [16.0, 4.0, 64.0]}, lambda t: True, lambda t: 0)[1] == []
+    assert choose_room(request, 1, [a, b], {"host-2": [16.0, 4.0, 64.0]}, everything, lambda t: 0)[1] == []
 
 
 # Fleet
--- /dev/null
+++ b/tests/test_scale.py
@@ -0,0 +1,197 @@
+"""What was made cheaper for large fleets decides as its plain definition does, on seeded random fleets."""
+
+import random
+
+import pytest
+
+from standins import TYPE, FakeClock, StateStandIn, job, make_config
+from tideusher.clock import SECOND_US
+from tideusher.config import Policy
+from tideusher.core.cluster import Cluster
+from tideusher.core.fleet import Bin, Bins, Fleet
+from tideusher.core.health import PROBES_INTO_SILENCE
+from tideusher.core.placement import Demand, slots_in
+from tideusher.core.preempt import Standing, choose_room, protected_until_us, stoppable
+from tideusher.core.records import COMMITTING, SEEN, UP, Job, Machine, Task
+from tideusher.wire.workers import Report
+
+POLICY = Policy()
+
+
+def fleet_of(rng, size):
+    """Machines filled at random with services, arrays and gangs of three teams; returns machines and jobs."""
+    machines = []
+    for number in range(size):
+        spot = rng.random() < 0.4
+        one = Machine(
+            f"host-{number:04d}", TYPE.name, rng.choice("ab"), spot, "r", TYPE.cpus, TYPE.gpus, TYPE.ram_gb, 0
+        )
+        one.phase = UP
+        machines.append(one)
+    jobs = []
+    for _ in range(size):
+        shape = rng.choice(["service", "batch", "batch", "gang"])
+        rank = {"service": "critical", "batch": "standard", "gang": "urgent"}[shape]
+        spec = job(
+            shape,
+            rng.choice([1, 2, 3, 6]),
+            team=rng.choice(["red", "blue", "poor"]),
+            priority=rank,
+            gpus=float(rng.choice([1, 1, 2])),
+            estimate_s=float(rng.choice([5, 40])),
+            spot=shape == "batch",
+        )
+        one = Job(spec, 1, 0, 0)
+        for index in range(spec.tasks):
+            room = [m for m in machines if m.fits(spec) and m.allows(spec)]
+            if not room:
+                break
+            task = Task(one, index, 1, rng.choice(room), SEEN, 0, sent=(1, 1), state="running", running_us=0)
+            task.phase = rng.choice([SEEN, SEEN, SEEN, COMMITTING])
+            task.halt_grace_s = 0.0 if rng.random() < 0.05 else None
+            one.take(task)
+            task.machine.add(task)
+        if one.live:
+            jobs.append(one)
+    return machines, jobs
+
+
+def minimum(one):
+    return POLICY.min_run_us(one.spec.shape, one.spec.estimate_s, one.spec.min_run_s)
+
+
+def plainly_allowed(request, victim, standing, now_us):
+    """The rule of the design and the bounds of the protocol, for one task, in their own order."""
+    one = victim.job
+    if one is request or victim.halt_grace_s is not None or victim.phase == COMMITTING:
+        return False
+    asking, holding = standing(request.spec.team), standing(one.spec.team)
+    claims = request.spec.team != one.spec.team and asking.within_guarantee and not holding.within_guarantee
+    if not (request.spec.rank < one.spec.rank or claims) or not minimum(request):
+        return False
+    if not minimum(one):
+        return True
+    over = protected_until_us(victim, minimum(one), POLICY.preempt__stagger) <= now_us
+    return over and asking.ratio + POLICY.margin <= holding.ratio
+
+
+def plainly_chosen(request, count, machines, allowed):
+    """One machine after the other: each time the one that costs the fewest stops, then the first by name."""
+    chosen, stopped = [], []
+    while len(chosen) < count:
+        best = None
+        for machine in machines:
+            if machine in chosen or not machine.allows(request.spec):
+                continue
+            room, cost = [machine.free_cpus, machine.free_gpus, machine.free_ram], []
+            tasks = sorted(machine.tasks.values(), key=lambda t: (-t.job.spec.gpus, -t.job.spec.cpus, t.name))
+            for task in tasks:
+                if slots_in(*room, request.spec):
+                    break
+                group = list(task.job.live.values()) if task.job.is_gang else [task]
+                if not all(allowed(member) for member in group):
+                    continue
+                for member in group:
+                    if member not in cost:
+                        cost.append(member)
+                        if member.machine is machine:
+                            taken = (member.job.spec.cpus, member.job.spec.gpus, member.job.spec.ram_gb)
+                            room = [a + b for a, b in zip(room, taken, strict=True)]
+            if cost and slots_in(*room, request.spec) and (best is None or (len(cost), machine.name) < best[:2]):
+                best = (len(cost), machine.name, cost, machine)
+        if best is None:
+            break
+        stopped += [task for task in best[2] if task not in stopped]
+        chosen.append(best[3])
+    return chosen, stopped
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_the_same_is_stopped_as_when_every_task_is_judged_for_every_place(seed):
+    rng = random.Random(seed)
+    machines, jobs = fleet_of(rng, 40)
+    standings = {team: Standing(rng.random(), rng.random() < 0.5) for team in ("red", "blue", "poor")}
+    for team in standings:
+        spec = job("service", 4, team=team, priority="urgent", gpus=float(rng.choice([1, 2, 4])), estimate_s=0.0)
+        request, now_us = Job(spec, 1, 0, 0), 20 * SECOND_US
+        victims = stoppable(request, jobs, standings.__getitem__, minimum, POLICY, now_us)
+        every = [task for one in jobs for task in one.live.values()]
+        gangs_whole = {
+            task
+            for task in every
+            if all(
+                plainly_allowed(request, member, standings.__getitem__, now_us)
+                for member in (task.job.live.values() if task.job.is_gang else [task])
+            )
+        }
+        assert victims == gangs_whole
+        got = choose_room(request, 4, machines, {}, victims, lambda t: 0)
+        want = plainly_chosen(request, 4, machines, gangs_whole.__contains__)
+        assert ([m.name for m in got[0]], got[1]) == ([m.name for m in want[0]], want[1])
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_bins_are_filled_in_the_order_in_which_sorting_them_anew_would_fill_them(seed):
+    rng = random.Random(seed)
+
+    def some_bins():
+        rolls = random.Random(seed)
+        return [
+            Bin("m4", rolls.choice("ab"), rolls.random() < 0.5, 16.0, float(rolls.choice([1, 2, 4])), 64.0)
+            for _ in range(30)
+        ]
+
+    plain, kept = some_bins(), some_bins()
+    specs = [job("batch", gpus=float(rng.choice([1, 2])), spot=rng.random() < 0.5) for _ in range(12)]
+    bins = Bins(kept, Demand.least_of(specs))
+    for spec in specs:
+        left = want = rng.randrange(1, 6)
+        for bin in sorted(plain, key=lambda b: (not b.spot, b.gpus)):
+            while left and bin.allows(spec) and slots_in(bin.cpus, bin.gpus, bin.ram, spec):
+                Fleet._take(bin, spec, {})
+                left -= 1
+
+        def take(bin, spec=spec):
+            if not slots_in(bin.cpus, bin.gpus, bin.ram, spec):
+                return False
+            Fleet._take(bin, spec, {})
+            return True
+
+        assert bins.fill(want, lambda bin, spec=spec: bin.allows(spec), take) == left
+        assert kept == plain
+
+
+def test_a_report_of_a_calm_machine_costs_no_look_at_the_others():
+    """A leader once looked through the whole fleet after each report of each machine."""
+    clock, state = FakeClock(), StateStandIn()
+    cluster = Cluster(make_config(), POLICY, state.elect("n0"), clock.now_us(), clock.wall_us)
+    cluster.set_types([TYPE])
+    looked = 0
+
+    class Counted(dict):
+        def values(self):
+            nonlocal looked
+            looked += 1
+            return super().values()
+
+    machines = Counted()
+    cluster.machines = cluster.health._machines = machines
+    for serial in (1, 2):
+        for number in range(50):
+            report = Report(f"host-{number}", "127.0.0.1:9", "m4", "a", False, 1, serial, cluster.token, None, [])
+            cluster.report(report, clock.now_us())
+    assert len(machines) == 50 and looked == 0
+
+
+def test_into_a_silent_zone_few_probes_go_at_a_time():
+    clock, state = FakeClock(), StateStandIn()
+    cluster = Cluster(make_config(), POLICY, state.elect("n0"), clock.now_us(), clock.wall_us)
+    cluster.set_types([TYPE])
+    for number in range(40):
+        zone = "a" if number % 2 else "b"
+        report = Report(f"host-{number}", "127.0.0.1:9", "m4", zone, False, 1, 1, cluster.token, None, [])
+        cluster.report(report, clock.now_us())
+    clock.pass_s(10.0)
+    probing = {m.name for m in cluster.health.to_probe(clock.now_us(), set())}
+    assert len(probing) == 2 * PROBES_INTO_SILENCE  # both zones are silent
+    assert cluster.health.to_probe(clock.now_us(), probing) == []
