Ask the cloud for a second's worth of rentals at a time

Cause: when a whole fleet is wanted, each pass of 150 ms made one small rental per kind; 79 of them queued at the cloud's 4 calls a second in the first 20 s, so the last machines were asked for half a minute late. Now as many rentals are outstanding as the cloud takes in a second; what waits meanwhile is asked for in one.

--- a/src/tideusher/core/scheduler.py
+++ b/src/tideusher/core/scheduler.py
@@ -244,8 +244,12 @@
 
     def _plan_fleet(self, unplaced: list[tuple[Job, int]], now_us: int) -> None:
         asked = [(r.type, r.zone, r.spot, r.count) for r in self._c.rentals.values() if not r.answered]
-        for wish in self._c.fleet.plan(now_us, unplaced, self._c.machines.values(), asked):
-            self._c.rent(wish)
+        # What the cloud takes in a second is asked at a time. A queue of many small rentals reached it
+        # half a minute late when a whole fleet was wanted; what has to wait is asked for in one.
+        room = max(2, int(self._c.config.settings.cloud.rps)) - len(asked)
+        if room > 0:
+            for wish in self._c.fleet.plan(now_us, unplaced, self._c.machines.values(), asked)[:room]:
+                self._c.rent(wish)
         self._consolidate(now_us)
         for machine in self._c.machines.values():
             if machine.draining == MOVED and machine.phase == UP and not machine.tasks:
