No write waits behind reads; a spent budget is told at once; 429 is sent again

Now a transaction takes its request from the budget without waiting, a node may save up writes for a burst, who would wait over 2 s is told to come back at once, and a transaction that got 429 (nothing done) is sent again.

--- a/src/tideusher/actors/store.py
+++ b/src/tideusher/actors/store.py
@@ -24,11 +24,20 @@
 
 LONG_POLL_MS = 1000
 
+# The leader's share of the state service's limits; the other nodes share the rest.
+LEADER_REQUESTS, LEADER_WRITES = 0.55, 0.55
+#: What a node may save up for a burst of its users, as a share of the writes of one second.
+BURST_WRITES = 0.25
+
 
 class Unavailable(Exception):
     """The state service does not answer, or refuses; nothing is known of what was asked."""
 
 
+class Busy(Unavailable):
+    """The budget is spent for now: nothing was done, and it would take too long to wait."""
+
+
 class Conflict(Exception):
     """A transaction's guards failed: it did nothing."""
 
@@ -42,22 +51,35 @@
 
 
 class Bucket:
-    """A token bucket with one second's worth of burst, as the service itself counts."""
+    """A token bucket with a burst, by default one second's worth, as the service itself counts."""
+
+    def __init__(self, rate: float, clock: Clock, burst: float = 0.0) -> None:
+        self._clock = clock
+        self.set(rate, burst)
+        self._level, self._at_us = self._burst, clock.now_us()
 
-    def __init__(self, rate: float, clock: Clock) -> None:
-        self.rate, self._clock = rate, clock
-        self._level, self._at_us = rate, clock.now_us()
+    def set(self, rate: float, burst: float = 0.0) -> None:
+        """Fill at this rate from now on."""
+        self._rate, self._burst = rate, max(rate, burst)
 
     def wait_s(self, amount: float) -> float:
         """Take the amount; returns how long to wait before using it."""
+        self._refill()
+        self._level -= amount
+        return max(0.0, -self._level / self._rate)
+
+    def _refill(self) -> None:
         now_us = self._clock.now_us()
-        self._level = min(self.rate, self._level + self.rate * (now_us - self._at_us) / SECOND_US)
+        self._level = min(self._burst, self._level + self._rate * (now_us - self._at_us) / SECOND_US)
         self._at_us = now_us
-        self._level -= amount
-        return max(0.0, -self._level / self.rate)
+
+    def give_back(self, amount: float) -> None:
+        """What was taken will not be used."""
+        self._level += amount
 
     def drain(self) -> None:
         """The service said 429: whatever we thought was left is not."""
+        self._refill()
         self._level = min(self._level, 0.0)
 
 
@@ -78,12 +100,10 @@
         self._clock = clock
         limits = config.settings.state
         nodes = max(1, config.settings.size)
-        # Half of the budget is the leader's, the rest is shared, so that no node's users can starve
-        # the renewal of leadership (which takes no part in the buckets at all).
-        self._leading_share, self._plain_share = 0.55, 0.45 / max(1, nodes - 1)
-        self._limits = limits
-        self._requests = Bucket(limits.rps * self._plain_share, clock)
-        self._writes = Bucket(limits.write_rps * self._plain_share, clock)
+        self._limits, self._others = limits, max(1, nodes - 1)
+        self._requests = Bucket(limits.rps, clock)
+        self._writes = Bucket(limits.write_rps, clock)
+        self.lead(False)
         self._client = HttpClient(config.endpoints.state, timeout_s=3.0, keep=6)
         self.mirror: dict[str, Stored] = {}
         self._removed: dict[str, int] = {}
@@ -100,10 +120,19 @@
         gevent.spawn(self._follow)
 
     def lead(self, leading: bool) -> None:
-        """Take the leader's share of the budget, or give it back."""
-        share = self._leading_share if leading else self._plain_share
-        self._requests.rate = self._limits.rps * share
-        self._writes.rate = self._limits.write_rps * share
+        """Take the leader's share of the budget, or a plain node's.
+
+        The renewal of leadership takes no part in it. Users come to one node in bursts while the others
+        have none, so a plain node may save up for them; should all burst at once, the service refuses
+        some writes with 429, unexecuted, and they are sent again.
+        """
+        requests, writes = (LEADER_REQUESTS, LEADER_WRITES) if leading else (
+            (1 - LEADER_REQUESTS) / self._others, (1 - LEADER_WRITES) / self._others,
+        )  # fmt: skip
+        self._requests.set(self._limits.rps * requests)
+        self._writes.set(self._limits.write_rps * writes, self._limits.write_rps * BURST_WRITES)
+        #: Between two looks at the changes: a plain node leaves most of its requests to users.
+        self._pause_s = 0.1 if leading else max(0.1, 1 / (self._limits.rps * requests))
 
     def listen(self, listener: Listener) -> None:
         """Be called with (key, value or None, stamp) at every change of the mirror."""
@@ -130,21 +159,34 @@
             status, answer = self._client.call(method, path, data, timeout_s)
         except CallFailed as error:
             raise Unavailable(str(error)) from None
-        if status == 429:
-            self._requests.drain()
         if status in (429, 503):
             self._metrics.count("state_refusals", str(status))
-            raise Unavailable(f"{method} {path}: {status}")
+            if status == 429:
+                self._requests.drain()
+                raise Busy(f"{method} {path}: 429")
+            raise Unavailable(f"{method} {path}: 503")
         return status, answer
 
-    def txn(self, guards: list[state.Guard], writes: list[state.Put | state.Delete], budget: bool = True) -> int:
-        """Commit; returns the revision. Raises Conflict (nothing done) or Unavailable (unknown)."""
+    def txn(
+        self,
+        guards: list[state.Guard],
+        writes: list[state.Put | state.Delete],
+        budget: bool = True,
+        patience_s: float | None = None,
+    ) -> int:
+        """Commit; returns the revision. Raises Conflict or Busy (nothing done) or Unavailable (unknown).
+
+        With `patience_s` it is Busy at once if the budget would have it wait longer than that.
+        """
         if budget:
-            self._metrics.count("state_writes", "", len(writes))
             pause_s = self._writes.wait_s(len(writes))
+            if patience_s is not None and pause_s > patience_s:
+                self._writes.give_back(len(writes))
+                raise Busy("the budget of writes is spent")
+            self._metrics.count("state_writes", "", len(writes))
             if pause_s:
                 gevent.sleep(pause_s)
-        status, answer = self.call("POST", "/txn", state.Txn(guards, writes), budget)
+        status, answer = self._post_txn(state.Txn(guards, writes), budget)
         if status == 200:
             revision = state.decode_done(answer).revision
             for write in writes:
@@ -159,6 +201,20 @@
             raise NoLease
         raise Unavailable(f"POST /txn: {status} {answer[:200]!r}")
 
+    def _post_txn(self, body: state.Txn, budget: bool) -> tuple[int, bytes]:
+        """Send a transaction; one that got 429 did nothing and is sent again a few times."""
+        pauses = [0.2, 0.4] if budget else []
+        while True:
+            if budget:
+                self._requests.wait_s(1)  # taken, not waited for: no write queues behind our reads
+            try:
+                return self.call("POST", "/txn", body, budget=False)
+            except Busy:
+                self._writes.drain()
+                if not pauses:
+                    raise
+                gevent.sleep(pauses.pop(0))
+
     # ---------------------------------------------------------------- mirror
 
     def sync(self, timeout_s: float = 2.0) -> bool:
@@ -278,14 +334,13 @@
 
     def _follow(self) -> None:
         """Keep the mirror fresh with one watch at a time, spaced so as not to eat the request budget."""
-        pause_s = 0.1
         while True:
             try:
                 if not self.loaded.is_set():
                     self._load()
                     self.log.info("mirror loaded: %d keys at revision %d", len(self.mirror), self.revision)
                 self._poll(LONG_POLL_MS)
-                pause_s = 0.1
+                pause_s = self._pause_s
             except Unavailable as error:
                 self.log.debug("no contact: %s", error)
                 pause_s = 0.3
--- a/src/tideusher/actors/users.py
+++ b/src/tideusher/actors/users.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from tideusher.actors.store import Conflict, NoLease, Store, Unavailable
+from tideusher.actors.store import Busy, Conflict, NoLease, Store, Unavailable
 from tideusher.clock import Clock
 from tideusher.config import Config
 from tideusher.core import keys
@@ -17,6 +17,9 @@
 from tideusher.wire.jobs import InvalidJob, JobSpec, JobStatus
 from tideusher.wire.state import Guard, Put
 
+#: Who would have to wait longer for the state service's budget is told at once to come back.
+PATIENCE_S = 2.0
+
 
 @dataclass(frozen=True)
 class Reply:
@@ -89,9 +92,12 @@
             # The state service would refuse it each time; the user must not be told to come back.
             return refusal(400, "the job's description is too long")
         try:
-            self._store.txn([Guard(key, 0)], [Put(key, value)])
+            self._store.txn([Guard(key, 0)], [Put(key, value)], patience_s=PATIENCE_S)
         except Conflict:
             return self._state(spec.id)
+        except Busy:
+            self.log.info("could not accept %s now: too many changes at once", spec.id)
+            return refusal(503, "too many changes at once")
         except (Unavailable, NoLease) as error:
             self.log.info("could not accept %s now: %s", spec.id, error)
             return refusal(503, "the state service does not answer")
@@ -196,7 +202,8 @@
             if stored.value["st"] == JOB_CANCELLED:
                 return Reply(200, JobStatus(job_id, wire.CANCELLED))
             try:
-                self._store.txn([Guard(key, stored.stamp)], [Put(key, {**stored.value, "st": JOB_CANCELLED})])
+                cancelled = Put(key, {**stored.value, "st": JOB_CANCELLED})
+                self._store.txn([Guard(key, stored.stamp)], [cancelled], patience_s=PATIENCE_S)
             except Conflict:
                 continue
             except (Unavailable, NoLease):
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -11,7 +11,7 @@
 from test_invariants import Bed
 from tideusher.actors.gateway import Gateway
 from tideusher.actors.leader import Leader
-from tideusher.actors.store import Conflict, Stored, Unavailable
+from tideusher.actors.store import Busy, Conflict, Stored, Unavailable
 from tideusher.actors.users import Users
 from tideusher.cli import main
 from tideusher.config import ConfigError, Policy, load_config, load_policy
@@ -29,7 +29,7 @@
 
     def __init__(self) -> None:
         self.state, self.mirror, self.up, self.syncs = StateStandIn(), {}, True, 0
-        self.contact_us = 0
+        self.contact_us, self.busy = 0, False
         self.state.items[keys.TYPES] = ([msgspec.to_builtins(TYPE)], 1)
         self.sync()
 
@@ -39,9 +39,11 @@
             self.mirror = {key: Stored(value, stamp) for key, (value, stamp) in self.state.items.items()}
         return self.up
 
-    def txn(self, guards, writes):
+    def txn(self, guards, writes, patience_s=None):
         if not self.up:
             raise Unavailable("cut")
+        if self.busy:
+            raise Busy("the budget of writes is spent")
         revision = self.state.txn(guards, writes)
         if revision is None:
             raise Conflict([guards[0].key])
@@ -103,6 +105,16 @@
         assert reply.status == 503 and ("Retry-After", "1") in reply.headers
 
 
+def test_what_would_wait_long_for_the_budget_is_refused_at_once_and_not_lost(users, store):
+    spec, store.busy = job(), True
+    reply = users.submit(body(spec))
+    assert reply.status == 503 and ("Retry-After", "1") in reply.headers
+    store.busy = False
+    assert users.submit(body(spec)).status == 201
+    store.busy = True
+    assert users.cancel(spec.id).status == 503
+
+
 def test_404_only_after_a_read_and_final_answers_without_one(users, store):
     before = store.syncs
     assert users.poll("req-999999").status == 404 and store.syncs > before
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -4,7 +4,7 @@
 import pytest
 
 from standins import FakeClock, make_config
-from tideusher.actors.store import Store
+from tideusher.actors.store import Bucket, Busy, Store
 from tideusher.core.keeper import Entry, Keeper
 from tideusher.metrics import Metrics
 
@@ -55,6 +55,38 @@
     assert store.contact_us == sent_us
 
 
+def test_a_bucket_lets_a_burst_pass_and_then_keeps_its_rate():
+    clock = FakeClock()
+    bucket = Bucket(2.0, clock, burst=5.0)
+    assert [bucket.wait_s(1) for _ in range(5)] == [0.0] * 5
+    assert bucket.wait_s(1) == pytest.approx(0.5)
+    bucket.give_back(1)
+    clock.pass_s(0.5)
+    assert bucket.wait_s(1) == 0.0
+    clock.pass_s(100.0)
+    bucket.drain()
+    assert bucket.wait_s(1) == pytest.approx(0.5)
+
+
+def test_a_write_past_the_patience_is_refused_untried_and_one_that_got_429_is_sent_again(store, monkeypatch):
+    sent, slept = [], []
+    monkeypatch.setattr("tideusher.actors.store.gevent.sleep", slept.append)
+
+    class Service:
+        answers = [(429, b""), (200, b'{"tide": 1}')]
+
+        def call(self, method, path, body, timeout_s):
+            sent.append(path)
+            return self.answers.pop(0)
+
+    store._client = Service()
+    assert store.txn([], []) == 1 and sent == ["/txn", "/txn"] and slept == [0.2]
+    store._writes.wait_s(1000)
+    with pytest.raises(Busy):
+        store.txn([], [], patience_s=1.0)
+    assert len(sent) == 2
+
+
 def test_a_record_made_anew_under_its_key_keeps_its_place_and_effects():
     keeper, told = Keeper("t/leader", 1, 8), []
     old, new = Entry("t/m/a", lambda: None, 7), Entry("t/m/a", lambda: {"v": 1}, 0)
