Spot-able work leaves ordinary machines to those who wait for them

Now, while work that needs ordinary machines waits and spot can be rented, spot-able work goes to spot only.

--- a/src/tideusher/core/fleet.py
+++ b/src/tideusher/core/fleet.py
@@ -137,6 +137,16 @@
         """May this kind be asked for now?"""
         return self._refused.get(kind, (0, 0))[0] <= now_us
 
+    def spot_available(self, spec: JobSpec, now_us: int) -> bool:
+        """Is there a spot machine to be had that this job may run on?"""
+        return any(
+            allowed_on(spec, kind.name, zone, True)
+            and slots_in(kind.cpus, kind.gpus, kind.ram_gb, spec) > 0
+            and self.available((kind.name, zone, True), now_us)
+            for kind in self.types.values()
+            for zone in kind.zones
+        )
+
     # Warm room
 
     def refresh_warm(self, now_us: int, used_gpus: float) -> None:
--- a/src/tideusher/core/scheduler.py
+++ b/src/tideusher/core/scheduler.py
@@ -17,6 +17,7 @@
     def __init__(self, cluster: Cluster, now_us: int) -> None:
         self._c = cluster
         self._spare_gpus = 0.0
+        self._ordinary_short = False  # did work that runs on ordinary machines only wait after the last pass?
         self._next_move_us = now_us + to_us(2 * cluster.config.settings.workers.lease_s)
         self._objectives = {
             o.job_class: o.within_s
@@ -60,6 +61,7 @@
             left = self._place_job(job, room, now_us)
             if left:
                 unplaced.append((job, left))
+        self._ordinary_short = any(not job.spec.spot for job, _ in unplaced)
         if self._c.writable:  # what is stopped while nothing can be started is stopped for nobody
             self._preempt(unplaced, now_us)
         self._plan_fleet(unplaced, now_us)
@@ -113,13 +115,17 @@
         def usable(machine: Machine) -> bool:
             return machine.name not in avoid and machine.reserved in ("", spec.id)
 
-        def keeps_warm_room(machine: Machine) -> bool:
+        def only_spot(machine: Machine) -> bool:
             return usable(machine) and machine.spot
 
+        # What may run on spot would soon be stopped again on room that others wait for: on one grown
+        # deployment every fourth array task was, with all that it had done.
+        yields = spec.spot and self._ordinary_short and self._c.fleet.spot_available(spec, now_us)
         # Classes without a claim to the warm room may not eat it up.
         enough = self._c.fleet.is_warm(spec.job_class) or spec.gpus * count <= self._spare_gpus
-        machines = room.place(job, count, job.is_gang, usable if enough else keeps_warm_room, limit)
-        if not enough and not job.is_gang and len(machines) < count and self._spare_gpus >= spec.gpus > 0:
+        machines = room.place(job, count, job.is_gang, usable if enough and not yields else only_spot, limit)
+        partly = not (enough or yields or job.is_gang)
+        if partly and len(machines) < count and self._spare_gpus >= spec.gpus > 0:
             part = min(count - len(machines), int(self._spare_gpus / spec.gpus))
             if machines:
                 self._c.assign(job, machines, now_us)
