--- a/src/tideusher/core/scheduler.py
+++ b/src/tideusher/core/scheduler.py
@@ -1,6 +1,6 @@
 """The scheduling pass: place what fits, stop what must yield, rent what is missing, return what idles."""
 
-from tideusher.clock import to_us
+from tideusher.clock import SECOND_US, to_us
 from tideusher.core.cluster import Cluster
 from tideusher.core.order import order_jobs, urgency_us
 from tideusher.core.placement import Demand, Room
@@ -8,6 +8,7 @@
 from tideusher.core.records import BOOTING, OPEN, UP, Job, Machine, Task
 
 RESERVE_S = 12.0
+MOVE_ONE_OF = 40
 MOVED = "hardly used; its tasks moved to others"
 
 
@@ -186,47 +187,51 @@
                 stops += 1
 
     def _consolidate(self, now_us: int) -> None:
-        """Move the replicas of one thinly used machine onto others, so that it can be returned.
+        """Move the replicas of thinly used machines onto others, so that they can be returned.
 
         Services come and go and leave machines with one replica each. A move costs its replica a
         few seconds, so it is made only while nothing waits, onto room that has the image already,
-        and one machine at a time.
+        and for one machine in MOVE_ONE_OF at a time: what a move costs is a share of all replicas,
+        and one machine at a time would never empty a large fleet.
         """
-        if now_us < self._next_move_us or self._c.keeper.waiting or not self._c.settled(now_us):
+        if now_us < self._next_move_us or not self._c.settled(now_us):
             return
+        if self._c.keeper.waiting > self._c.config.settings.state.txn_ops:
+            return  # moves would wait for their write
         if any(job.status == OPEN and job.is_service and job.pending > 0 for job in self._c.jobs.values()):
             return
-        if any(
-            t.halt_grace_s is not None and t.job.status == OPEN
-            for m in self._c.machines.values()
-            for t in m.tasks.values()
-        ):
-            return
         steady_us = to_us(self._c.policy.fleet__move_after_s)
         up = [m for m in self._c.machines.values() if m.phase == UP and not m.draining and not m.reserved]
+        moving = sum(m.draining == MOVED and m.phase == UP for m in self._c.machines.values())
+        quota = max(1, len(up) // MOVE_ONE_OF) - moving
         sources = [
             m
             for m in up
             if m.tasks
+            and 2 * (m.gpus - m.free_gpus) <= m.gpus
             and all(
                 t.job.is_service and t.running_us is not None and now_us - t.running_us > steady_us
                 for t in m.tasks.values()
             )
         ]
+        self._next_move_us = now_us + SECOND_US
+        holding = [m for m in up if m.tasks and m.free_gpus > 0 and not m.fetching]
         for source in sorted(sources, key=lambda m: (m.gpus - m.free_gpus, m.name)):
-            if 2 * (source.gpus - source.free_gpus) > source.gpus:
+            if quota <= 0:
                 return
-            others = [m for m in up if m is not source and m.tasks and not m.fetching]
+            if source.reserved:
+                continue  # it became the target of another
+            others = [m for m in holding if m is not source and not m.draining and not m.reserved]
             targets = self._targets(source, others)
-            if targets and not self._c.fleet.unmet_without(source, up):
+            if targets and not self._c.fleet.unmet_without(source, [m for m in up if not m.draining]):
                 source.draining = MOVED
                 self._next_move_us = now_us + to_us(self._c.policy.fleet__move_pause_s)
+                quota -= 1
                 for task, target in targets.items():
                     target.reserved = task.job.spec.id
                     target.reserved_until_us = now_us + to_us(RESERVE_S)
                     task.move_to = target
                     self._c.halt(task, 0.0, "its machine is hardly used and is given back; it moves to another")
-                return
 
     def _targets(self, source: Machine, others: list[Machine]) -> dict[Task, Machine]:
         """A machine that has the image for each task of the source; empty if one finds none."""
