Count on an image only as long as a machine's cache holds it

A start that counts on an image that is gone waits for it. Now the cache is modelled with the size from the machine types.

--- a/src/tideusher/core/cluster.py
+++ b/src/tideusher/core/cluster.py
@@ -314,6 +314,8 @@
         job, machine = task.job, task.machine
         if job.live.get(task.index) is not task:
             return
+        if job.spec.image in machine.images:
+            self._used_image(task)
         job.drop(task)
         machine.remove(task)
         usage = self.usage[job.spec.team]
@@ -428,13 +430,18 @@
         if item.state != task.state:
             self.log.debug("%s attempt %d on %s: %s", task.name, task.attempt, task.machine.name, item.state)
             task.state = item.state
-        if item.state in (workers.ACTIVE, workers.WAITING) and task.job.spec.image not in task.machine.images:
-            task.machine.images[task.job.spec.image] = task.job.spec.image_gb
+            if item.state in (workers.ACTIVE, workers.WAITING):
+                self._used_image(task)
         if item.state == workers.ACTIVE and task.running_us is None:
             task.running_us = now_us
             waited_us = self._wall_us() - task.job.submitted_us
             self.metrics.waited(task.job.spec.job_class, max(0.0, to_s(waited_us)))
 
+    def _used_image(self, task: Task) -> None:
+        kind = self.fleet.types.get(task.machine.type)
+        spec = task.job.spec
+        task.machine.used_image(spec.image, spec.image_gb, kind.cache_gb if kind else 0.0)
+
     def _absent(self, task: Task, report: Report, new_session: bool, now_us: int) -> None:
         """The report does not list a task that may have been started: is that proof of absence?
 
--- a/src/tideusher/core/records.py
+++ b/src/tideusher/core/records.py
@@ -268,6 +268,25 @@
         """Clearly slower than others: work goes elsewhere while it can, and it is returned first."""
         return self.pace > SLOW_PACE
 
+    def used_image(self, image: str, size_gb: float, cache_gb: float) -> None:
+        """A task here has the image: it is the most recently used; the oldest beyond the cache are gone.
+
+        A machine that lives long has fetched more than it holds, and a start that counts on an image
+        that is gone waits for its fetch. Without a known cache all images are kept.
+        """
+        self.images.pop(image, None)
+        self.images[image] = size_gb
+        if not cache_gb:
+            return
+        in_use = {task.job.spec.image for task in self.tasks.values()}
+        excess_gb = sum(self.images.values()) - cache_gb
+        for old, old_gb in list(self.images.items()):
+            if excess_gb <= 0:
+                return
+            if old not in in_use and old != image:
+                del self.images[old]
+                excess_gb -= old_gb
+
     @property
     def fetching(self) -> bool:
         """Is an image on its way to a task here?"""
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -136,6 +136,18 @@
     assert Room([busy], 1).place(Job(job("service"), 1, 0, 0), 1, False, lambda m: True, None) == []
 
 
+def test_a_machine_holds_the_images_used_last_as_far_as_its_cache_goes():
+    m = machine()
+    task = running(job("service", image="img-1", image_gb=20.0), m)
+    for image in ("img-1", "img-2", "img-3"):
+        m.used_image(image, 20.0, 50.0)
+    assert list(m.images) == ["img-1", "img-3"]  # the first is in use, so the second went
+    m.remove(task)
+    m.used_image("img-3", 20.0, 50.0)
+    m.used_image("img-4", 20.0, 50.0)
+    assert list(m.images) == ["img-3", "img-4"]
+
+
 def test_work_goes_past_a_machine_that_runs_its_tasks_slower_than_others():
     slow, fair = machine("host-1"), machine("host-2")
     slow.images["img-1"] = fair.images["img-1"] = 2.0
