Gather room for large gangs in one zone, held until it is whole

Now free machines of one zone are held for the first gang in the queue that wants them there (core/gather.py); what is missing beyond that is rented in that zone; work ahead in the queue may still take them.

--- a/src/tideusher/core/fleet.py
+++ b/src/tideusher/core/fleet.py
@@ -9,8 +9,9 @@
 
 from tideusher.clock import SECOND_US, to_s, to_us
 from tideusher.config import Objective, Policy
+from tideusher.core.gather import Request
 from tideusher.core.placement import Demand, slots_in
-from tideusher.core.records import BOOTING, UP, Job, Machine, allowed_on
+from tideusher.core.records import BOOTING, UP, Machine, allowed_on
 from tideusher.wire.cloud import MachineType
 from tideusher.wire.jobs import SERVICE, JobSpec
 
@@ -140,11 +141,23 @@
     def spot_available(self, spec: JobSpec, now_us: int) -> bool:
         """Is there a spot machine to be had that this job may run on?"""
         return any(
-            allowed_on(spec, kind.name, zone, True)
-            and slots_in(kind.cpus, kind.gpus, kind.ram_gb, spec) > 0
-            and self.available((kind.name, zone, True), now_us)
+            self._to_be_had(kind, spec, zone, True, now_us) for kind in self.types.values() for zone in kind.zones
+        )
+
+    def rentable(self, spec: JobSpec, zone: str, now_us: int) -> bool:
+        """Is there any machine to be had in the zone that this job may run on?"""
+        return any(
+            self._to_be_had(kind, spec, zone, spot, now_us)
             for kind in self.types.values()
-            for zone in kind.zones
+            if zone in kind.zones
+            for spot in (True, False)
+        )
+
+    def _to_be_had(self, kind: MachineType, spec: JobSpec, zone: str, spot: bool, now_us: int) -> bool:
+        return (
+            allowed_on(spec, kind.name, zone, spot)
+            and slots_in(kind.cpus, kind.gpus, kind.ram_gb, spec) > 0
+            and self.available((kind.name, zone, spot), now_us)
         )
 
     # Warm room
@@ -203,7 +216,7 @@
     def plan(
         self,
         now_us: int,
-        unplaced: Sequence[tuple[Job, int]],
+        requests: Sequence[Request],
         machines: Iterable[Machine],
         asked: Iterable[tuple[str, str, bool, int]],
     ) -> list[Wish]:
@@ -229,12 +242,13 @@
         boot_us = min((to_us(kind.boot_s) for kind in self.types.values()), default=0)
         patience_us = round(boot_us * self._policy.fleet__patience)
         rented: list[Bin] = []
-        offered = Bins(bins, Demand.least_of(job.spec for job, _ in unplaced))
-        for job, count in unplaced:
+        offered = Bins(bins, Demand.least_of(request.job.spec for request in requests))
+        for request in requests:
+            job, count = request.job, request.count
             # Who has waited for a whole boot already is not put off with room that opens soon: others
             # may have taken it each time.
             soon = now_us - job.seen_us < patience_us
-            zone_use, limit = job.zone_use(), job.zone_limit
+            zone_use, limit = {request.zone: 0} if request.zone else job.zone_use(), job.zone_limit
             self._fit(job.spec, count, offered, soon, zone_use, limit, population, now_us, "work waits", rented)
         free_bins = [
             Bin(m.type, m.zone, m.spot, m.free_cpus, m.free_gpus, m.free_ram) for m in warm_room if not m.reserved
--- /dev/null
+++ b/src/tideusher/core/gather.py
@@ -0,0 +1,112 @@
+"""Room that is gathered for gangs which must start whole in one zone.
+
+A large gang never finds its room whole in a busy fleet: machines end their work one by one, and what
+is free goes to smaller work or is returned as idle while the next ones boot. So what is free in one
+zone is held for the first gang in the queue that wants it there, until the rest has come. Work that
+is ahead of the gang in the queue may still take it, and one gang a zone gathers at a time, or several
+would hold parts of a zone and none could start.
+"""
+
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass
+
+from tideusher.core.placement import slots, slots_in
+from tideusher.core.records import BOOTING, UP, Job, Machine
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """Waiting tasks for which machines may have to be rented; `zone`: only there."""
+
+    job: Job
+    count: int
+    zone: str | None = None
+
+
+class Gathering:
+    """Which free machines are held for which gang; decided anew in each pass."""
+
+    def __init__(self) -> None:
+        self.held: dict[str, Job] = {}
+
+    def may_use(self, job: Job, machine: Machine, place: dict[str, int]) -> bool:
+        """Is the machine free to this job, given the places of jobs in the queue?"""
+        holder = self.held.get(machine.name)
+        return holder is None or holder is job or place[job.spec.id] < place.get(holder.spec.id, -1)
+
+    def update(
+        self,
+        unplaced: Sequence[tuple[Job, int]],
+        usable: Sequence[Machine],
+        machines: Iterable[Machine],
+        rentable: Callable[[Job, str], bool],
+    ) -> list[Request]:
+        """Hold what is free for gangs in the order of the queue; returns what is missing beyond that."""
+        self.held = {}
+        requests, gathering = [], set()
+        lasting = list(machines)
+        for job, count in unplaced:
+            if not (job.is_gang and job.spec.one_zone) or job.live:
+                requests.append(Request(job, count))
+                continue
+            zone, free = self._best_zone(job, count, usable, lasting, rentable)
+            missing = count
+            for machine in sorted(free, key=lambda m: (m.free_gpus, m.name)):
+                if missing <= 0:
+                    break
+                missing -= slots(machine, job)
+                if zone not in gathering:
+                    self.held[machine.name] = job
+            if zone is not None:
+                gathering.add(zone)
+            if missing > 0:
+                requests.append(Request(job, missing, zone))
+        return requests
+
+    def _best_zone(
+        self,
+        job: Job,
+        count: int,
+        usable: Sequence[Machine],
+        machines: Sequence[Machine],
+        rentable: Callable[[Job, str], bool],
+    ) -> tuple[str | None, list[Machine]]:
+        """The zone that has most of the room now or soon, of those that can ever hold the whole gang."""
+        spec = job.spec
+        free: dict[str, list[Machine]] = {}
+        near: dict[str, int] = {}
+        ever: dict[str, int] = {}
+        for machine in usable:
+            if machine.name not in self.held and machine.reserved in ("", spec.id) and machine.allows(spec):
+                held = slots(machine, job)
+                if held:
+                    free.setdefault(machine.zone, []).append(machine)
+                    near[machine.zone] = near.get(machine.zone, 0) + held
+        for machine in machines:
+            if machine.draining or machine.phase not in (BOOTING, UP) or not machine.allows(spec):
+                continue
+            if machine.phase == BOOTING:
+                near[machine.zone] = near.get(machine.zone, 0) + slots(machine, job)
+            ever[machine.zone] = ever.get(machine.zone, 0) + _once_idle(machine, job)
+        zones = sorted(
+            ever.keys() | near.keys(),
+            key=lambda zone: (
+                ever.get(zone, 0) < count and not rentable(job, zone),
+                -min(count, near.get(zone, 0)),
+                zone,
+            ),
+        )
+        return (zones[0], free.get(zones[0], [])) if zones else (None, [])
+
+
+def _once_idle(machine: Machine, job: Job) -> int:
+    """How many tasks of the job the machine will hold when all its work that ends by itself has ended."""
+    services = [task.job.spec for task in machine.tasks.values() if task.job.is_service]
+    if not services:
+        return slots_in(machine.cpus, machine.gpus, machine.ram_gb, job.spec)
+    return slots_in(
+        machine.cpus - sum(spec.cpus for spec in services),
+        machine.gpus - sum(spec.gpus for spec in services),
+        machine.ram_gb - sum(spec.ram_gb for spec in services),
+        job.spec,
+    )
--- a/src/tideusher/core/scheduler.py
+++ b/src/tideusher/core/scheduler.py
@@ -1,7 +1,10 @@
 """The scheduling pass: place what fits, stop what must yield, rent what is missing, return what idles."""
 
+from collections.abc import Callable
+
 from tideusher.clock import SECOND_US, to_us
 from tideusher.core.cluster import Cluster
+from tideusher.core.gather import Gathering, Request
 from tideusher.core.order import order_jobs, urgency_us
 from tideusher.core.placement import Demand, Room
 from tideusher.core.preempt import Standing, choose_room, room_of_halted, stoppable
@@ -18,6 +21,8 @@
     def __init__(self, cluster: Cluster, now_us: int) -> None:
         self._c = cluster
         self._spare_gpus = 0.0
+        self._gathering = Gathering()
+        self._place: dict[str, int] = {}  # of each waiting job in the queue
         self._ordinary_short = False  # did work that runs on ordinary machines only wait after the last pass?
         self._next_move_us = now_us + to_us(2 * cluster.config.settings.workers.lease_s)
         self._objectives = {
@@ -53,10 +58,13 @@
         ]
         used_gpus = sum(usage[1] for usage in self._c.usage.values())
         self._c.fleet.refresh_warm(now_us, used_gpus)
+        self._place = {job.spec.id: place for place, job in enumerate(queue)}
         least = Demand.least_of(job.spec for job in waiting)
         holding = [m for m in usable if least.fits(m.free_cpus, m.free_gpus, m.free_ram)]
         room = Room(holding, self._c.policy.placement__parts)
-        self._spare_gpus = sum(m.free_gpus for m in usable if not m.spot) - self._c.fleet.reserve_gpus()
+        held = self._gathering.held
+        free_gpus = sum(m.free_gpus for m in usable if not m.spot and m.name not in held)
+        self._spare_gpus = free_gpus - self._c.fleet.reserve_gpus()
         unplaced: list[tuple[Job, int]] = []
         for job in queue:
             left = self._place_job(job, room, now_us)
@@ -65,7 +73,11 @@
         self._ordinary_short = any(not job.spec.spot for job, _ in unplaced)
         if self._c.writable:  # what is stopped while nothing can be started is stopped for nobody
             self._preempt(unplaced, now_us)
-        self._plan_fleet(unplaced, now_us)
+        requests = self._gathering.update(unplaced, usable, self._c.machines.values(), self._rentable(now_us))
+        self._plan_fleet(requests, now_us)
+
+    def _rentable(self, now_us: int) -> Callable[[Job, str], bool]:
+        return lambda job, zone: self._c.fleet.rentable(job.spec, zone, now_us)
 
     def _within_guarantee(self) -> set[str]:
         """Jobs that fit their team's guarantee along with the team's earlier unfinished jobs."""
@@ -114,17 +126,21 @@
         spec = job.spec
 
         def usable(machine: Machine) -> bool:
-            return machine.name not in avoid and machine.reserved in ("", spec.id)
+            return (
+                machine.name not in avoid
+                and machine.reserved in ("", spec.id)
+                and self._gathering.may_use(job, machine, self._place)
+            )
 
-        def only_spot(machine: Machine) -> bool:
-            return usable(machine) and machine.spot
+        def not_warm(machine: Machine) -> bool:
+            return usable(machine) and (machine.spot or self._gathering.held.get(machine.name) is job)
 
         # What may run on spot would soon be stopped again on room that others wait for: on one grown
         # deployment every fourth array task was, with all that it had done.
         yields = spec.spot and self._ordinary_short and self._c.fleet.spot_available(spec, now_us)
         # Classes without a claim to the warm room may not eat it up.
         enough = self._c.fleet.is_warm(spec.job_class) or spec.gpus * count <= self._spare_gpus
-        machines = room.place(job, count, job.is_gang, usable if enough and not yields else only_spot, limit)
+        machines = room.place(job, count, job.is_gang, usable if enough and not yields else not_warm, limit)
         partly = not (enough or yields or job.is_gang)
         if partly and len(machines) < count and self._spare_gpus >= spec.gpus > 0:
             part = min(count - len(machines), int(self._spare_gpus / spec.gpus))
@@ -253,17 +269,19 @@
                 return {}
         return targets
 
-    def _plan_fleet(self, unplaced: list[tuple[Job, int]], now_us: int) -> None:
+    def _plan_fleet(self, requests: list[Request], now_us: int) -> None:
+        held = self._gathering.held
+        open_to_all = [m for m in self._c.machines.values() if m.name not in held]
         asked = [(r.type, r.zone, r.spot, r.count) for r in self._c.rentals.values() if not r.answered]
         # What the cloud takes in a second is asked at a time. A queue of many small rentals reached it
         # half a minute late when a whole fleet was wanted; what has to wait is asked for in one.
         room = max(2, int(self._c.config.settings.cloud.rps)) - len(asked)
         if room > 0:
-            for wish in self._c.fleet.plan(now_us, unplaced, self._c.machines.values(), asked)[:room]:
+            for wish in self._c.fleet.plan(now_us, requests, open_to_all, asked)[:room]:
                 self._c.rent(wish)
         self._consolidate(now_us)
         for machine in self._c.machines.values():
             if machine.draining == MOVED and machine.phase == UP and not machine.tasks:
                 self._c.give_back(machine, MOVED)
-        for machine, reason in self._c.fleet.surplus(now_us, list(self._c.machines.values())):
+        for machine, reason in self._c.fleet.surplus(now_us, [m for m in open_to_all if m.name in self._c.machines]):
             self._c.give_back(machine, reason)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -6,6 +6,7 @@
 from tideusher.clock import SECOND_US
 from tideusher.config import Policy, Team
 from tideusher.core.fleet import Fleet
+from tideusher.core.gather import Gathering, Request
 from tideusher.core.ledger import NO_GUARANTEE, Ledger
 from tideusher.core.order import order_jobs
 from tideusher.core.placement import Room, part_of
@@ -211,6 +212,28 @@
     assert choose_room(request, 1, [a, b], {"host-2": [16.0, 4.0, 64.0]}, everything, lambda t: 0)[1] == []
 
 
+# Gathering
+
+
+def test_what_is_free_is_held_for_a_gang_until_the_rest_has_come():
+    free = [machine(f"host-{i}", "a") for i in range(3)] + [machine("host-8", "b")]
+    busy = machine("host-4", "a")
+    running(job("batch", gpus=4.0), busy)
+    gang = Job(job("gang", 4, gpus=4.0, one_zone=True), 1, 0, 0)
+    second = Job(job("gang", 2, gpus=4.0, one_zone=True), 1, 0, 0)
+    room = Gathering()
+    requests = room.update([(gang, 4), (second, 2)], [*free, busy], [*free, busy], lambda j, zone: False)
+    assert {name: holder for name, holder in room.held.items()} == {f"host-{i}": gang for i in range(3)}
+    assert [(r.job, r.count, r.zone) for r in requests] == [(gang, 1, "a"), (second, 2, "a")]
+    place = {second.spec.id: 2, gang.spec.id: 1, "req-000000": 0}
+    first = Job(job("service", id="req-000000"), 1, 0, 0)
+    assert room.may_use(gang, free[0], place) and not room.may_use(second, free[0], place)
+    assert room.may_use(first, free[0], place)  # who is ahead in the queue may take it
+    # A zone that can never hold the gang is not chosen for the room that it has now.
+    wide = Job(job("gang", 5, gpus=4.0, one_zone=True), 1, 0, 0)
+    assert room.update([(wide, 5)], [*free, busy], [*free, busy], lambda j, zone: zone == "b")[0].zone == "b"
+
+
 # Fleet
 
 
@@ -232,8 +255,8 @@
     fleet = Fleet(POLICY, [])
     fleet.types = {TYPE.name: TYPE}
     batch, service = Job(job("batch", 4, spot=True), 1, 0, 0), Job(job("service", 2, spread=True), 1, 0, 0)
-    wishes = fleet.plan(0, [(batch, 4), (service, 2)], [], [])
+    wishes = fleet.plan(0, [Request(batch, 4), Request(service, 2)], [], [])
     assert {(w.spot, w.count) for w in wishes} == {(True, 1), (False, 1)} and sum(w.count for w in wishes) == 3
     booting = machine()
     booting.phase = "booting"
-    assert fleet.plan(0, [(batch, 4)], [booting], []) == []
+    assert fleet.plan(0, [Request(batch, 4)], [booting], []) == []
