--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -2,17 +2,22 @@
 
 import random
 
+import msgspec
 import pytest
 
 from standins import TYPE, FakeClock, StateStandIn, job, make_config
 from tideusher.clock import SECOND_US
 from tideusher.config import Policy
-from tideusher.core.cluster import Cluster
+from tideusher.core import keys
+from tideusher.core.cluster import MAX_STOPS_KEPT, Cluster, Rental
 from tideusher.core.fleet import Bin, Bins, Fleet
 from tideusher.core.health import PROBES_INTO_SILENCE
 from tideusher.core.placement import Demand, slots_in
 from tideusher.core.preempt import Standing, choose_room, protected_until_us, stoppable
-from tideusher.core.records import COMMITTING, SEEN, UP, Job, Machine, Task
+from tideusher.core.records import CHUNK_TASKS, COMMITTING, SEEN, UP, Job, Machine, Task, chunk_value
+from tideusher.core.scheduler import Scheduler
+from tideusher.wire.cloud import MAX_RENT
+from tideusher.wire.state import Txn
 from tideusher.wire.workers import Report
 
 POLICY = Policy()
@@ -195,3 +200,70 @@
     probing = {m.name for m in cluster.health.to_probe(clock.now_us(), set())}
     assert len(probing) == 2 * PROBES_INTO_SILENCE  # both zones are silent
     assert cluster.health.to_probe(clock.now_us(), probing) == []
+
+
+def test_the_largest_records_stay_within_the_smallest_value_limit_seen():
+    """A full chunk with its stops, and a rental of which every machine is being returned: 4 KiB at most."""
+    machines = [
+        Machine(f"host-{900000 + n}", TYPE.name, "a", False, "r", 64.0, 64.0, 512.0, 0) for n in range(CHUNK_TASKS)
+    ]
+    big = Job(job("gang", CHUNK_TASKS, one_zone=True, cpus=0.1, gpus=0.1, ram_gb=0.1), 1, 0, 0)
+    for index, one in enumerate(machines):
+        big.take(Task(big, index, 10**6, one, SEEN, 0))
+    why = f"it is past its protected time and job req-{'9' * 19} of team {'t' * 40} needs the room"
+    stop = {"at": 10**16, "task": 99999, "on": machines[0].name, "why": why}
+    big.stops = [stop] * MAX_STOPS_KEPT
+    chunk = big.chunk_of(0)
+    chunk.attempts, chunk.done = 10**6, 2**CHUNK_TASKS - 1
+    assert len(msgspec.json.encode(chunk_value(big, chunk))) <= 4096
+    names = [one.name for one in machines[:MAX_RENT]]
+    rental = Rental("999999999-999999", TYPE.name, "a", False, MAX_RENT, True, names, list(names))
+    assert len(msgspec.json.encode(rental.value())) <= 4096
+
+
+def test_one_transaction_keeps_within_writes_conditions_and_bytes():
+    config = make_config()
+    ops = config.settings.state.txn_ops
+    clock, state = FakeClock(), StateStandIn()
+    cluster = Cluster(config, POLICY, state.elect("n0"), clock.now_us(), clock.wall_us)
+    cluster.set_types([TYPE])
+    for number in range(ops + 1):
+        spec = job("batch", 1, cpus=0.1, gpus=0.1)
+        state.submit(spec, clock.wall_us())
+        value, stamp = state.items[keys.job_key(spec.id)]
+        cluster.job_changed(spec.id, value, stamp, clock.now_us())
+        report = Report(f"host-{number}", "127.0.0.1:9", "m4", "a", False, 1, 1, cluster.token, None, [])
+        cluster.report(report, clock.now_us())
+    Scheduler(cluster, clock.now_us()).schedule(clock.now_us())
+    written = []
+    while (batch := cluster.keeper.next_batch(1000)) is not None:
+        assert len(batch.writes) <= ops and len(batch.guards) <= 4 * ops
+        assert len(msgspec.json.encode(Txn(batch.guards, batch.writes))) <= 64 * 1024
+        revision = state.txn(batch.guards, batch.writes)
+        assert revision is not None
+        cluster.keeper.saved(revision)
+        written += [write.key for write in batch.writes]
+    assert sum(key.startswith(keys.CHUNK_PREFIX) for key in written) == ops + 1
+
+
+def test_rentals_wait_for_the_cloud_and_go_out_together():
+    """79 small rentals once queued at the cloud when a whole fleet was wanted at the start."""
+    config = make_config()
+    clock, state = FakeClock(), StateStandIn()
+    cluster = Cluster(config, POLICY, state.elect("n0"), clock.now_us(), clock.wall_us)
+    cluster.set_types([TYPE])
+    scheduler = Scheduler(cluster, clock.now_us())
+    for _ in range(3 * int(config.settings.cloud.rps)):
+        spec = job("service", 1, team="poor", gpus=4.0)
+        state.submit(spec, clock.wall_us())
+        value, stamp = state.items[keys.job_key(spec.id)]
+        cluster.job_changed(spec.id, value, stamp, clock.now_us())
+        clock.pass_s(0.15)
+        scheduler.schedule(clock.now_us())
+    asked = sum(rental.count for rental in cluster.rentals.values())
+    assert len(cluster.rentals) <= config.settings.cloud.rps
+    for rental in list(cluster.rentals.values()):
+        cluster.rented(rental, [f"{rental.name}-{n}" for n in range(rental.count)], clock.now_us())
+    scheduler.schedule(clock.now_us())
+    rest = [rental for rental in cluster.rentals.values() if not rental.answered]
+    assert 0 < len(rest) <= 2 and asked + sum(rental.count for rental in rest) == 3 * config.settings.cloud.rps
