A move looks again at its zones; of a job one machine's tasks move at a time

Now a job with a move under way is no source of another, and the limit is checked when the place is taken. Test: a move looks again at the zones when it is made (fails without the check).

--- a/src/tideusher/core/cluster.py
+++ b/src/tideusher/core/cluster.py
@@ -336,6 +336,7 @@
             and target.phase == UP
             and not target.draining
             and target.fits(job.spec)
+            and job.may_join(target.zone)  # others may have taken places there since the move was planned
         ):
             target.reserved = ""
             self.assign(job, [target], now_us)
--- a/src/tideusher/core/records.py
+++ b/src/tideusher/core/records.py
@@ -119,6 +119,13 @@
             use[task.machine.zone] = use.get(task.machine.zone, 0) + 1
         return use
 
+    def may_join(self, zone: str) -> bool:
+        """May one more task take a place in this zone, given where the others hold theirs?"""
+        use, limit = self.zone_use(), self.zone_limit
+        if self.spec.one_zone and any(other != zone for other in use):
+            return False
+        return limit is None or use.get(zone, 0) < limit
+
     @property
     def pending(self) -> int:
         """Tasks that hold no place and are not done."""
--- a/src/tideusher/core/scheduler.py
+++ b/src/tideusher/core/scheduler.py
@@ -231,18 +231,23 @@
             )
         ]
         self._next_move_us = now_us + SECOND_US
+        # Of a job one machine's tasks move at a time: where each may go depends on where the others are,
+        # and two that moved at once have both gone to the zone that had room for one.
+        moving_jobs = {job.spec.id for job in self._c.jobs.values() for t in job.live.values() if t.move_to}
         holding = [m for m in up if m.tasks and m.free_gpus > 0 and not m.fetching]
         for source in sorted(sources, key=lambda m: (m.gpus - m.free_gpus, m.name)):
             if quota <= 0:
                 return
-            if source.reserved:
-                continue  # it became the target of another
+            jobs = {task.job.spec.id for task in source.tasks.values()}
+            if source.reserved or jobs & moving_jobs:  # reserved: it became the target of another
+                continue
             others = [m for m in holding if m is not source and not m.draining and not m.reserved]
             targets = self._targets(source, others)
             if targets and not self._c.fleet.unmet_without(source, [m for m in up if not m.draining]):
                 source.draining = MOVED
                 self._next_move_us = now_us + to_us(self._c.policy.fleet__move_pause_s)
                 quota -= 1
+                moving_jobs |= jobs
                 for task, target in targets.items():
                     target.reserved = task.job.spec.id
                     target.reserved_until_us = now_us + to_us(RESERVE_S)
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -264,6 +264,35 @@
     assert set(placed.live) == {1} and placed.live[1].attempt == 1
 
 
+def test_a_move_looks_again_at_the_zones_when_it_is_made(bed):
+    """Two replicas that moved at once both went to the zone that had room for one (wrong_place)."""
+    spec = job("service", 3, spread=True, gpus=2.0)
+    placed = bed.submit(spec)
+    for name, zone in (("host-1", "a"), ("host-2", "b"), ("host-3", "b")):
+        bed.report(name, 1, zone=zone)
+    bed.commit()
+    bed.scheduler.schedule(bed.clock.now_us())
+    bed.commit()
+    at_a = [task for task in placed.live.values() if task.machine.zone == "a"]
+    at_b = [task for task in placed.live.values() if task.machine.zone == "b"]
+    crowded, other = (at_a, "b") if len(at_a) == 2 else (at_b, "a")
+    serial = {"host-1": 2, "host-2": 2, "host-3": 2}
+    zone_of = {"host-1": "a", "host-2": "b", "host-3": "b"}
+    for task in placed.live.values():
+        name = task.machine.name
+        bed.report(name, serial[name], zone=zone_of[name])
+        serial[name] += 1
+    targets = [m for m in bed.cluster.machines.values() if m.zone == other]
+    for number, task in enumerate(crowded):
+        task.move_to = targets[number % len(targets)]
+        bed.cluster.halt(task, 0.0, "it moves")
+    for task in crowded:
+        name = task.machine.name
+        bed.report(name, serial[name], (task.name, task.attempt, "exited", "stopped"), zone=zone_of[name])
+        serial[name] += 1
+    assert all(count <= 2 for count in placed.zone_use().values()), placed.zone_use()
+
+
 def test_a_replacement_joins_a_gang_that_has_not_started(bed):
     spec = job("gang", 2, gpus=3.0)
     placed = bed.submit(spec)
