Who reports soonest starts first; the silence of the unheard in words

Among machines that are equal otherwise, the one that reported longest ago is taken; the words tell the leadership's age.

--- a/src/tideusher/actors/leader.py
+++ b/src/tideusher/actors/leader.py
@@ -307,8 +307,7 @@
         machine.probes_failed += 1
         now_us = self._clock.now_us()
         if machine.probes_failed >= 2 and cluster.health.zone_heard(machine.zone, now_us):
-            silent_s = (now_us - machine.reported_us) / 1e6
-            cluster.give_back(machine, f"silent for {silent_s:.0f} s and does not answer")
+            cluster.give_back(machine, f"{cluster.health.silence(machine, now_us)} and does not answer")
             self._act(cluster)
 
     # ---------------------------------------------------------------- persisting
--- a/src/tideusher/core/health.py
+++ b/src/tideusher/core/health.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Set
 
-from tideusher.clock import to_us
+from tideusher.clock import to_s, to_us
 from tideusher.config import Config, Policy
 from tideusher.core.fleet import Fleet
 from tideusher.core.records import BOOTING, UP, Machine
@@ -41,6 +41,12 @@
             return now_us - max(self._began_us, heard_us) > self._settle_us
         return False
 
+    def silence(self, machine: Machine, now_us: int) -> str:
+        """How long it has been silent, in words; one inherited may never have reported to this leader."""
+        if machine.reported_us:
+            return f"silent for {to_s(now_us - machine.reported_us):.0f} s"
+        return f"not heard in the {to_s(now_us - self._began_us):.0f} s of this leadership"
+
     def suspects(self, now_us: int) -> list[Machine]:
         """All machines that have been silent for long. A pass over the fleet: for ticks, not reports."""
         return [machine for machine in self._machines.values() if self.is_suspect(machine, now_us)]
--- a/src/tideusher/core/placement.py
+++ b/src/tideusher/core/placement.py
@@ -142,6 +142,7 @@
             not pair[0].spot,
             pair[0].free_gpus,
             pair[0].free_cpus,
+            pair[0].reported_us,  # who reported longest ago asks soonest, and starts with the answer
             pair[0].name,
         ),
     )
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -433,6 +433,10 @@
     listing = [Listed("host-1", "127.0.0.1:9", "m4", "a", False, "running", 500.0)]
     bed.cluster.listed(listing, bed.clock.now_us())
     assert bed.cluster.health.overdue(bed.clock.now_us()) == []
+    # Its silence was once told as the time since the clock began.
+    bed.clock.pass_s(9.0)
+    words = bed.cluster.health.silence(bed.cluster.machines["host-1"], bed.clock.now_us())
+    assert words == "not heard in the 9 s of this leadership"
 
 
 def test_nothing_is_stopped_while_the_state_service_takes_no_writes(bed):
