A gang's zone is chosen by what it offers to rent, too

Cause: small gangs that may use spot were pinned to a zone where spot was refused, and rented ordinary machines there. Now a zone that holds a part only is chosen if the best kind can be rented there; with nothing anywhere the plan decides.

--- a/src/tideusher/core/fleet.py
+++ b/src/tideusher/core/fleet.py
@@ -9,7 +9,7 @@
 
 from tideusher.clock import SECOND_US, to_s, to_us
 from tideusher.config import Objective, Policy
-from tideusher.core.gather import Request
+from tideusher.core.gather import BEST, NONE, OTHER, Request
 from tideusher.core.placement import Demand, slots_in
 from tideusher.core.records import BOOTING, UP, Machine, allowed_on
 from tideusher.wire.cloud import MachineType
@@ -144,14 +144,14 @@
             self._to_be_had(kind, spec, zone, True, now_us) for kind in self.types.values() for zone in kind.zones
         )
 
-    def rentable(self, spec: JobSpec, zone: str, now_us: int) -> bool:
-        """Is there any machine to be had in the zone that this job may run on?"""
-        return any(
-            self._to_be_had(kind, spec, zone, spot, now_us)
-            for kind in self.types.values()
-            if zone in kind.zones
-            for spot in (True, False)
-        )
+    def offer(self, spec: JobSpec, zone: str, now_us: int) -> int:
+        """What the zone has for the job to be rented: spot if it may use that, ordinary, or nothing now."""
+        kinds = [kind for kind in self.types.values() if zone in kind.zones]
+        if spec.spot and any(self._to_be_had(kind, spec, zone, True, now_us) for kind in kinds):
+            return BEST
+        if any(self._to_be_had(kind, spec, zone, False, now_us) for kind in kinds):
+            return OTHER if spec.spot else BEST
+        return NONE
 
     def _to_be_had(self, kind: MachineType, spec: JobSpec, zone: str, spot: bool, now_us: int) -> bool:
         return (
--- a/src/tideusher/core/gather.py
+++ b/src/tideusher/core/gather.py
@@ -13,6 +13,9 @@
 from tideusher.core.placement import slots, slots_in
 from tideusher.core.records import BOOTING, UP, Job, Machine
 
+#: What a zone offers a job: the kind of machine that it is best rented on, another, or none now.
+BEST, OTHER, NONE = 0, 1, 2
+
 
 @dataclass(frozen=True, slots=True)
 class Request:
@@ -39,7 +42,7 @@
         unplaced: Sequence[tuple[Job, int]],
         usable: Sequence[Machine],
         machines: Iterable[Machine],
-        rentable: Callable[[Job, str], bool],
+        offer: Callable[[Job, str], int],
     ) -> list[Request]:
         """Hold what is free for gangs in the order of the queue; returns what is missing beyond that."""
         self.held = {}
@@ -49,7 +52,7 @@
             if not (job.is_gang and job.spec.one_zone) or job.live:
                 requests.append(Request(job, count))
                 continue
-            zone, free = self._best_zone(job, count, usable, lasting, rentable)
+            zone, free = self._best_zone(job, count, usable, lasting, offer)
             missing = count
             for machine in sorted(free, key=lambda m: (m.free_gpus, m.name)):
                 if missing <= 0:
@@ -69,7 +72,7 @@
         count: int,
         usable: Sequence[Machine],
         machines: Sequence[Machine],
-        rentable: Callable[[Job, str], bool],
+        offer: Callable[[Job, str], int],
     ) -> tuple[str | None, list[Machine]]:
         """The zone that has most of the room now or soon, of those that can ever hold the whole gang."""
         spec = job.spec
@@ -88,15 +91,16 @@
             if machine.phase == BOOTING:
                 near[machine.zone] = near.get(machine.zone, 0) + slots(machine, job)
             ever[machine.zone] = ever.get(machine.zone, 0) + _once_idle(machine, job)
-        zones = sorted(
-            ever.keys() | near.keys(),
-            key=lambda zone: (
-                ever.get(zone, 0) < count and not rentable(job, zone),
-                -min(count, near.get(zone, 0)),
-                zone,
-            ),
-        )
-        return (zones[0], free.get(zones[0], [])) if zones else (None, [])
+        if not near:
+            return None, []  # nothing is there yet: rent wherever it is best
+
+        def rank(zone: str) -> tuple[bool, bool, int, str]:
+            offered, held = offer(job, zone), near.get(zone, 0)
+            possible = offered < NONE or ever.get(zone, 0) >= count
+            return not possible, held < count and offered > BEST, -min(count, held), zone
+
+        best = min(ever.keys() | near.keys(), key=rank)
+        return best, free.get(best, [])
 
 
 def _once_idle(machine: Machine, job: Job) -> int:
--- a/src/tideusher/core/scheduler.py
+++ b/src/tideusher/core/scheduler.py
@@ -73,11 +73,11 @@
         self._ordinary_short = any(not job.spec.spot for job, _ in unplaced)
         if self._c.writable:  # what is stopped while nothing can be started is stopped for nobody
             self._preempt(unplaced, now_us)
-        requests = self._gathering.update(unplaced, usable, self._c.machines.values(), self._rentable(now_us))
+        requests = self._gathering.update(unplaced, usable, self._c.machines.values(), self._offer(now_us))
         self._plan_fleet(requests, now_us)
 
-    def _rentable(self, now_us: int) -> Callable[[Job, str], bool]:
-        return lambda job, zone: self._c.fleet.rentable(job.spec, zone, now_us)
+    def _offer(self, now_us: int) -> Callable[[Job, str], int]:
+        return lambda job, zone: self._c.fleet.offer(job.spec, zone, now_us)
 
     def _within_guarantee(self) -> set[str]:
         """Jobs that fit their team's guarantee along with the team's earlier unfinished jobs."""
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -6,7 +6,7 @@
 from tideusher.clock import SECOND_US
 from tideusher.config import Policy, Team
 from tideusher.core.fleet import Fleet
-from tideusher.core.gather import Gathering, Request
+from tideusher.core.gather import BEST, NONE, OTHER, Gathering, Request
 from tideusher.core.ledger import NO_GUARANTEE, Ledger
 from tideusher.core.order import order_jobs
 from tideusher.core.placement import Room, part_of
@@ -222,16 +222,24 @@
     gang = Job(job("gang", 4, gpus=4.0, one_zone=True), 1, 0, 0)
     second = Job(job("gang", 2, gpus=4.0, one_zone=True), 1, 0, 0)
     room = Gathering()
-    requests = room.update([(gang, 4), (second, 2)], [*free, busy], [*free, busy], lambda j, zone: False)
+    requests = room.update([(gang, 4), (second, 2)], [*free, busy], [*free, busy], lambda j, zone: NONE)
     assert {name: holder for name, holder in room.held.items()} == {f"host-{i}": gang for i in range(3)}
     assert [(r.job, r.count, r.zone) for r in requests] == [(gang, 1, "a"), (second, 2, "a")]
     place = {second.spec.id: 2, gang.spec.id: 1, "req-000000": 0}
     first = Job(job("service", id="req-000000"), 1, 0, 0)
     assert room.may_use(gang, free[0], place) and not room.may_use(second, free[0], place)
     assert room.may_use(first, free[0], place)  # who is ahead in the queue may take it
+    # Where only the dearer kind can be rented is not chosen for a part of the room.
+    cheap = room.update([(gang, 4)], free, free, lambda j, zone: BEST if zone == "b" else OTHER)
+    assert cheap == [Request(gang, 3, "b")]
+    # With nothing anywhere the plan decides.
+    assert room.update([(gang, 4)], [], [], lambda j, zone: BEST) == [Request(gang, 4)]
     # A zone that can never hold the gang is not chosen for the room that it has now.
     wide = Job(job("gang", 5, gpus=4.0, one_zone=True), 1, 0, 0)
-    assert room.update([(wide, 5)], [*free, busy], [*free, busy], lambda j, zone: zone == "b")[0].zone == "b"
+    assert (
+        room.update([(wide, 5)], [*free, busy], [*free, busy], lambda j, zone: BEST if zone == "b" else NONE)[0].zone
+        == "b"
+    )
 
 
 # Fleet
