Members of a gang with their image run when the others' long fetches are over

Members on machines with the image waited 40 s, others fetched for up to 90 s, and the stop ended their fetches each time. Where a fetch may take most of gang_wait_s, members with the image get their run when no other lacks it. Ruled out: room, faulty machines. Test: a member with its image is told to run when long fetches of the others are over.

--- a/src/tideusher/core/cluster.py
+++ b/src/tideusher/core/cluster.py
@@ -46,6 +46,10 @@
 from tideusher.wire.workers import Command, Report, TaskReport
 
 MAX_STOPS_KEPT = 6
+#: A fetch takes up to this many times what the type's rate says: rates differ by a third.
+SLOW_FETCH = 1.5
+#: How much of the time that gang members wait for one another a fetch may use up.
+WAIT_USED = 0.8
 
 
 @dataclass(slots=True, eq=False)
@@ -433,6 +437,8 @@
             task.state = item.state
             if item.state in (workers.ACTIVE, workers.WAITING):
                 self._used_image(task)
+        elif item.state == workers.FETCHING:
+            task.machine.images.pop(task.job.spec.image, None)  # we counted on one that is gone
         if item.state == workers.ACTIVE and task.running_us is None:
             task.running_us = now_us
             waited_us = self._wall_us() - task.job.submitted_us
@@ -537,11 +543,29 @@
                 if task.phase == SEEN or task.inherited or task.sent is not None:
                     out.append(workers.halt(task.name, task.attempt, task.halt_grace_s))
             elif task.phase == ASSIGNED and task.sent is None and machine.phase == UP and task.job.status == OPEN:
+                if self._comes_too_soon(task):
+                    continue
                 # The only place where `run` is ever sent (safety 4).
                 task.sent = (machine.session, machine.serial)
                 out.append(workers.run(task.name, task.attempt))
         return out
 
+    def _comes_too_soon(self, task: Task) -> bool:
+        """Would this member of a gang give up waiting before others have their image?
+
+        A member that has its image waits `gang_wait_s` for the rest. Where a fetch takes longer, those
+        that start with the image gave up, the gang was stopped, the fetches with it, and so again. They
+        are told to run when the fetches are over.
+        """
+        job, machine = task.job, task.machine
+        spec, kind = job.spec, self.fleet.types.get(machine.type)
+        if not job.is_gang or kind is None or spec.image not in machine.images:
+            return False
+        longest_s = spec.image_gb / max(kind.fetch_gb_per_s, 1e-6) * SLOW_FETCH
+        if longest_s < self.config.settings.workers.gang_wait_s * WAIT_USED:
+            return False
+        return any(spec.image not in other.machine.images for other in job.live.values())
+
     # ---------------------------------------------------------------- machines
 
     def _add_machine(self, name: str, rental: Rental, now_us: int) -> Machine:
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -315,6 +315,26 @@
     assert ops(bed.report(placed.live[0].machine.name, 2)) == [("run", f"{spec.id}/0", 1)]
 
 
+def test_a_member_with_its_image_is_told_to_run_when_long_fetches_of_the_others_are_over(bed):
+    """Members that start with the image gave up after gang_wait_s, and stopped the fetches of the rest."""
+    spec = job("gang", 2, gpus=3.0, image_gb=15.0)  # up to 22 s to fetch, members wait 20 s for one another
+    placed = bed.submit(spec)
+    for name in ("host-1", "host-2"):
+        bed.report(name, 1)
+    bed.cluster.machines["host-1"].images["img-1"] = 15.0
+    bed.commit()
+    bed.scheduler.schedule(bed.clock.now_us())
+    bed.commit()
+    index = {task.machine.name: task.index for task in placed.live.values()}
+    has, fetches = f"{spec.id}/{index['host-1']}", f"{spec.id}/{index['host-2']}"
+    assert ops(bed.report("host-1", 2)) == []
+    assert ops(bed.report("host-2", 2)) == [("run", fetches, 1)]
+    bed.report("host-2", 3, (fetches, 1, "pulling", None))
+    assert ops(bed.report("host-1", 3)) == [] and len(placed.live) == 2
+    bed.report("host-2", 4, (fetches, 1, "waiting", None))
+    assert ops(bed.report("host-1", 4)) == [("run", has, 1)]
+
+
 # 4. `run` only in answers to reports; `done` before `forget`
 
 
