Spot-able work takes the ordinary room that those who wait cannot use

Cause: while any work waited for ordinary machines, spot-able work left half-free ones unused, though a waiting gang needs whole machines. Now only room that holds the least of what waits is left to them. Test: spot-able work leaves ordinary room to who waits for it and takes what they cannot use.

--- a/src/tideusher/core/scheduler.py
+++ b/src/tideusher/core/scheduler.py
@@ -23,7 +23,8 @@
         self._spare_gpus = 0.0
         self._gathering = Gathering()
         self._place: dict[str, int] = {}  # of each waiting job in the queue
-        self._ordinary_short = False  # did work that runs on ordinary machines only wait after the last pass?
+        #: The least that work waits for which runs on ordinary machines only; None: no such work waits.
+        self._ordinary_short: Demand | None = None
         self._next_move_us = now_us + to_us(2 * cluster.config.settings.workers.lease_s)
         self._objectives = {
             o.job_class: o.within_s
@@ -70,7 +71,8 @@
             left = self._place_job(job, room, now_us)
             if left:
                 unplaced.append((job, left))
-        self._ordinary_short = any(not job.spec.spot for job, _ in unplaced)
+        short = [job.spec for job, _ in unplaced if not job.spec.spot]
+        self._ordinary_short = Demand.least_of(short) if short else None
         if self._c.writable:  # what is stopped while nothing can be started is stopped for nobody
             self._preempt(unplaced, now_us)
         requests = self._gathering.update(unplaced, usable, self._c.machines.values(), self._offer(now_us))
@@ -132,22 +134,29 @@
                 and self._gathering.may_use(job, machine, self._place)
             )
 
-        def not_warm(machine: Machine) -> bool:
-            return usable(machine) and (machine.spot or self._gathering.held.get(machine.name) is job)
-
-        # What may run on spot would soon be stopped again on room that others wait for: on one grown
-        # deployment every fourth array task was, with all that it had done.
-        yields = spec.spot and self._ordinary_short and self._c.fleet.spot_available(spec, now_us)
         # Classes without a claim to the warm room may not eat it up.
         enough = self._c.fleet.is_warm(spec.job_class) or spec.gpus * count <= self._spare_gpus
-        machines = room.place(job, count, job.is_gang, usable if enough and not yields else not_warm, limit)
-        partly = not (enough or yields or job.is_gang)
-        if partly and len(machines) < count and self._spare_gpus >= spec.gpus > 0:
+        # What may run on spot would soon be stopped again on room that others wait for: on one grown
+        # deployment every fourth array task was, with all that it had done.
+        short = self._ordinary_short if spec.spot and self._c.fleet.spot_available(spec, now_us) else None
+
+        def free_to_it(machine: Machine) -> bool:
+            if short is not None and not machine.spot:
+                if short.fits(machine.free_cpus, machine.free_gpus, machine.free_ram):
+                    return False
+            return usable(machine)
+
+        def not_warm(machine: Machine) -> bool:
+            return free_to_it(machine) and (machine.spot or self._gathering.held.get(machine.name) is job)
+
+        machines = room.place(job, count, job.is_gang, free_to_it if enough else not_warm, limit)
+        partly = not (enough or job.is_gang) and len(machines) < count
+        if partly and self._spare_gpus >= spec.gpus > 0:
             part = min(count - len(machines), int(self._spare_gpus / spec.gpus))
             if machines:
                 self._c.assign(job, machines, now_us)
                 count -= len(machines)
-            machines = room.place(job, part, False, lambda m: usable(m) and not m.spot, limit)
+            machines = room.place(job, part, False, lambda m: free_to_it(m) and not m.spot, limit)
         self._spare_gpus -= spec.gpus * sum(not m.spot for m in machines)
         if machines:
             self._c.assign(job, machines, now_us)
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -267,3 +267,28 @@
     scheduler.schedule(clock.now_us())
     rest = [rental for rental in cluster.rentals.values() if not rental.answered]
     assert 0 < len(rest) <= 2 and asked + sum(rental.count for rental in rest) == 3 * config.settings.cloud.rps
+
+
+def test_spot_able_work_leaves_ordinary_room_to_who_waits_for_it_and_takes_what_they_cannot_use():
+    clock, state = FakeClock(), StateStandIn()
+    cluster = Cluster(make_config(), POLICY, state.elect("n0"), clock.now_us(), clock.wall_us)
+    cluster.set_types([TYPE])
+    scheduler = Scheduler(cluster, clock.now_us())
+
+    def submit(spec):
+        state.submit(spec, clock.wall_us())
+        value, stamp = state.items[keys.job_key(spec.id)]
+        cluster.job_changed(spec.id, value, stamp, clock.now_us())
+        return cluster.jobs[spec.id]
+
+    for name in ("host-1", "host-2"):
+        cluster.report(Report(name, "127.0.0.1:9", "m4", "a", False, 1, 1, cluster.token), clock.now_us())
+    submit(job("service", 1, priority="critical"))
+    scheduler.schedule(clock.now_us())
+    wide = submit(job("gang", 2, gpus=4.0, cpus=12.0, one_zone=True, team="poor", priority="urgent"))
+    scheduler.schedule(clock.now_us())
+    assert not wide.live and wide.pending == 2  # one machine is whole, and another is asked for
+    batch = submit(job("batch", 4, spot=True, team="blue"))
+    scheduler.schedule(clock.now_us())
+    (half,) = [m.name for m in cluster.machines.values() if any(t.job.is_service for t in m.tasks.values())]
+    assert {task.machine.name for task in batch.live.values()} == {half} and len(batch.live) == 3
