One outlook of the fleet a pass for all gangs that ask for the same

The gangs of a class ask for the same room: one count a pass serves all, and only machines that hold something of what waits are looked at as free.

--- a/src/tideusher/core/gather.py
+++ b/src/tideusher/core/gather.py
@@ -47,12 +47,12 @@
         """Hold what is free for gangs in the order of the queue; returns what is missing beyond that."""
         self.held = {}
         requests, gathering = [], set()
-        lasting = list(machines)
+        outlook = _Outlook(machines)
         for job, count in unplaced:
             if not (job.is_gang and job.spec.one_zone) or job.live:
                 requests.append(Request(job, count))
                 continue
-            zone, free = self._best_zone(job, count, usable, lasting, offer)
+            zone, free = self._best_zone(job, count, usable, outlook, offer)
             missing = count
             for machine in sorted(free, key=lambda m: (m.free_gpus, m.name)):
                 if missing <= 0:
@@ -71,26 +71,23 @@
         job: Job,
         count: int,
         usable: Sequence[Machine],
-        machines: Sequence[Machine],
+        outlook: "_Outlook",
         offer: Callable[[Job, str], int],
     ) -> tuple[str | None, list[Machine]]:
         """The zone that has most of the room now or soon, of those that can ever hold the whole gang."""
         spec = job.spec
         free: dict[str, list[Machine]] = {}
-        near: dict[str, int] = {}
-        ever: dict[str, int] = {}
+        booting, ever = outlook.of(job)
+        near = dict(booting)
         for machine in usable:
-            if machine.name not in self.held and machine.reserved in ("", spec.id) and machine.allows(spec):
-                held = slots(machine, job)
-                if held:
-                    free.setdefault(machine.zone, []).append(machine)
-                    near[machine.zone] = near.get(machine.zone, 0) + held
-        for machine in machines:
-            if machine.draining or machine.phase not in (BOOTING, UP) or not machine.allows(spec):
-                continue
-            if machine.phase == BOOTING:
+            if (
+                machine.fits(spec)
+                and machine.name not in self.held
+                and machine.reserved in ("", spec.id)
+                and machine.allows(spec)
+            ):
+                free.setdefault(machine.zone, []).append(machine)
                 near[machine.zone] = near.get(machine.zone, 0) + slots(machine, job)
-            ever[machine.zone] = ever.get(machine.zone, 0) + _once_idle(machine, job)
         if not near:
             return None, []  # nothing is there yet: rent wherever it is best
 
@@ -103,6 +100,33 @@
         return best, free.get(best, [])
 
 
+class _Outlook:
+    """How much of a kind of gang each zone has booting, and could ever hold.
+
+    The gangs of a class ask for the same, so one look at the fleet serves all of them in a pass.
+    """
+
+    def __init__(self, machines: Iterable[Machine]) -> None:
+        self._machines = [m for m in machines if not m.draining and m.phase in (BOOTING, UP)]
+        self._known: dict[tuple[object, ...], tuple[dict[str, int], dict[str, int]]] = {}
+
+    def of(self, job: Job) -> tuple[dict[str, int], dict[str, int]]:
+        """Slots by zone on booting machines, and when all work that ends by itself has ended."""
+        spec = job.spec
+        key = (spec.cpus, spec.gpus, spec.ram_gb, spec.spot, spec.zone, tuple(spec.types or ()))
+        if key not in self._known:
+            booting: dict[str, int] = {}
+            ever: dict[str, int] = {}
+            for machine in self._machines:
+                if not machine.allows(spec):
+                    continue
+                if machine.phase == BOOTING:
+                    booting[machine.zone] = booting.get(machine.zone, 0) + slots(machine, job)
+                ever[machine.zone] = ever.get(machine.zone, 0) + _once_idle(machine, job)
+            self._known[key] = booting, ever
+        return self._known[key]
+
+
 def _once_idle(machine: Machine, job: Job) -> int:
     """How many tasks of the job the machine will hold when all its work that ends by itself has ended."""
     services = [task.job.spec for task in machine.tasks.values() if task.job.is_service]
--- a/src/tideusher/core/scheduler.py
+++ b/src/tideusher/core/scheduler.py
@@ -75,7 +75,7 @@
         self._ordinary_short = Demand.least_of(short) if short else None
         if self._c.writable:  # what is stopped while nothing can be started is stopped for nobody
             self._preempt(unplaced, now_us)
-        requests = self._gathering.update(unplaced, usable, self._c.machines.values(), self._offer(now_us))
+        requests = self._gathering.update(unplaced, holding, self._c.machines.values(), self._offer(now_us))
         self._plan_fleet(requests, now_us)
 
     def _offer(self, now_us: int) -> Callable[[Job, str], int]:
