--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -8,7 +8,7 @@
 from standins import TYPE, FakeClock, StateStandIn, job, make_config
 from tideusher.clock import SECOND_US
 from tideusher.config import Policy
-from tideusher.core import keys
+from tideusher.core import gather, keys
 from tideusher.core.cluster import MAX_STOPS_KEPT, Cluster, Rental
 from tideusher.core.fleet import Bin, Bins, Fleet
 from tideusher.core.health import PROBES_INTO_SILENCE
@@ -292,3 +292,15 @@
     scheduler.schedule(clock.now_us())
     (half,) = [m.name for m in cluster.machines.values() if any(t.job.is_service for t in m.tasks.values())]
     assert {task.machine.name for task in batch.live.values()} == {half} and len(batch.live) == 3
+
+
+def test_gangs_that_ask_for_the_same_share_one_look_at_the_fleet(monkeypatch):
+    """Each waiting gang once counted on every machine what its ending work would leave: a day took too long."""
+    machines, _ = fleet_of(random.Random(1), 30)
+    looks = []
+    once_idle = gather._once_idle
+    monkeypatch.setattr(gather, "_once_idle", lambda m, j: looks.append(m.name) or once_idle(m, j))
+    gangs = [(Job(job("gang", 8, gpus=4.0, cpus=12.0, one_zone=True), 1, 0, 0), 8) for _ in range(10)]
+    requests = gather.Gathering().update(gangs, machines, machines, lambda j, zone: gather.NONE)
+    assert [request.job for request in requests] == [gang for gang, _ in gangs]
+    assert 0 < len(looks) <= len(machines)
