--- a/tests/standins.py
+++ b/tests/standins.py
@@ -444,3 +444,61 @@
             if t.job == task.job and t.attempt == task.attempt
         }
         return len(ready) == self.specs[task.job].tasks
+
+
+class Bed:
+    """A leader on a state stand-in, driven by hand."""
+
+    def __init__(self) -> None:
+        self.clock, self.state = FakeClock(), StateStandIn()
+        self.cluster = self.elect()
+
+    def elect(self) -> Cluster:
+        token = self.state.elect("n0")
+        cluster = Cluster(make_config(), Policy(), token, self.clock.now_us(), self.clock.wall_us)
+        cluster.load(self.state.items, self.clock.now_us())
+        cluster.set_types([TYPE])
+        self.cluster, self.scheduler = cluster, Scheduler(cluster, self.clock.now_us())
+        return cluster
+
+    def see_jobs(self) -> None:
+        for key, (value, stamp) in self.state.items.items():
+            if key.startswith(keys.JOB_PREFIX):
+                self.cluster.job_changed(key[len(keys.JOB_PREFIX) :], value, stamp, self.clock.now_us())
+
+    def submit(self, spec):
+        self.state.submit(spec, self.clock.wall_us())
+        self.see_jobs()
+        return self.cluster.jobs[spec.id]
+
+    def commit(self) -> None:
+        """Write until nothing waits, as the leader's actor does, conflicts included."""
+        for _ in range(50):
+            batch = self.cluster.keeper.next_batch(8)
+            if batch is None:
+                return
+            revision = self.state.txn(batch.guards, batch.writes)
+            if revision is not None:
+                self.cluster.keeper.saved(revision)
+                continue
+            if self.state.stamp_of(keys.LEADER) != self.cluster.token:
+                return
+            self.see_jobs()
+            self.cluster.keeper.not_saved(self.state.stamp_of)
+        raise AssertionError("the leader writes without end")
+
+    def report(self, machine: str, serial: int, *tasks, session=1, token=None, zone="a", spot=False):
+        items = [TaskReport(name, attempt, state, cause) for name, attempt, state, cause in tasks]
+        token = self.cluster.token if token is None else token
+        report = Report(machine, "127.0.0.1:9", "m4", zone, spot, session, serial, token, None, items)
+        return self.cluster.report(report, self.clock.now_us())
+
+    def place(self, spec, *hosts):
+        """Submit, bring machines up (host-1 if none is named), assign and persist; returns the job."""
+        placed = self.submit(spec)
+        for name in hosts or ("host-1",):
+            self.report(name, 1)
+        self.commit()
+        self.scheduler.schedule(self.clock.now_us())
+        self.commit()
+        return placed
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -2,70 +2,10 @@
 
 import pytest
 
-from standins import TYPE, FakeClock, StateStandIn, job, make_config
-from tideusher.config import Policy
+from standins import Bed, job
 from tideusher.core import keys
-from tideusher.core.cluster import Cluster
 from tideusher.core.records import ASSIGNED, COMMITTING, JOB_CANCELLED, JOB_DONE, RETURNING
-from tideusher.core.scheduler import Scheduler
-from tideusher.wire.workers import Report, TaskReport
-
-
-class Bed:
-    """A leader on a state stand-in, driven by hand."""
-
-    def __init__(self) -> None:
-        self.clock, self.state = FakeClock(), StateStandIn()
-        self.cluster = self.elect()
-
-    def elect(self) -> Cluster:
-        token = self.state.elect("n0")
-        cluster = Cluster(make_config(), Policy(), token, self.clock.now_us(), self.clock.wall_us)
-        cluster.load(self.state.items, self.clock.now_us())
-        cluster.set_types([TYPE])
-        self.cluster, self.scheduler = cluster, Scheduler(cluster, self.clock.now_us())
-        return cluster
-
-    def see_jobs(self) -> None:
-        for key, (value, stamp) in self.state.items.items():
-            if key.startswith(keys.JOB_PREFIX):
-                self.cluster.job_changed(key[len(keys.JOB_PREFIX) :], value, stamp, self.clock.now_us())
-
-    def submit(self, spec):
-        self.state.submit(spec, self.clock.wall_us())
-        self.see_jobs()
-        return self.cluster.jobs[spec.id]
-
-    def commit(self) -> None:
-        """Write until nothing waits, as the leader's actor does, conflicts included."""
-        for _ in range(50):
-            batch = self.cluster.keeper.next_batch(8)
-            if batch is None:
-                return
-            revision = self.state.txn(batch.guards, batch.writes)
-            if revision is not None:
-                self.cluster.keeper.saved(revision)
-                continue
-            if self.state.stamp_of(keys.LEADER) != self.cluster.token:
-                return
-            self.see_jobs()
-            self.cluster.keeper.not_saved(self.state.stamp_of)
-        raise AssertionError("the leader writes without end")
-
-    def report(self, machine: str, serial: int, *tasks, session=1, token=None, zone="a", spot=False):
-        items = [TaskReport(name, attempt, state, cause) for name, attempt, state, cause in tasks]
-        token = self.cluster.token if token is None else token
-        report = Report(machine, "127.0.0.1:9", "m4", zone, spot, session, serial, token, None, items)
-        return self.cluster.report(report, self.clock.now_us())
-
-    def place(self, spec):
-        """Submit, bring machines up, assign and persist; returns the job."""
-        placed = self.submit(spec)
-        self.report("host-1", 1)
-        self.commit()
-        self.scheduler.schedule(self.clock.now_us())
-        self.commit()
-        return placed
+from tideusher.wire.workers import Report
 
 
 @pytest.fixture
@@ -249,12 +189,7 @@
 
 def test_a_gang_waits_for_the_end_of_its_last_attempt(bed):
     spec = job("gang", 2, gpus=3.0, one_zone=True)
-    placed = bed.submit(spec)
-    for name in ("host-1", "host-2", "host-3"):
-        bed.report(name, 1)
-    bed.commit()
-    bed.scheduler.schedule(bed.clock.now_us())
-    bed.commit()
+    placed = bed.place(spec, "host-1", "host-2", "host-3")
     names = {task.index: task.machine.name for task in placed.live.values()}
     for index in (0, 1):
         bed.report(names[index], 2)
@@ -295,12 +230,7 @@
 
 def test_a_replacement_joins_a_gang_that_has_not_started(bed):
     spec = job("gang", 2, gpus=3.0)
-    placed = bed.submit(spec)
-    for name in ("host-1", "host-2", "host-3"):
-        bed.report(name, 1)
-    bed.commit()
-    bed.scheduler.schedule(bed.clock.now_us())
-    bed.commit()
+    placed = bed.place(spec, "host-1", "host-2", "host-3")
     names = {task.index: task.machine.name for task in placed.live.values()}
     for index in (0, 1):
         bed.report(names[index], 2)
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -5,20 +5,18 @@
 import msgspec
 import pytest
 
-from standins import TYPE, FakeClock, StateStandIn, job, make_config
+from standins import TYPE, Bed, job
 from tideusher.clock import SECOND_US
 from tideusher.config import Policy
 from tideusher.core import gather, keys
-from tideusher.core.cluster import MAX_STOPS_KEPT, Cluster, Rental
+from tideusher.core.cluster import MAX_STOPS_KEPT, Rental
 from tideusher.core.fleet import Bin, Bins, Fleet
 from tideusher.core.health import PROBES_INTO_SILENCE
 from tideusher.core.placement import Demand, slots_in
 from tideusher.core.preempt import Standing, choose_room, protected_until_us, stoppable
 from tideusher.core.records import CHUNK_TASKS, COMMITTING, SEEN, UP, Job, Machine, Task, chunk_value
-from tideusher.core.scheduler import Scheduler
 from tideusher.wire.cloud import MAX_RENT
 from tideusher.wire.state import Txn
-from tideusher.wire.workers import Report
 
 POLICY = Policy()
 
@@ -168,9 +166,8 @@
 
 def test_a_report_of_a_calm_machine_costs_no_look_at_the_others():
     """A leader once looked through the whole fleet after each report of each machine."""
-    clock, state = FakeClock(), StateStandIn()
-    cluster = Cluster(make_config(), POLICY, state.elect("n0"), clock.now_us(), clock.wall_us)
-    cluster.set_types([TYPE])
+    bed = Bed()
+    cluster = bed.cluster
     looked = 0
 
     class Counted(dict):
@@ -183,19 +180,16 @@
     cluster.machines = cluster.health._machines = machines
     for serial in (1, 2):
         for number in range(50):
-            report = Report(f"host-{number}", "127.0.0.1:9", "m4", "a", False, 1, serial, cluster.token, None, [])
-            cluster.report(report, clock.now_us())
+            bed.report(f"host-{number}", serial)
     assert len(machines) == 50 and looked == 0
 
 
 def test_into_a_silent_zone_few_probes_go_at_a_time():
-    clock, state = FakeClock(), StateStandIn()
-    cluster = Cluster(make_config(), POLICY, state.elect("n0"), clock.now_us(), clock.wall_us)
-    cluster.set_types([TYPE])
+    bed = Bed()
+    clock, cluster = bed.clock, bed.cluster
     for number in range(40):
         zone = "a" if number % 2 else "b"
-        report = Report(f"host-{number}", "127.0.0.1:9", "m4", zone, False, 1, 1, cluster.token, None, [])
-        cluster.report(report, clock.now_us())
+        bed.report(f"host-{number}", 1, zone=zone)
     clock.pass_s(10.0)
     probing = {m.name for m in cluster.health.to_probe(clock.now_us(), set())}
     assert len(probing) == 2 * PROBES_INTO_SILENCE  # both zones are silent
@@ -222,24 +216,18 @@
 
 
 def test_one_transaction_keeps_within_writes_conditions_and_bytes():
-    config = make_config()
-    ops = config.settings.state.txn_ops
-    clock, state = FakeClock(), StateStandIn()
-    cluster = Cluster(config, POLICY, state.elect("n0"), clock.now_us(), clock.wall_us)
-    cluster.set_types([TYPE])
+    bed = Bed()
+    clock, cluster = bed.clock, bed.cluster
+    ops = cluster.config.settings.state.txn_ops
     for number in range(ops + 1):
-        spec = job("batch", 1, cpus=0.1, gpus=0.1)
-        state.submit(spec, clock.wall_us())
-        value, stamp = state.items[keys.job_key(spec.id)]
-        cluster.job_changed(spec.id, value, stamp, clock.now_us())
-        report = Report(f"host-{number}", "127.0.0.1:9", "m4", "a", False, 1, 1, cluster.token, None, [])
-        cluster.report(report, clock.now_us())
-    Scheduler(cluster, clock.now_us()).schedule(clock.now_us())
+        bed.submit(job("batch", 1, cpus=0.1, gpus=0.1))
+        bed.report(f"host-{number}", 1)
+    bed.scheduler.schedule(clock.now_us())
     written = []
     while (batch := cluster.keeper.next_batch(1000)) is not None:
         assert len(batch.writes) <= ops and len(batch.guards) <= 4 * ops
         assert len(msgspec.json.encode(Txn(batch.guards, batch.writes))) <= 64 * 1024
-        revision = state.txn(batch.guards, batch.writes)
+        revision = bed.state.txn(batch.guards, batch.writes)
         assert revision is not None
         cluster.keeper.saved(revision)
         written += [write.key for write in batch.writes]
@@ -248,48 +236,34 @@
 
 def test_rentals_wait_for_the_cloud_and_go_out_together():
     """79 small rentals once queued at the cloud when a whole fleet was wanted at the start."""
-    config = make_config()
-    clock, state = FakeClock(), StateStandIn()
-    cluster = Cluster(config, POLICY, state.elect("n0"), clock.now_us(), clock.wall_us)
-    cluster.set_types([TYPE])
-    scheduler = Scheduler(cluster, clock.now_us())
-    for _ in range(3 * int(config.settings.cloud.rps)):
-        spec = job("service", 1, team="poor", gpus=4.0)
-        state.submit(spec, clock.wall_us())
-        value, stamp = state.items[keys.job_key(spec.id)]
-        cluster.job_changed(spec.id, value, stamp, clock.now_us())
+    bed = Bed()
+    clock, cluster = bed.clock, bed.cluster
+    cloud_rps = cluster.config.settings.cloud.rps
+    for _ in range(3 * int(cloud_rps)):
+        bed.submit(job("service", 1, team="poor", gpus=4.0))
         clock.pass_s(0.15)
-        scheduler.schedule(clock.now_us())
+        bed.scheduler.schedule(clock.now_us())
     asked = sum(rental.count for rental in cluster.rentals.values())
-    assert len(cluster.rentals) <= config.settings.cloud.rps
+    assert len(cluster.rentals) <= cloud_rps
     for rental in list(cluster.rentals.values()):
         cluster.rented(rental, [f"{rental.name}-{n}" for n in range(rental.count)], clock.now_us())
-    scheduler.schedule(clock.now_us())
+    bed.scheduler.schedule(clock.now_us())
     rest = [rental for rental in cluster.rentals.values() if not rental.answered]
-    assert 0 < len(rest) <= 2 and asked + sum(rental.count for rental in rest) == 3 * config.settings.cloud.rps
+    assert 0 < len(rest) <= 2 and asked + sum(rental.count for rental in rest) == 3 * cloud_rps
 
 
 def test_spot_able_work_leaves_ordinary_room_to_who_waits_for_it_and_takes_what_they_cannot_use():
-    clock, state = FakeClock(), StateStandIn()
-    cluster = Cluster(make_config(), POLICY, state.elect("n0"), clock.now_us(), clock.wall_us)
-    cluster.set_types([TYPE])
-    scheduler = Scheduler(cluster, clock.now_us())
-
-    def submit(spec):
-        state.submit(spec, clock.wall_us())
-        value, stamp = state.items[keys.job_key(spec.id)]
-        cluster.job_changed(spec.id, value, stamp, clock.now_us())
-        return cluster.jobs[spec.id]
-
+    bed = Bed()
+    clock, cluster = bed.clock, bed.cluster
     for name in ("host-1", "host-2"):
-        cluster.report(Report(name, "127.0.0.1:9", "m4", "a", False, 1, 1, cluster.token), clock.now_us())
-    submit(job("service", 1, priority="critical"))
-    scheduler.schedule(clock.now_us())
-    wide = submit(job("gang", 2, gpus=4.0, cpus=12.0, one_zone=True, team="poor", priority="urgent"))
-    scheduler.schedule(clock.now_us())
+        bed.report(name, 1)
+    bed.submit(job("service", 1, priority="critical"))
+    bed.scheduler.schedule(clock.now_us())
+    wide = bed.submit(job("gang", 2, gpus=4.0, cpus=12.0, one_zone=True, team="poor", priority="urgent"))
+    bed.scheduler.schedule(clock.now_us())
     assert not wide.live and wide.pending == 2  # one machine is whole, and another is asked for
-    batch = submit(job("batch", 4, spot=True, team="blue"))
-    scheduler.schedule(clock.now_us())
+    batch = bed.submit(job("batch", 4, spot=True, team="blue"))
+    bed.scheduler.schedule(clock.now_us())
     (half,) = [m.name for m in cluster.machines.values() if any(t.job.is_service for t in m.tasks.values())]
     assert {task.machine.name for task in batch.live.values()} == {half} and len(batch.live) == 3
 
