--- a/src/tideusher/cli.py
+++ b/src/tideusher/cli.py
@@ -1,4 +1,4 @@
-"""The command line. Imports are lazy: a controller's start-up time is charged."""
+"""The command line for people. Imports are lazy, so that a refusal or a question answers at once."""
 
 import sys
 from collections.abc import Callable
@@ -22,25 +22,14 @@
     """tideusher: a cluster scheduler that ranks teams by charged machine time."""
 
 
-def _load(config_path: str, properties_path: str | None) -> tuple[Any, Any]:
-    from tideusher.config import ConfigError, load_config, load_policy
-
-    try:
-        return load_config(config_path), load_policy(properties_path)
-    except ConfigError as error:
-        click.echo(f"tideusher: {error}", err=True)
-        sys.exit(2)
-
-
 @main.command()
 @CONFIG
 @PROPERTIES
 def serve(config_path: str, properties_path: str | None) -> None:
     """Run one controller until it is killed."""
-    config, policy = _load(config_path, properties_path)
-    from tideusher.node import Node
+    from tideusher import service
 
-    Node(config, policy).run()
+    service.serve(config_path, properties_path)
 
 
 @main.command("check-config")
@@ -48,9 +37,12 @@
 @PROPERTIES
 def check_config(config_path: str, properties_path: str | None) -> None:
     """Check the settings files and say what they hold."""
-    config, policy = _load(config_path, properties_path)
     import msgspec
 
+    from tideusher.service import load
+
+    config, policy = load(config_path, properties_path)
+
     click.echo(
         f"{config.node} in {config.zone}: {len(config.peers)} peers, {len(config.settings.teams)} teams, "
         f"zones {', '.join(config.settings.zones)}"
