The way of a report: one packet an answer, frames that come together travel together

An answer left in two packets, its request was formatted for a log that is off, headers were parsed as those of mail; each frame between controllers had its own greenlet, question and system call; a report that is passed on was decoded twice. Change: a handler of our own on gevent's; one outbox for each connection between controllers, bounded and written by one greenlet; reports of one piece are one question to the leader and are acted on once; the gateway reads of a report what it needs. A full outbox is said at once: the gateway then answers alone. Found on the way: two writers on one connection could put their frames into one another. Ruled out: reading of http.client's answers (some ten a second); a timer less for each question.

--- a/src/tideusher/actors/gateway.py
+++ b/src/tideusher/actors/gateway.py
@@ -47,12 +47,14 @@
         self._store, self._election, self._leader, self._peers = store, election, leader, peers
 
     def handle(self, body: bytes) -> Answer:
-        """Answer one report."""
+        """Answer one report. One that is passed on is read as far as that needs; the leader reads it whole."""
         try:
-            report = workers.decode_report(body)
+            return self._handle(workers.decode_head(body), body)
         except msgspec.DecodeError as error:
             self.log.error("refused a report: %s", error)
             return Answer(400, b'{"error":"malformed report"}')
+
+    def _handle(self, report: workers.ReportHead, body: bytes) -> Answer:
         other = self._better_node(report.zone)
         if other is not None:
             return Answer(421, workers.encode(workers.Redirect(other)))
@@ -61,10 +63,10 @@
             self._store.sync(1.5)  # somebody leads whom we have not heard of
             known = self._known()
         if known is not None and report.token <= known[1]:
-            answer = self._from_leader(known[0], report, body)
+            answer = self._from_leader(known[0], body)
             if answer is not None:
                 return Answer(200, answer)
-        return self._alone(report)
+        return self._alone(workers.decode_report(body))
 
     def _known(self) -> tuple[str, int] | None:
         """The newest leadership we know of: our mirror's, or one that a peer has told of."""
@@ -81,8 +83,9 @@
                 return link.peer.name
         return None
 
-    def _from_leader(self, node: str, report: workers.Report, body: bytes) -> bytes | None:
+    def _from_leader(self, node: str, body: bytes) -> bytes | None:
         if node == self._config.node:
+            report = workers.decode_report(body)
             with gevent.Timeout(FORWARD_S, False):
                 commands = self._leader.ask("report", report).get()
                 return workers.encode(commands) if commands is not None else None
--- a/src/tideusher/actors/leader.py
+++ b/src/tideusher/actors/leader.py
@@ -129,15 +129,23 @@
 
     def on_report(self, report: workers.Report) -> workers.Commands | None:
         """A worker's report; None if we are not entitled to answer."""
-        cluster = self._cluster
-        if cluster is None or cluster.token != self._election.token or report.token > cluster.token:
-            return None
-        now_us = self._clock.now_us()
-        if not may_answer(self._config, self._store.contact_us, now_us):
-            return None
-        commands = cluster.report(report, now_us)
+        return self.on_reports([report])[0]
+
+    def on_reports(self, reports: list[workers.Report]) -> list[workers.Commands | None]:
+        """Reports that came together: what they change is written and acted on once."""
+        cluster, now_us = self._cluster, self._clock.now_us()
+        if (
+            cluster is None
+            or cluster.token != self._election.token
+            or not may_answer(self._config, self._store.contact_us, now_us)
+        ):
+            return [None] * len(reports)
+        answers = [
+            workers.Commands(cluster.token, cluster.report(report, now_us)) if report.token <= cluster.token else None
+            for report in reports
+        ]
         self._act(cluster)
-        return workers.Commands(cluster.token, commands)
+        return answers
 
     def on_gather(self) -> None:
         """Charges of the last interval reach the ledger."""
--- a/src/tideusher/actors/peers.py
+++ b/src/tideusher/actors/peers.py
@@ -21,7 +21,49 @@
 SILENCE_US = to_us(1.8)
 REQUEST_S = 1.0
 
-Handler = Callable[[wire.Message], bytes | None]
+#: What may wait to be sent on one connection. A report that finds more waiting is answered by its
+#: gateway alone, at once: behind a cut it would be too late anyway.
+MAX_WAITING = 512 * 1024
+
+Handler = Callable[[wire.Message], wire.Message | None]
+ReportsHandler = Callable[[list[wire.ForwardReport]], list[wire.ReportAnswer]]
+
+
+class Outbox:
+    """What is to be sent on one connection, written by one greenlet.
+
+    Frames that come while the loop serves other things leave together; and no two writers can put their
+    frames into one another when the connection takes only part of one.
+    """
+
+    def __init__(self, sock: socket.socket) -> None:
+        self._sock = sock
+        self._frames: list[bytes] = []
+        self._waiting = 0
+        self._writing = False
+
+    def put(self, frame: bytes) -> bool:
+        """Send a frame soon; False, at once, if too much waits already."""
+        if self._waiting + len(frame) > MAX_WAITING:
+            return False
+        self._frames.append(frame)
+        self._waiting += len(frame)
+        if not self._writing:
+            self._writing = True
+            gevent.spawn(self._write)
+        return True
+
+    def _write(self) -> None:
+        try:
+            while self._frames:
+                data = b"".join(self._frames)
+                self._frames.clear()
+                self._sock.sendall(data)
+                self._waiting -= len(data)
+        except OSError:
+            pass  # whoever reads from this connection finds it closed
+        finally:
+            self._writing = False
 
 
 class Link:
@@ -31,7 +73,7 @@
         self.peer = peer
         self.log = logging.getLogger("peers")
         self._hello, self._clock = hello, clock
-        self._sock: socket.socket | None = None
+        self._outbox: Outbox | None = None
         self._heard_us: int | None = None
         self._numbers = itertools.count(1)
         self._open: dict[int, AsyncResult] = {}
@@ -42,7 +84,7 @@
     def usable(self) -> bool:
         """Connected, and heard from just now."""
         return (
-            self._sock is not None
+            self._outbox is not None
             and self._heard_us is not None
             and self._clock.now_us() - self._heard_us < SILENCE_US
         )
@@ -53,18 +95,14 @@
 
     def ask(self, make: Callable[[int], wire.Message], timeout_s: float) -> wire.ReportAnswer | None:
         """Send a question and wait for its answer; None when there is none in time."""
-        sock = self._sock
-        if sock is None:
+        outbox, number = self._outbox, next(self._numbers)
+        if outbox is None or not outbox.put(wire.frame(make(number))):
             return None
-        number = next(self._numbers)
         result = self._open[number] = AsyncResult()
         try:
             with gevent.Timeout(timeout_s, False):
-                sock.sendall(wire.frame(make(number)))
                 return result.get()
             return None
-        except OSError:
-            return None
         finally:
             self._open.pop(number, None)
 
@@ -75,8 +113,8 @@
                 with gevent.Timeout(1.0):
                     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
                     sock.connect(split_address(self.peer.address))
-                self._sock = sock
-                beat = gevent.spawn(self._beat, sock)
+                self._outbox = Outbox(sock)
+                beat = gevent.spawn(self._beat, self._outbox)
                 try:
                     self._read(sock)
                 finally:
@@ -84,7 +122,7 @@
             except (OSError, gevent.Timeout, wire.FrameError) as error:
                 self.log.debug("link to %s: %s", self.peer.name, error)
             finally:
-                self._sock = None
+                self._outbox = None
                 self._heard_us = None
                 self.in_contact = False
                 sock.close()
@@ -92,12 +130,9 @@
                     result.set(None)
             gevent.sleep(0.3)
 
-    def _beat(self, sock: socket.socket) -> None:
+    def _beat(self, outbox: Outbox) -> None:
         while True:
-            try:
-                sock.sendall(wire.frame(self._hello()))
-            except OSError:
-                return
+            outbox.put(wire.frame(self._hello()))
             gevent.sleep(HEARTBEAT_S)
 
     def _read(self, sock: socket.socket) -> None:
@@ -126,12 +161,13 @@
         self.log = logging.getLogger("peers")
         self._hello = hello
         self.links = {peer.name: Link(peer, self._hello, clock) for peer in config.peers}
-        self._handler: Callable[[wire.Message], wire.Message | None] = lambda message: None
+        self._handler: Handler = lambda message: None
+        self._reports: ReportsHandler = lambda reports: []
         self._server = StreamServer(split_address(config.peer_bind), self._serve)
 
-    def start(self, handler: Callable[[wire.Message], wire.Message | None]) -> None:
-        """Listen and connect; `handler` answers questions, in a greenlet of their own."""
-        self._handler = handler
+    def start(self, handler: Handler, reports: ReportsHandler) -> None:
+        """Listen and connect; `handler` answers a question, `reports` all reports that came together."""
+        self._handler, self._reports = handler, reports
         self._server.start()
         for link in self.links.values():
             link.start()
@@ -155,18 +191,14 @@
 
     def _serve(self, sock: socket.socket, address: tuple[str, int]) -> None:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        unframer = wire.Unframer()
+        unframer, outbox = wire.Unframer(), Outbox(sock)
         try:
             while True:
                 with gevent.Timeout(6.0):
                     data = sock.recv(65536)
                 if not data:
                     return
-                for message in unframer.feed(data):
-                    if isinstance(message, wire.Hello):
-                        sock.sendall(wire.frame(self._hello()))
-                    else:
-                        gevent.spawn(self._answer, sock, message)
+                self.take(unframer.feed(data), outbox)
         except wire.FrameError as error:
             self.log.error("refused a frame from %s: %s", address[0], error)
         except (OSError, gevent.Timeout):
@@ -174,12 +206,30 @@
         finally:
             sock.close()
 
-    def _answer(self, sock: socket.socket, message: wire.Message) -> None:
+    def take(self, messages: list[wire.Message], outbox: Outbox) -> None:
+        """Answer what came together on one connection; nothing here waits."""
+        reports = []
+        for message in messages:
+            if isinstance(message, wire.Hello):
+                outbox.put(wire.frame(self._hello()))
+            elif isinstance(message, wire.ForwardReport):
+                reports.append(message)
+            else:
+                gevent.spawn(self._answer, outbox, message)
+        if reports:
+            gevent.spawn(self._answer_reports, outbox, reports)
+
+    def _answer(self, outbox: Outbox, message: wire.Message) -> None:
         try:
             answer = self._handler(message)
             if answer is not None:
-                sock.sendall(wire.frame(answer))
-        except OSError:
-            pass
+                outbox.put(wire.frame(answer))
         except Exception:
             self.log.exception("could not answer a peer")
+
+    def _answer_reports(self, outbox: Outbox, reports: list[wire.ForwardReport]) -> None:
+        try:
+            for answer in self._reports(reports):
+                outbox.put(wire.frame(answer))
+        except Exception:
+            self.log.exception("could not answer the reports of a peer")
--- a/src/tideusher/node.py
+++ b/src/tideusher/node.py
@@ -61,7 +61,7 @@
         gevent.get_hub().NOT_ERROR += (OSError,)  # a peer's reset connection is not our error
         for part in (self.store, self.election, self.cloud, self.leader):
             part.start()
-        self.peers.start(self._answer)
+        self.peers.start(self._answer, self._answer_reports)
         self.web.start()
         self.log.info("%s in %s serves on %s", self._config.node, self._config.zone, self._config.bind)
         Event().wait()
@@ -99,13 +99,20 @@
             return peer_wire.ReportAnswer(
                 message.id, True, msgspec.Raw(msgspec.json.encode(reply.body)), reply.status
             )
-        if not isinstance(message, peer_wire.ForwardReport):
-            return None
-        try:
-            report = workers.decode_report(bytes(message.body))
-        except msgspec.DecodeError:
-            return peer_wire.ReportAnswer(message.id, False)
-        commands = self.leader.ask("report", report).get()
-        if commands is None:
-            return peer_wire.ReportAnswer(message.id, False)
-        return peer_wire.ReportAnswer(message.id, True, msgspec.Raw(workers.encode(commands)))
+        return None
+
+    def _answer_reports(self, forwarded: list[peer_wire.ForwardReport]) -> list[peer_wire.ReportAnswer]:
+        """The leader's commands for reports that a gateway passed on; one question for all of them."""
+        reports: list[workers.Report] = []
+        answers: list[peer_wire.ReportAnswer] = []
+        known = []
+        for message in forwarded:
+            try:
+                reports.append(workers.decode_report(bytes(message.body)))
+                known.append(message.id)
+            except msgspec.DecodeError:
+                answers.append(peer_wire.ReportAnswer(message.id, False))
+        for number, commands in zip(known, self.leader.ask("reports", reports).get(), strict=True):
+            body = msgspec.Raw(workers.encode(commands)) if commands is not None else msgspec.Raw(b"null")
+            answers.append(peer_wire.ReportAnswer(number, commands is not None, body))
+        return answers
--- a/src/tideusher/web.py
+++ b/src/tideusher/web.py
@@ -7,6 +7,7 @@
 from gevent.pywsgi import WSGIServer
 
 from tideusher.actors.gateway import Gateway
+from tideusher.actors.handler import Handler
 from tideusher.actors.peers import Peers
 from tideusher.actors.questions import Questions
 from tideusher.actors.users import Reply, Users, refusal, retry_later
@@ -44,7 +45,7 @@
     ) -> None:
         self._users, self._gateway, self._questions, self._peers = users, gateway, questions, peers
         self._metrics, self._in_contact, self._healthy = metrics, in_contact, healthy
-        self._server = WSGIServer(split_address(bind), self, log=None, error_log=None)
+        self._server = WSGIServer(split_address(bind), self, log=None, error_log=None, handler_class=Handler)
 
     def start(self) -> None:
         """Begin to accept connections."""
--- a/src/tideusher/wire/workers.py
+++ b/src/tideusher/wire/workers.py
@@ -35,6 +35,13 @@
     tasks: list[TaskReport] = msgspec.field(name="pieces", default_factory=list)
 
 
+class ReportHead(msgspec.Struct):
+    """What a node that passes a report on must know of it."""
+
+    zone: str = msgspec.field(name="harbor")
+    token: int = msgspec.field(name="helm")
+
+
 class Command(msgspec.Struct, omit_defaults=True):
     """One command to a worker."""
 
@@ -92,5 +99,6 @@
 
 
 decode_report: Callable[[bytes], Report] = msgspec.json.Decoder(Report).decode
+decode_head: Callable[[bytes], ReportHead] = msgspec.json.Decoder(ReportHead).decode
 decode_commands: Callable[[bytes], Commands] = msgspec.json.Decoder(Commands).decode
 encode = msgspec.json.Encoder().encode
