What may be stopped is judged once a pass, not for each waiting job

Change: what does not depend on the request is judged once; requests of the same team, rank and standing share the answer, until something is stopped. The same is stopped (tests/test_scale.py, also with stops in between).

--- a/src/tideusher/core/preempt.py
+++ b/src/tideusher/core/preempt.py
@@ -36,59 +36,74 @@
     return begin_us + round(min_run_us * (1 + stretch))
 
 
-def may_claim(
-    request: Job,
-    job: Job,
-    standing: Callable[[str], Standing],
-    min_run_us: Callable[[Job], int],
-    policy: Policy,
-) -> bool:
-    """Do the design's rule and the protocol's bounds allow stopping this job once it is unprotected?"""
-    if job is request or not min_run_us(request):
-        return False  # only funded requests stop anything
-    asking, holding = standing(request.spec.team), standing(job.spec.team)
-    higher = request.spec.rank < job.spec.rank
-    claims = request.spec.team != job.spec.team and asking.within_guarantee and not holding.within_guarantee
-    if not (higher or claims):
-        return False
-    return not min_run_us(job) or asking.ratio + policy.margin <= holding.ratio
-
-
-def stoppable(
-    request: Job,
-    jobs: Iterable[Job],
-    standing: Callable[[str], Standing],
-    min_run_us: Callable[[Job], int],
-    policy: Policy,
-    now_us: int,
-) -> set[Task]:
-    """Every task that may be stopped for the request; of a gang all or none.
-
-    Standings are judged once a team and claims once a job: judged for every task of a large fleet they
-    cost a leader most of its processor.
-    """
-    known: dict[str, Standing] = {}
+class Stoppable:
+    """Which tasks may be stopped for which request, as long as nothing is stopped.
 
-    def judged(team: str) -> Standing:
-        if team not in known:
-            known[team] = standing(team)
-        return known[team]
+    Every waiting request asks this of every job that runs. What does not depend on the request is judged
+    once, and requests of the same standing and rank share an answer: judged anew for each, it was most of
+    what a pass cost when many waited.
+    """
 
-    found: set[Task] = set()
-    for job in jobs:
-        if not job.live or not may_claim(request, job, judged, min_run_us, policy):
-            continue
-        minimum_us = min_run_us(job)
-        open_now = [
-            task
-            for task in job.live.values()
-            if task.halt_grace_s is None
-            and task.phase != COMMITTING
-            and protected_until_us(task, minimum_us, policy.preempt__stagger) <= now_us
-        ]
-        if not job.is_gang or len(open_now) == len(job.live):
-            found.update(open_now)
-    return found
+    def __init__(
+        self,
+        jobs: Iterable[Job],
+        standing: Callable[[str], Standing],
+        min_run_us: Callable[[Job], int],
+        policy: Policy,
+        now_us: int,
+    ) -> None:
+        self._jobs, self._standing, self._min_run_us = jobs, standing, min_run_us
+        self._policy, self._now_us = policy, now_us
+        self.changed()
+
+    def changed(self) -> None:
+        """Something was stopped: all is judged anew."""
+        self._open: list[tuple[Job, bool, list[Task]]] | None = None
+        self._holding: dict[str, Standing] = {}
+        self._known: dict[tuple[str, int, Standing], set[Task]] = {}
+
+    def of(self, request: Job, asking: Standing) -> set[Task]:
+        """Every task that may be stopped for the request of a team that stands so; of a gang all or none."""
+        if not self._min_run_us(request):
+            return set()  # only funded requests stop anything
+        key = (request.spec.team, request.spec.rank, asking)
+        if key not in self._known:
+            found: set[Task] = set()
+            for job, free, tasks in self._unprotected():
+                if self._may_claim(request, asking, job, free):
+                    found.update(tasks)
+            self._known[key] = found
+        # A job never makes way for itself, nor for another of its team and rank.
+        return self._known[key]
+
+    def _unprotected(self) -> list[tuple[Job, bool, list[Task]]]:
+        """Jobs with tasks past their protected time, and whether they never had any."""
+        if self._open is None:
+            self._open = []
+            for job in self._jobs:
+                minimum_us = self._min_run_us(job) if job.live else 0
+                tasks = [
+                    task
+                    for task in job.live.values()
+                    if task.halt_grace_s is None
+                    and task.phase != COMMITTING
+                    and protected_until_us(task, minimum_us, self._policy.preempt__stagger) <= self._now_us
+                ]
+                if tasks and (not job.is_gang or len(tasks) == len(job.live)):
+                    self._open.append((job, not minimum_us, tasks))
+        return self._open
+
+    def _may_claim(self, request: Job, asking: Standing, job: Job, free: bool) -> bool:
+        """Do the design's rule and the protocol's bounds allow stopping this job?"""
+        team = job.spec.team
+        holding = self._holding.get(team)
+        if holding is None:
+            holding = self._holding[team] = self._standing(team)
+        higher = request.spec.rank < job.spec.rank
+        claims = request.spec.team != team and asking.within_guarantee and not holding.within_guarantee
+        if not (higher or claims):
+            return False
+        return free or asking.ratio + self._policy.margin <= holding.ratio
 
 
 def room_of_halted(machines: Sequence[Machine]) -> dict[str, list[float]]:
--- a/src/tideusher/core/scheduler.py
+++ b/src/tideusher/core/scheduler.py
@@ -7,7 +7,7 @@
 from tideusher.core.gather import Gathering, Request
 from tideusher.core.order import order_jobs, urgency_us
 from tideusher.core.placement import Demand, Room
-from tideusher.core.preempt import Standing, choose_room, room_of_halted, stoppable
+from tideusher.core.preempt import Stoppable, choose_room, room_of_halted
 from tideusher.core.records import BOOTING, OPEN, UP, Job, Machine, Task
 
 RESERVE_S = 12.0
@@ -203,6 +203,14 @@
         coming = sum(
             m.gpus for m in self._c.machines.values() if m.phase == BOOTING and not m.draining and not m.spot
         )
+        stoppable = Stoppable(self._c.jobs.values(), self._c.standing, self._c.min_run_us, self._c.policy, now_us)
+
+        def lost_us(task: Task) -> int:
+            if task.running_us is None or task.job.is_service:
+                return 0
+            spent = now_us - task.running_us
+            return min(spent, to_us(task.job.spec.save_s)) if task.job.spec.checkpoint_s else spent
+
         for job, count in unplaced:
             if stops >= self._c.policy.preempt__max_stops:
                 return
@@ -212,18 +220,7 @@
             if coming >= need > 0:
                 coming -= need  # booting room holds it
                 continue
-
-            def standing(team: str, job: Job = job) -> Standing:
-                return self._c.standing(team, job.spec if team == job.spec.team else None)
-
-            victims = stoppable(job, self._c.jobs.values(), standing, self._c.min_run_us, self._c.policy, now_us)
-
-            def lost_us(task: Task) -> int:
-                if task.running_us is None or task.job.is_service:
-                    return 0
-                spent = now_us - task.running_us
-                return min(spent, to_us(task.job.spec.save_s)) if task.job.spec.checkpoint_s else spent
-
+            victims = stoppable.of(job, self._c.standing(job.spec.team, job.spec))
             free_for = [m for m in usable if m.reserved in ("", job.spec.id)]
             machines, stopped = choose_room(job, count, free_for, coming_free, victims, lost_us)
             for machine in machines:
@@ -241,6 +238,8 @@
                     task, grace, f"it is {over} and job {job.spec.id} of team {job.spec.team} needs the room"
                 )
                 stops += 1
+            if stopped:
+                stoppable.changed()
 
     def _consolidate(self, now_us: int) -> None:
         """Move the replicas of thinly used machines onto others, so that they can be returned.
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -10,7 +10,7 @@
 from tideusher.core.ledger import NO_GUARANTEE, Ledger
 from tideusher.core.order import order_jobs
 from tideusher.core.placement import Room, part_of
-from tideusher.core.preempt import Standing, choose_room, protected_until_us, stoppable
+from tideusher.core.preempt import Standing, Stoppable, choose_room, protected_until_us
 from tideusher.core.records import SEEN, UP, Job, Machine, Task
 
 POLICY = Policy()
@@ -171,7 +171,8 @@
     def standing(team):
         return Standing(*asking) if team == request.spec.team else Standing(*holding)
 
-    return victim in stoppable(request, [victim.job], standing, min_run, POLICY, now_us)
+    judge = Stoppable([victim.job], standing, min_run, POLICY, now_us)
+    return victim in judge.of(request, standing(request.spec.team))
 
 
 def test_a_stop_needs_the_designs_rule_and_the_protocols_bounds():
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -13,7 +13,7 @@
 from tideusher.core.fleet import Bin, Bins, Fleet
 from tideusher.core.health import PROBES_INTO_SILENCE
 from tideusher.core.placement import Demand, slots_in
-from tideusher.core.preempt import Standing, choose_room, protected_until_us, stoppable
+from tideusher.core.preempt import Standing, Stoppable, choose_room, protected_until_us
 from tideusher.core.records import CHUNK_TASKS, COMMITTING, SEEN, UP, Job, Machine, Task, chunk_value
 from tideusher.wire.cloud import MAX_RENT
 from tideusher.wire.state import Txn
@@ -114,10 +114,12 @@
     rng = random.Random(seed)
     machines, jobs = fleet_of(rng, 40)
     standings = {team: Standing(rng.random(), rng.random() < 0.5) for team in ("red", "blue", "poor")}
-    for team in standings:
+    now_us = 20 * SECOND_US
+    judge = Stoppable(jobs, standings.__getitem__, minimum, POLICY, now_us)
+    for team, again in [(team, again) for again in range(2) for team in standings]:
         spec = job("service", 4, team=team, priority="urgent", gpus=float(rng.choice([1, 2, 4])), estimate_s=0.0)
-        request, now_us = Job(spec, 1, 0, 0), 20 * SECOND_US
-        victims = stoppable(request, jobs, standings.__getitem__, minimum, POLICY, now_us)
+        request = Job(spec, 1, 0, 0)
+        victims = judge.of(request, standings[team])
         every = [task for one in jobs for task in one.live.values()]
         gangs_whole = {
             task
@@ -131,6 +133,29 @@
         got = choose_room(request, 4, machines, {}, victims, lambda t: 0)
         want = plainly_chosen(request, 4, machines, gangs_whole.__contains__)
         assert ([m.name for m in got[0]], got[1]) == ([m.name for m in want[0]], want[1])
+        for task in got[1] if again else ():
+            task.halt_grace_s = 0.0  # what is stopped for one is judged anew for the next
+        if got[1] and again:
+            judge.changed()
+
+
+def test_what_may_be_stopped_is_judged_once_for_all_who_stand_alike():
+    """Each of 50 waiting jobs once had every running task judged anew: 40 ms of each pass of a small leader."""
+    machines, jobs = fleet_of(random.Random(3), 40)
+    judged = []
+
+    def counted(one):
+        judged.append(one.spec.id)
+        return minimum(one)
+
+    standing = {"red": Standing(0.1, True), "blue": Standing(0.9, False), "poor": Standing(0.9, False)}
+    judge = Stoppable(jobs, standing.__getitem__, counted, POLICY, 20 * SECOND_US)
+    requests = [Job(job("service", 1, priority="urgent", estimate_s=0.0), 1, 0, 0) for _ in range(50)]
+    found = [judge.of(request, standing["red"]) for request in requests]
+    assert found[0] and all(victims is found[0] for victims in found)
+    assert len(judged) == len(jobs) + len(requests)
+    judge.changed()
+    assert judge.of(requests[0], standing["red"]) == found[0] and len(judged) == 2 * len(jobs) + len(requests) + 1
 
 
 @pytest.mark.parametrize("seed", range(20))
