--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -2,19 +2,22 @@
 
 import random
 
+import gevent
 import msgspec
 import pytest
 
-from standins import TYPE, Bed, job
+from standins import TYPE, Bed, WorkerStandIn, job
+from tideusher.actors.leader import Leader
 from tideusher.clock import SECOND_US
 from tideusher.config import Policy
-from tideusher.core import gather, keys
+from tideusher.core import gather, keys, scheduler
 from tideusher.core.cluster import MAX_STOPS_KEPT, Rental
 from tideusher.core.fleet import Bin, Bins, Fleet
 from tideusher.core.health import PROBES_INTO_SILENCE
-from tideusher.core.placement import Demand, slots_in
+from tideusher.core.placement import Demand, Room, slots_in
 from tideusher.core.preempt import Standing, Stoppable, choose_room, protected_until_us
 from tideusher.core.records import CHUNK_TASKS, COMMITTING, SEEN, UP, Job, Machine, Task, chunk_value
+from tideusher.metrics import Metrics
 from tideusher.wire.cloud import MAX_RENT
 from tideusher.wire.state import Txn
 
@@ -303,3 +306,140 @@
     requests = gather.Gathering().update(gangs, machines, machines, lambda j, zone: gather.NONE)
     assert [request.job for request in requests] == [gang for gang, _ in gangs]
     assert 0 < len(looks) <= len(machines)
+
+
+def waiting_bed(seed):
+    """A leader with machines that are up and more work than they hold."""
+    rng = random.Random(seed)
+    bed = Bed()
+    for number in range(30):
+        bed.report(f"host-{number}", 1, zone=rng.choice("ab"), spot=rng.random() < 0.4)
+    specs = []
+    for number in range(40):
+        shape = rng.choice(["service", "batch", "gang"])
+        name = f"req-9{seed:02d}{number:03d}"
+        specs.append(
+            job(
+                shape,
+                rng.choice([1, 2, 5]),
+                id=name,
+                team=rng.choice(["red", "blue", "poor"]),
+                spot=shape == "batch",
+                one_zone=shape == "gang",
+                priority={"service": "critical", "gang": "urgent", "batch": "standard"}[shape],
+            )
+        )
+        bed.submit(specs[-1])
+    bed.commit()
+    return bed
+
+
+def decisions(bed):
+    cluster = bed.cluster
+    places = sorted((t.name, t.attempt, m.name) for m in cluster.machines.values() for t in m.tasks.values())
+    rentals = sorted((r.type, r.zone, r.spot, r.count) for r in cluster.rentals.values() if not r.answered)
+    return places, rentals, sorted((m.name, m.phase, m.reserved) for m in cluster.machines.values())
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_a_pass_in_pieces_decides_as_one_at_once(seed, monkeypatch):
+    at_once, in_pieces = waiting_bed(seed), waiting_bed(seed)
+    monkeypatch.setattr(scheduler, "PIECE_LOOKS", 10**9)
+    at_once.scheduler.schedule(at_once.clock.now_us())
+    monkeypatch.setattr(scheduler, "PIECE_LOOKS", 40)
+    pieces = sum(1 for _ in in_pieces.scheduler.pieces(in_pieces.clock.now_us()))
+    assert pieces > 8 and decisions(at_once) == decisions(in_pieces)
+    assert decisions(at_once)[0]
+
+
+def test_no_piece_looks_at_more_machines_than_its_bound_and_one_job_more(monkeypatch):
+    """A whole pass once held a leader of 570 machines for 0.1 s, in which it served nobody."""
+    bed = waiting_bed(7)
+    looks = 0
+    place = Room.place
+
+    def counted(room, *arguments):
+        nonlocal looks
+        looks += len(room._all)
+        return place(room, *arguments)
+
+    monkeypatch.setattr(Room, "place", counted)
+    monkeypatch.setattr(scheduler, "PIECE_LOOKS", 100)
+    most = before = 0
+    for _ in bed.scheduler.pieces(bed.clock.now_us()):
+        most, before = max(most, looks - before), looks
+    assert looks > 300 and 0 < most <= 100 + 2 * 30  # a job may look twice
+
+
+def test_what_changes_in_a_pause_is_not_used(monkeypatch):
+    """Between two pieces a machine's return may be asked and a job cancelled: neither is touched again."""
+    monkeypatch.setattr(scheduler, "PIECE_LOOKS", 1)
+    bed = Bed()
+    clock, cluster = bed.clock, bed.cluster
+    bed.report("host-1", 1)
+    bed.report("host-2", 1)
+    first, second, third = (bed.submit(job("service", 1, gpus=2.0, cpus=8.0)) for _ in range(3))
+    bed.commit()
+    going = bed.scheduler.pieces(clock.now_us())
+    while not any(one.live for one in (first, second, third)):
+        next(going)
+    ((used,),) = [[t.machine for t in one.live.values()] for one in (first, second, third) if one.live]
+    waiting = [one for one in (first, second, third) if not one.live]
+    cluster.give_back(used, "a test asks for it")
+    assert bed.state.cancel(waiting[0].spec.id)
+    bed.see_jobs()
+    for _ in going:
+        pass
+    assert not waiting[0].live
+    assert [t.machine.name for t in waiting[1].live.values()] == [{"host-1": "host-2", "host-2": "host-1"}[used.name]]
+
+
+class Slices:
+    """A scheduler whose pass has four pieces."""
+
+    def __init__(self, done):
+        self.done = done
+
+    def pieces(self, now_us):
+        for number in range(3):
+            self.done.append(f"piece {number}")
+            yield
+        self.done.append("end")
+
+
+def test_a_leader_answers_reports_between_the_pieces_of_a_pass():
+    bed = Bed()
+    done = []
+
+    class Election:
+        token = bed.cluster.token
+
+    class Store:
+        contact_us = bed.clock.now_us()
+
+        def lead(self, leading):
+            pass
+
+    leader = Leader(bed.cluster.config, POLICY, bed.clock, Store(), Election(), None, Metrics())
+    leader._cluster, leader._scheduler = bed.cluster, Slices(done)
+    leader._act = lambda cluster: None
+    served = gevent.spawn(leader._serve)
+    leader.tell("tick")
+    while len(done) < 5:
+        answer = leader.ask("report", WorkerStandIn("host-1", "a", False, {}).report())
+        assert answer.get() is not None
+        done.append("report")
+        gevent.sleep(0)
+        if len(done) > 40:
+            break
+    leader.tell("tick")  # the last one is over: the next may begin
+    while done.count("end") < 1:
+        gevent.sleep(0)
+    served.kill()
+    pieces = [one for one in done if one != "report"]
+    assert pieces[:4] == ["piece 0", "piece 1", "piece 2", "end"]
+    assert "report" in done[: done.index("end")]
+    # One that stepped down in between does not go on with the old pass.
+    leader._pass = None
+    leader.on_go_on(Slices(done).pieces(0))
+    assert done.count("end") == 1
