An inherited machine that the cloud lists no more is probed, not waited for

Change: a list that describes a time after the election (lists lag by twice list_lag_s at most) and leaves out a machine rented before it makes the machine suspect: probed, then returned, which is the proof. Ruled out: freeing the tasks for the list alone (it is no proof by our rules).

--- a/src/tideusher/actors/leader.py
+++ b/src/tideusher/actors/leader.py
@@ -315,11 +315,13 @@
     def _probe(self, token: int, machine: Machine) -> None:
         """Ask a silent machine directly: a cut to its gateway must not look like its death."""
         try:
-            try:
-                status, body = self._client(machine).call("GET", "/show", timeout_s=1.5)
-                alive = status == 200
-            except CallFailed:
-                alive, body = False, b""
+            alive, body = False, b""
+            if machine.address:  # else nobody has told us of it since our election
+                try:
+                    status, body = self._client(machine).call("GET", "/show", timeout_s=1.5)
+                    alive = status == 200
+                except CallFailed:
+                    pass
             if alive:
                 self.tell("answered", token, body)
                 gevent.sleep(1.0)
--- a/src/tideusher/core/cluster.py
+++ b/src/tideusher/core/cluster.py
@@ -712,6 +712,7 @@
 
     def listed(self, listing: list[Listed], now_us: int) -> None:
         """The cloud's (lagging) list: failed machines are returned, unknown ones adopted in time."""
+        self.health.surveyed(now_us)
         for item in listing:
             machine = self.machines.get(item.name)
             if machine is None:
--- a/src/tideusher/core/health.py
+++ b/src/tideusher/core/health.py
@@ -19,6 +19,7 @@
     ) -> None:
         self._config, self._policy, self._machines, self._fleet = config, policy, machines, fleet
         self._began_us = now_us
+        self._surveyed_us = now_us  # when the cloud's list came last
         self._zones_heard: dict[str, tuple[int, int]] = {}  # since when, and when last
         self._silence_us = max(
             to_us(policy.fleet__silence_reports * config.settings.workers.report_s),
@@ -37,10 +38,26 @@
         heard_us = self._zones_heard.get(machine.zone, (now_us, 0))[0]
         if machine.phase == UP:
             return now_us - max(machine.reported_us, heard_us) > self._silence_us
-        if machine.phase == BOOTING and machine.inherited and machine.listed == cloud.UP:
+        if machine.phase == BOOTING and machine.inherited and self._should_be_up(machine):
             return now_us - max(self._began_us, heard_us) > self._settle_us
         return False
 
+    def surveyed(self, now_us: int) -> None:
+        """The cloud's list has come."""
+        self._surveyed_us = now_us
+
+    def _should_be_up(self, machine: Machine) -> bool:
+        """Is an inherited machine more than one that still boots?
+
+        The cloud says so, or it lists the machine no more. A list is older than its arrival by at most
+        twice its lag: one that describes a time after our election, and leaves out a machine rented
+        before, says that the machine was taken while nobody led. Its tasks once waited for 90 s, until
+        it should have booted.
+        """
+        if machine.listed:
+            return machine.listed == cloud.UP
+        return self._surveyed_us - self._began_us > to_us(2 * self._config.settings.cloud.list_lag_s)
+
     def silence(self, machine: Machine, now_us: int) -> str:
         """How long it has been silent, in words; one inherited may never have reported to this leader."""
         if machine.reported_us:
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -389,6 +389,32 @@
     assert words == "not heard in the 9 s of this leadership"
 
 
+def test_an_inherited_machine_that_the_cloud_lists_no_more_is_asked_soon(bed):
+    """Spot machines taken while nobody led once held their tasks until they should have booted, for 90 s."""
+    from tideusher.wire.cloud import Listed
+
+    for name in ("host-1", "host-2", "host-3"):
+        bed.report(name, 1)
+    bed.commit()
+    bed.clock.pass_s(5.0)
+    bed.elect()
+    clock, health, machines = bed.clock, bed.cluster.health, bed.cluster.machines
+    bed.report("host-3", 2)
+    listing = [Listed("host-2", "127.0.0.1:9", "m4", "a", False, "booting", 5.0)]
+    suspects = []
+    for _ in range(8):
+        clock.pass_s(1.0)
+        bed.report("host-3", machines["host-3"].serial + 1)
+        if len(suspects) < 4:
+            bed.cluster.listed(listing, clock.now_us())  # may be older than our election: lists lag up to 4 s
+        suspects.append([m.name for m in health.suspects(clock.now_us())])
+    assert not any(suspects)
+    bed.cluster.listed(listing, clock.now_us())
+    assert [m.name for m in health.suspects(clock.now_us())] == ["host-1"]  # host-2 may still boot
+    bed.report("host-1", 2)
+    assert not health.suspects(clock.now_us())
+
+
 def test_nothing_is_stopped_while_the_state_service_takes_no_writes(bed):
     for name in ("host-1", "host-2"):
         bed.report(name, 1)
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -452,3 +452,14 @@
     leader._pass = None
     leader.on_go_on(Slices(done).pieces(0))
     assert done.count("end") == 1
+
+
+def test_a_machine_of_which_nobody_told_the_address_counts_as_not_answering(monkeypatch):
+    """A probe of one that the cloud lists no more would have failed for its empty address, for ever."""
+    monkeypatch.setattr(gevent, "sleep", lambda seconds: None)
+    bed = Bed()
+    leader = Leader(bed.cluster.config, POLICY, bed.clock, None, None, None, Metrics())
+    machine = Machine("host-1", TYPE.name, "a", True, "r", 16.0, 4.0, 64.0, 0)
+    leader._probing.add(machine.name)
+    leader._probe(7, machine)
+    assert leader._inbox.get_nowait()[:2] == ("probe_failed", (7, machine)) and not leader._probing
