--- a/src/tideusher/actors/leader.py
+++ b/src/tideusher/actors/leader.py
@@ -163,7 +163,9 @@
         ):
             return [None] * len(reports)
         answers = [
-            workers.Commands(cluster.token, cluster.report(report, now_us)) if report.token <= cluster.token else None
+            workers.Commands(cluster.token, cluster.reports.answer(report, now_us))
+            if report.token <= cluster.token
+            else None
             for report in reports
         ]
         self._act(cluster)
@@ -309,7 +311,7 @@
         except msgspec.DecodeError as error:
             self.log.error("bad answer of a worker: %s", error)
             return
-        cluster.look(report, self._clock.now_us())
+        cluster.reports.look(report, self._clock.now_us())
         self._act(cluster)
 
     def _probe(self, token: int, machine: Machine) -> None:
--- a/src/tideusher/core/cluster.py
+++ b/src/tideusher/core/cluster.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from tideusher.clock import SECOND_US, to_s, to_us
+from tideusher.clock import to_s, to_us
 from tideusher.config import Config, Policy, Team
 from tideusher.core import keys
 from tideusher.core.fleet import Fleet, Wish
@@ -22,14 +22,12 @@
 from tideusher.core.preempt import Standing
 from tideusher.core.records import (
     ASSIGNED,
-    BOOTING,
     CHUNK_TASKS,
     COMMITTING,
     JOB_CANCELLED,
     JOB_DONE,
     OPEN,
     RETURNING,
-    SEEN,
     UP,
     Chunk,
     Job,
@@ -38,19 +36,15 @@
     chunk_value,
     read_chunk,
 )
+from tideusher.core.reports import Reports
 from tideusher.metrics import Metrics
 from tideusher.wire import workers
 from tideusher.wire.cloud import FAILED, Listed, MachineType
 from tideusher.wire.jobs import JobSpec
 from tideusher.wire.state import Guard
-from tideusher.wire.workers import Command, Report, TaskReport
+from tideusher.wire.workers import Command, Report
 
 MAX_STOPS_KEPT = 6
-#: A fetch takes up to this many times what the type's rate says: rates differ by a third.
-SLOW_FETCH = 1.5
-#: How much of the time that gang members wait for one another a fetch may use up.
-WAIT_USED = 0.8
-
 
 @dataclass(slots=True, eq=False)
 class Rental:
@@ -114,6 +108,7 @@
         self.ledger = Ledger(settings.teams, policy, now_us)
         self.fleet = Fleet(policy, settings.objectives)
         self.health = Health(config, policy, self.machines, self.fleet, now_us)
+        self.reports = Reports(self)
         self.keeper = Keeper(keys.LEADER, token, settings.state.txn_ops)
         self._entries: dict[str, Entry] = {}
         self.usage: dict[str, list[float]] = {name: [0.0, 0.0] for name in self.teams}
@@ -231,7 +226,11 @@
     def _rental_entry(self, rental: Rental) -> Entry:
         return self._entry(keys.rental_key(rental.name), rental.value)
 
-    def _touch_chunk(self, job: Job, index: int, effect: Effect | None = None, urgent: bool = True) -> None:
+    def is_saved(self, job: Job, index: int) -> bool:
+        """Is what we know of the task's chunk in the state service?"""
+        return self.keeper.clean(self._chunk_entry(job, job.chunk_of(index)))
+
+    def touch_chunk(self, job: Job, index: int, effect: Effect | None = None, urgent: bool = True) -> None:
         chunk = job.chunk_of(index)
         self.keeper.touch(self._chunk_entry(job, chunk), effect, urgent)
 
@@ -301,7 +300,7 @@
             self._entries.pop(keys.chunk_key(job.spec.id, chunk.number), None)
         self.jobs.pop(job.spec.id, None)
 
-    # ---------------------------------------------------------------- tasks
+    # ---------------------------------------------------------------- places
 
     def _place(self, task: Task) -> None:
         task.job.take(task)
@@ -310,7 +309,7 @@
         usage[0] += task.job.spec.cpus
         usage[1] += task.job.spec.gpus
 
-    def _free(self, task: Task, now_us: int, vanished: bool = False) -> None:
+    def free(self, task: Task, now_us: int, vanished: bool = False) -> None:
         """The task is proven not to be on its machine: give place, quota and zone back (safety 3).
 
         `vanished`: it is gone without an exit, with its machine or its lease.
@@ -319,7 +318,7 @@
         if job.live.get(task.index) is not task:
             return
         if job.spec.image in machine.images:
-            self._used_image(task)
+            self.used_image(task)
         job.drop(task)
         machine.remove(task)
         usage = self.usage[job.spec.team]
@@ -330,7 +329,7 @@
         # With the last task of a finished job gone, the write of that is what `done` waits for: the
         # members of a gang report their exits one by one, after the gang's completion was written.
         over = job.status == OPEN and job.done_count == job.spec.tasks
-        self._touch_chunk(job, task.index, (lambda: self._finish_if_done(job)) if over else None, urgent=over)
+        self.touch_chunk(job, task.index, (lambda: self._finish_if_done(job)) if over else None, urgent=over)
         self.dirty = True
         target = task.move_to
         if (
@@ -359,120 +358,32 @@
             return
         task.halt_grace_s, task.halt_reason = grace_s, reason
         self.log.info("stop %s attempt %d on %s: %s", task.name, task.attempt, task.machine.name, reason)
-        self._note_stop(task.job, task, reason)
+        self.note_stop(task.job, task, reason)
         if task.sent is None:
-            self._free(task, task.placed_us)
+            self.free(task, task.placed_us)
             return
         self.direct.append(Direct(task.machine, workers.halt(task.name, task.attempt, grace_s)))
 
-    def _note_stop(self, job: Job, task: Task, reason: str) -> None:
+    def note_stop(self, job: Job, task: Task, reason: str) -> None:
         job.stops.append({"at": self._wall_us(), "task": task.index, "on": task.machine.name, "why": reason})
         del job.stops[:-MAX_STOPS_KEPT]
-        self._touch_chunk(job, 0, urgent=False)  # the record of stops outlives this leader
-
-    # ---------------------------------------------------------------- reports
-
-    def report(self, report: Report, now_us: int) -> list[Command]:
-        """Digest a worker's report; returns the commands for its answer."""
-        machine = self.machines.get(report.machine)
-        if machine is None:
-            machine = self._adopt(report, now_us)
-        strays = self._digest(machine, report, now_us)
-        return [] if strays is None else strays + self._commands(machine)
-
-    def _digest(self, machine: Machine, report: Report, now_us: int) -> list[Command] | None:
-        """Take in what a report says; returns commands for attempts that hold no place, None if stale."""
-        if (report.session, report.serial) <= (machine.session, machine.serial):
-            return None  # late or repeated: what it says is older than what we know
-        new_session = machine.reported_us > 0 and report.session > machine.session
-        machine.session, machine.serial = report.session, report.serial
-        machine.reported_us, machine.probes_failed = now_us, 0
-        self.health.heard(machine.zone, now_us)
-        machine.address = report.address
-        if machine.phase == BOOTING:
-            machine.phase = UP
-            machine.idle_since_us = now_us
-            self.log.info("machine %s is up %.0f s after its rental", machine.name, to_s(now_us - machine.rented_us))
-            self.dirty = True
-        if report.recall_s is not None:
-            self._recalled(machine, report.recall_s, now_us)
-        listed: dict[tuple[str, int, int], TaskReport] = {}
-        for item in report.tasks:
-            try:
-                job_id, index = workers.split_task(item.task)
-            except ValueError:
-                self.log.error("machine %s reports a task named %r", machine.name, item.task)
-                continue
-            listed[job_id, index, item.attempt] = item
-        for (job_id, index), task in list(machine.tasks.items()):
-            item_or_none = listed.pop((job_id, index, task.attempt), None)
-            if item_or_none is not None:
-                self._listed(task, item_or_none, report, now_us)
-            elif task.sent is not None and task.phase != COMMITTING:
-                self._absent(task, report, new_session, now_us)
-        return [
-            command
-            for (job_id, index, attempt), item in listed.items()
-            if (command := self._stray(machine, job_id, index, attempt, item)) is not None
-        ]
-
-    def look(self, report: Report, now_us: int) -> None:
-        """Learn from a report that came as the answer to a direct call.
-
-        Its answer is not ours to give, so no `run` may be counted as sent with it.
-        """
-        machine = self.machines.get(report.machine)
-        if machine is not None:
-            self._digest(machine, report, now_us)
+        self.touch_chunk(job, 0, urgent=False)  # the record of stops outlives this leader
 
-    def _listed(self, task: Task, item: TaskReport, report: Report, now_us: int) -> None:
-        task.phase, task.inherited = SEEN, False
-        if task.sent is None:
-            task.sent = (0, 0)
-        if item.state == workers.EXITED:
-            self._exited(task, item, now_us)
-            return
-        if item.state != task.state:
-            self.log.debug("%s attempt %d on %s: %s", task.name, task.attempt, task.machine.name, item.state)
-            task.state = item.state
-            if item.state in (workers.ACTIVE, workers.WAITING):
-                self._used_image(task)
-        elif item.state == workers.FETCHING:
-            task.machine.images.pop(task.job.spec.image, None)  # we counted on one that is gone
-        if item.state == workers.ACTIVE and task.running_us is None:
-            task.running_us = now_us
-            waited_us = self._wall_us() - task.job.submitted_us
-            self.metrics.waited(task.job.spec.job_class, max(0.0, to_s(waited_us)))
-
-    def _used_image(self, task: Task) -> None:
+    # ---------------------------------------------------------------- what becomes of tasks
+
+    def used_image(self, task: Task) -> None:
         kind = self.fleet.types.get(task.machine.type)
         spec = task.job.spec
         task.machine.used_image(spec.image, spec.image_gb, kind.cache_gb if kind else 0.0)
 
-    def _absent(self, task: Task, report: Report, new_session: bool, now_us: int) -> None:
-        """The report does not list a task that may have been started: is that proof of absence?
-
-        Yes, if the worker has moved on to a new session; or if it has seen our token (no older
-        leader's order can start anything any more) and the report is newer than our order (its
-        answer was executed before this report was sent, or never will be).
-        """
-        assert task.sent is not None
-        if not new_session and (report.token < self.token or (report.session, report.serial) <= task.sent):
-            return
-        if task.phase == ASSIGNED and not task.inherited and not new_session and task.halt_grace_s is None:
-            task.sent = None  # the answer was lost; this attempt never was on the machine: send it again
-            return
-        reason = "its machine's lease ran out" if new_session else "its machine does not have it"
-        self._lost(task, reason, now_us)
-
-    def _lost(self, task: Task, reason: str, now_us: int) -> None:
+    def lost(self, task: Task, reason: str, now_us: int) -> None:
         if task.halt_grace_s is None and task.job.status == OPEN:
             self.log.info("lost %s attempt %d on %s: %s", task.name, task.attempt, task.machine.name, reason)
-            self._note_stop(task.job, task, reason)
-            self._discard(task, now_us)
-        self._free(task, now_us, vanished=True)
+            self.note_stop(task.job, task, reason)
+            self.discard(task, now_us)
+        self.free(task, now_us, vanished=True)
 
-    def _discard(self, task: Task, now_us: int, kept: bool = False) -> None:
+    def discard(self, task: Task, now_us: int, kept: bool = False) -> None:
         """Count the preemption bill: what a stop threw away."""
         if task.running_us is None or task.job.is_service or kept:
             return
@@ -482,90 +393,15 @@
         kind = "protected" if self.min_run_us(task.job) else "unprotected"
         self.metrics.count("discarded_seconds", kind, to_s(spent_us))
 
-    def _exited(self, task: Task, item: TaskReport, now_us: int) -> None:
-        job, machine = task.job, task.machine
-        if item.cause == workers.CAUSE_DONE:
-            machine.error_jobs.clear()
-            if task.running_us is not None:
-                if not job.is_gang:
-                    machine.completed(job, now_us - task.running_us)
-                self.metrics.ran(job.spec.job_class, to_s(now_us - task.running_us))
-            self._complete(job, task.index)
-            self._free(task, now_us)
-            return
-        if job.status == OPEN and task.halt_grace_s is None:
-            self.log.info("%s attempt %d on %s exited: %s", task.name, task.attempt, machine.name, item.cause)
-            self._note_stop(job, task, f"it exited: {item.cause}")
-        if item.cause == workers.CAUSE_ERROR:
-            self._errored(job, machine, now_us)
-        elif item.cause in (workers.CAUSE_NO_ROOM, workers.CAUSE_BUSY, workers.CAUSE_UNKNOWN):
-            job.not_before_us = now_us + SECOND_US
-        self._discard(task, now_us, kept=bool(item.kept))
-        self._free(task, now_us)
-
-    def _complete(self, job: Job, index: int) -> None:
+    def complete(self, job: Job, index: int) -> None:
         """A task is done (a gang completes as one); told to nobody before it is persisted."""
         indexes = range(job.spec.tasks) if job.is_gang else (index,)
         for one in indexes:
             if job.mark_done(one):
-                self._touch_chunk(job, one, lambda: self._finish_if_done(job))
+                self.touch_chunk(job, one, lambda: self._finish_if_done(job))
         job.failures = 0
         self.dirty = True
 
-    def _errored(self, job: Job, machine: Machine, now_us: int) -> None:
-        """A failure is mostly the machine's fault; a job that fails everywhere backs off instead."""
-        job.error_machines.add(machine.name)
-        job.failures += 1
-        machine.error_jobs.add(job.spec.id)
-        if job.failures >= 3:
-            job.not_before_us = now_us + min(60, 2 ** min(job.failures, 6)) * SECOND_US
-        honest = [name for name in machine.error_jobs if (j := self.jobs.get(name)) is None or j.failures < 3]
-        if len(machine.error_jobs) >= 2 and honest and not machine.draining:
-            self.drain(machine, "tasks of several jobs failed on it")
-
-    def _stray(self, machine: Machine, job_id: str, index: int, attempt: int, item: TaskReport) -> Command | None:
-        """A listed attempt that holds no place: exited ones are forgotten, live ones stopped."""
-        job = self.jobs.get(job_id)
-        if item.state != workers.EXITED:
-            self.log.info("stop %s attempt %d on %s: it holds no place", item.task, attempt, machine.name)
-            return workers.halt(item.task, attempt, 0.0)
-        if job is not None and item.cause == workers.CAUSE_DONE and 0 <= index < job.spec.tasks:
-            self._complete(job, index)
-            # `forget` only after the completion is in the state service (safety 4).
-            if job.status == OPEN and not self.keeper.clean(self._chunk_entry(job, job.chunk_of(index))):
-                return None
-        return workers.forget(item.task, attempt)
-
-    def _commands(self, machine: Machine) -> list[Command]:
-        out = []
-        for task in list(machine.tasks.values()):
-            if task.halt_grace_s is not None:
-                if task.phase == SEEN or task.inherited or task.sent is not None:
-                    out.append(workers.halt(task.name, task.attempt, task.halt_grace_s))
-            elif task.phase == ASSIGNED and task.sent is None and machine.phase == UP and task.job.status == OPEN:
-                if self._comes_too_soon(task):
-                    continue
-                # The only place where `run` is ever sent (safety 4).
-                task.sent = (machine.session, machine.serial)
-                out.append(workers.run(task.name, task.attempt))
-        return out
-
-    def _comes_too_soon(self, task: Task) -> bool:
-        """Would this member of a gang give up waiting before others have their image?
-
-        A member that has its image waits `gang_wait_s` for the rest. Where a fetch takes longer, those
-        that start with the image gave up, the gang was stopped, the fetches with it, and so again. They
-        are told to run when the fetches are over.
-        """
-        job, machine = task.job, task.machine
-        spec, kind = job.spec, self.fleet.types.get(machine.type)
-        if not job.is_gang or kind is None or spec.image not in machine.images:
-            return False
-        longest_s = spec.image_gb / max(kind.fetch_gb_per_s, 1e-6) * SLOW_FETCH
-        if longest_s < self.config.settings.workers.gang_wait_s * WAIT_USED:
-            return False
-        return any(spec.image not in other.machine.images for other in job.live.values())
-
     # ---------------------------------------------------------------- machines
 
     def _add_machine(self, name: str, rental: Rental, now_us: int) -> Machine:
@@ -606,7 +442,7 @@
                     machine.free_ram += kind.ram_gb
         self.dirty = True
 
-    def _adopt(self, report: Report, now_us: int) -> Machine:
+    def adopt(self, report: Report, now_us: int) -> Machine:
         """A machine that we do not know reports: a late rental. It is used, or returned when idle."""
         returned = report.machine in self.gone
         self.log.info("adopt %s: it reports and no rental names it", report.machine)
@@ -618,19 +454,6 @@
             self.give_back(machine, "its return was answered before")
         return machine
 
-    def _recalled(self, machine: Machine, recall_s: float, now_us: int) -> None:
-        machine.recall_us = now_us + to_us(recall_s)
-        if machine.draining:
-            return
-        machine.draining = "the cloud takes it back"
-        self.log.info("machine %s will be taken in %.0f s", machine.name, recall_s)
-        self.dirty = True
-        for task in list(machine.tasks.values()):
-            if task.job.spec.checkpoint_s and recall_s > task.job.spec.save_s:
-                group = list(task.job.live.values()) if task.job.is_gang else [task]
-                for member in group:
-                    self.halt(member, task.job.spec.save_s + 1.0, "the cloud takes its machine back")
-
     def drain(self, machine: Machine, reason: str) -> None:
         """Stop what runs on a machine that does harm, and return it."""
         self.log.info("drain %s: %s", machine.name, reason)
@@ -657,7 +480,7 @@
                 continue
             self.gone.add(name)
             for task in list(machine.tasks.values()):
-                self._lost(task, f"its machine is gone ({machine.draining or 'returned'})", now_us)
+                self.lost(task, f"its machine is gone ({machine.draining or 'returned'})", now_us)
             rental = self.rentals[machine.rental]
             rental.machines.remove(name)
             rental.returning.remove(name)
--- /dev/null
+++ b/src/tideusher/core/reports.py
@@ -0,0 +1,204 @@
+"""Reports of workers: what they prove, and what their answers command.
+
+Places, quota and zones are freed only by what a report proves (docs/safety.md, 3), and `run` is sent only
+from here (safety 4). What becomes of a task is the cluster's to do; this decides what a report says.
+"""
+
+from typing import TYPE_CHECKING
+
+from tideusher.clock import SECOND_US, to_s, to_us
+from tideusher.core.records import ASSIGNED, BOOTING, COMMITTING, OPEN, SEEN, UP, Job, Machine, Task
+from tideusher.wire import workers
+from tideusher.wire.workers import Command, Report, TaskReport
+
+if TYPE_CHECKING:
+    from tideusher.core.cluster import Cluster
+
+#: A fetch takes up to this many times what the type's rate says: rates differ by a third.
+SLOW_FETCH = 1.5
+#: How much of the time that gang members wait for one another a fetch may use up.
+WAIT_USED = 0.8
+
+
+class Reports:
+    """Reads reports into a cluster's picture; the picture itself is the cluster's."""
+
+    def __init__(self, cluster: "Cluster") -> None:
+        self._c = cluster
+        self.log = cluster.log
+
+    def answer(self, report: Report, now_us: int) -> list[Command]:
+        """Digest a worker's report; returns the commands for its answer."""
+        machine = self._c.machines.get(report.machine)
+        if machine is None:
+            machine = self._c.adopt(report, now_us)
+        strays = self._digest(machine, report, now_us)
+        return [] if strays is None else strays + self._commands(machine)
+
+    def look(self, report: Report, now_us: int) -> None:
+        """Learn from a report that came as the answer to a direct call.
+
+        Its answer is not ours to give, so no `run` may be counted as sent with it.
+        """
+        machine = self._c.machines.get(report.machine)
+        if machine is not None:
+            self._digest(machine, report, now_us)
+
+    def _digest(self, machine: Machine, report: Report, now_us: int) -> list[Command] | None:
+        """Take in what a report says; returns commands for attempts that hold no place, None if stale."""
+        if (report.session, report.serial) <= (machine.session, machine.serial):
+            return None  # late or repeated: what it says is older than what we know
+        new_session = machine.reported_us > 0 and report.session > machine.session
+        machine.session, machine.serial = report.session, report.serial
+        machine.reported_us, machine.probes_failed = now_us, 0
+        self._c.health.heard(machine.zone, now_us)
+        machine.address = report.address
+        if machine.phase == BOOTING:
+            machine.phase = UP
+            machine.idle_since_us = now_us
+            self.log.info("machine %s is up %.0f s after its rental", machine.name, to_s(now_us - machine.rented_us))
+            self._c.dirty = True
+        if report.recall_s is not None:
+            self._recalled(machine, report.recall_s, now_us)
+        listed: dict[tuple[str, int, int], TaskReport] = {}
+        for item in report.tasks:
+            try:
+                job_id, index = workers.split_task(item.task)
+            except ValueError:
+                self.log.error("machine %s reports a task named %r", machine.name, item.task)
+                continue
+            listed[job_id, index, item.attempt] = item
+        for (job_id, index), task in list(machine.tasks.items()):
+            item_or_none = listed.pop((job_id, index, task.attempt), None)
+            if item_or_none is not None:
+                self._listed(task, item_or_none, report, now_us)
+            elif task.sent is not None and task.phase != COMMITTING:
+                self._absent(task, report, new_session, now_us)
+        return [
+            command
+            for (job_id, index, attempt), item in listed.items()
+            if (command := self._stray(machine, job_id, index, attempt, item)) is not None
+        ]
+
+    def _listed(self, task: Task, item: TaskReport, report: Report, now_us: int) -> None:
+        task.phase, task.inherited = SEEN, False
+        if task.sent is None:
+            task.sent = (0, 0)
+        if item.state == workers.EXITED:
+            self._exited(task, item, now_us)
+            return
+        if item.state != task.state:
+            self.log.debug("%s attempt %d on %s: %s", task.name, task.attempt, task.machine.name, item.state)
+            task.state = item.state
+            if item.state in (workers.ACTIVE, workers.WAITING):
+                self._c.used_image(task)
+        elif item.state == workers.FETCHING:
+            task.machine.images.pop(task.job.spec.image, None)  # we counted on one that is gone
+        if item.state == workers.ACTIVE and task.running_us is None:
+            task.running_us = now_us
+            waited_us = self._c._wall_us() - task.job.submitted_us
+            self._c.metrics.waited(task.job.spec.job_class, max(0.0, to_s(waited_us)))
+
+    def _absent(self, task: Task, report: Report, new_session: bool, now_us: int) -> None:
+        """The report does not list a task that may have been started: is that proof of absence?
+
+        Yes, if the worker has moved on to a new session; or if it has seen our token (no older
+        leader's order can start anything any more) and the report is newer than our order (its
+        answer was executed before this report was sent, or never will be).
+        """
+        assert task.sent is not None
+        if not new_session and (report.token < self._c.token or (report.session, report.serial) <= task.sent):
+            return
+        if task.phase == ASSIGNED and not task.inherited and not new_session and task.halt_grace_s is None:
+            task.sent = None  # the answer was lost; this attempt never was on the machine: send it again
+            return
+        reason = "its machine's lease ran out" if new_session else "its machine does not have it"
+        self._c.lost(task, reason, now_us)
+
+    def _exited(self, task: Task, item: TaskReport, now_us: int) -> None:
+        job, machine = task.job, task.machine
+        if item.cause == workers.CAUSE_DONE:
+            machine.error_jobs.clear()
+            if task.running_us is not None:
+                if not job.is_gang:
+                    machine.completed(job, now_us - task.running_us)
+                self._c.metrics.ran(job.spec.job_class, to_s(now_us - task.running_us))
+            self._c.complete(job, task.index)
+            self._c.free(task, now_us)
+            return
+        if job.status == OPEN and task.halt_grace_s is None:
+            self.log.info("%s attempt %d on %s exited: %s", task.name, task.attempt, machine.name, item.cause)
+            self._c.note_stop(job, task, f"it exited: {item.cause}")
+        if item.cause == workers.CAUSE_ERROR:
+            self._errored(job, machine, now_us)
+        elif item.cause in (workers.CAUSE_NO_ROOM, workers.CAUSE_BUSY, workers.CAUSE_UNKNOWN):
+            job.not_before_us = now_us + SECOND_US
+        self._c.discard(task, now_us, kept=bool(item.kept))
+        self._c.free(task, now_us)
+
+    def _errored(self, job: Job, machine: Machine, now_us: int) -> None:
+        """A failure is mostly the machine's fault; a job that fails everywhere backs off instead."""
+        job.error_machines.add(machine.name)
+        job.failures += 1
+        machine.error_jobs.add(job.spec.id)
+        if job.failures >= 3:
+            job.not_before_us = now_us + min(60, 2 ** min(job.failures, 6)) * SECOND_US
+        honest = [name for name in machine.error_jobs if (j := self._c.jobs.get(name)) is None or j.failures < 3]
+        if len(machine.error_jobs) >= 2 and honest and not machine.draining:
+            self._c.drain(machine, "tasks of several jobs failed on it")
+
+    def _recalled(self, machine: Machine, recall_s: float, now_us: int) -> None:
+        machine.recall_us = now_us + to_us(recall_s)
+        if machine.draining:
+            return
+        machine.draining = "the cloud takes it back"
+        self.log.info("machine %s will be taken in %.0f s", machine.name, recall_s)
+        self._c.dirty = True
+        for task in list(machine.tasks.values()):
+            if task.job.spec.checkpoint_s and recall_s > task.job.spec.save_s:
+                group = list(task.job.live.values()) if task.job.is_gang else [task]
+                for member in group:
+                    self._c.halt(member, task.job.spec.save_s + 1.0, "the cloud takes its machine back")
+
+    def _stray(self, machine: Machine, job_id: str, index: int, attempt: int, item: TaskReport) -> Command | None:
+        """A listed attempt that holds no place: exited ones are forgotten, live ones stopped."""
+        job = self._c.jobs.get(job_id)
+        if item.state != workers.EXITED:
+            self.log.info("stop %s attempt %d on %s: it holds no place", item.task, attempt, machine.name)
+            return workers.halt(item.task, attempt, 0.0)
+        if job is not None and item.cause == workers.CAUSE_DONE and 0 <= index < job.spec.tasks:
+            self._c.complete(job, index)
+            # `forget` only after the completion is in the state service (safety 4).
+            if job.status == OPEN and not self._c.is_saved(job, index):
+                return None
+        return workers.forget(item.task, attempt)
+
+    def _commands(self, machine: Machine) -> list[Command]:
+        out = []
+        for task in list(machine.tasks.values()):
+            if task.halt_grace_s is not None:
+                if task.phase == SEEN or task.inherited or task.sent is not None:
+                    out.append(workers.halt(task.name, task.attempt, task.halt_grace_s))
+            elif task.phase == ASSIGNED and task.sent is None and machine.phase == UP and task.job.status == OPEN:
+                if self._comes_too_soon(task):
+                    continue
+                # The only place where `run` is ever sent (safety 4).
+                task.sent = (machine.session, machine.serial)
+                out.append(workers.run(task.name, task.attempt))
+        return out
+
+    def _comes_too_soon(self, task: Task) -> bool:
+        """Would this member of a gang give up waiting before others have their image?
+
+        A member that has its image waits `gang_wait_s` for the rest. Where a fetch takes longer, those
+        that start with the image gave up, the gang was stopped, the fetches with it, and so again. They
+        are told to run when the fetches are over.
+        """
+        job, machine = task.job, task.machine
+        spec, kind = job.spec, self._c.fleet.types.get(machine.type)
+        if not job.is_gang or kind is None or spec.image not in machine.images:
+            return False
+        longest_s = spec.image_gb / max(kind.fetch_gb_per_s, 1e-6) * SLOW_FETCH
+        if longest_s < self._c.config.settings.workers.gang_wait_s * WAIT_USED:
+            return False
+        return any(spec.image not in other.machine.images for other in job.live.values())
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -420,7 +420,7 @@
     def _report(self, now: int) -> None:
         for due, report in [x for x in self.late_reports if x[0] <= now]:
             self.late_reports.remove((due, report))
-            self.rng.choice(self.leaders[-2:]).report(report, now)
+            self.rng.choice(self.leaders[-2:]).reports.answer(report, now)
         for worker in list(self.workers.values()):
             if worker.dead or self.chance():
                 continue
@@ -431,7 +431,7 @@
             asked = self.leaders[-1] if self.rng.random() < 0.8 else self.rng.choice(self.leaders[-2:])
             if report.token > asked.token:
                 continue
-            commands = Commands(asked.token, asked.report(report, now))
+            commands = Commands(asked.token, asked.reports.answer(report, now))
             if not self.chance():  # else the answer is lost
                 worker.answer(commands, now, report.session)
             asked.direct.clear()
@@ -491,7 +491,7 @@
         items = [TaskReport(name, attempt, state, cause) for name, attempt, state, cause in tasks]
         token = self.cluster.token if token is None else token
         report = Report(machine, "127.0.0.1:9", "m4", zone, spot, session, serial, token, None, items)
-        return self.cluster.report(report, self.clock.now_us())
+        return self.cluster.reports.answer(report, self.clock.now_us())
 
     def place(self, spec, *hosts):
         """Submit, bring machines up (host-1 if none is named), assign and persist; returns the job."""
--- a/tests/test_way.py
+++ b/tests/test_way.py
@@ -158,11 +158,11 @@
     token = 7
 
     def __init__(self):
-        self.reports = 0
+        self.reports, self.answered = self, 0
 
-    def report(self, report, now_us):
-        self.reports += 1
-        return [workers.forget("req-000001/0", self.reports)]
+    def answer(self, report, now_us):
+        self.answered += 1
+        return [workers.forget("req-000001/0", self.answered)]
 
 
 def test_reports_that_came_together_are_acted_on_once_and_a_newer_token_is_not_answered():
@@ -175,6 +175,6 @@
     report = [workers.Report(f"host-{n}", "a:1", "m4", "a", False, 1, 1, 7 + (n == 2)) for n in range(4)]
     answers = leader.on_reports(report)
     assert [answer is None for answer in answers] == [False, False, True, False]
-    assert acted == [picture] and picture.reports == 3
+    assert acted == [picture] and picture.answered == 3
     part.token = 8
     assert leader.on_reports(report) == [None] * 4  # deposed: it answers nothing
