--- a/tests/test_startup.py
+++ b/tests/test_startup.py
@@ -44,6 +44,7 @@
     shutil.copy(ROOT / "requirements.txt", tree)
     build = tomllib.loads((ROOT / "deploy" / "service.toml").read_text())["build"]
     (tree / "target" / "deps").mkdir(parents=True)
+    os.utime(tree / "requirements.txt", (0, 0))  # older than the dependencies, whatever the clock's steps
     path = os.pathsep.join([str(Path(sys.executable).parent), os.environ["PATH"]])
     env = {**os.environ, "PATH": path}
     subprocess.run(["sh", "-c", build], cwd=tree, env=env, check=True, capture_output=True)
