--- a/src/tideusher/core/cluster.py
+++ b/src/tideusher/core/cluster.py
@@ -446,14 +446,18 @@
         """A machine that we do not know reports: a late rental. It is used, or returned when idle."""
         returned = report.machine in self.gone
         self.log.info("adopt %s: it reports and no rental names it", report.machine)
-        rental = Rental(f"adopted-{report.machine}", report.type, report.zone, report.spot, 1, True, [report.machine])
-        self.rentals[rental.name] = rental
-        self.keeper.touch(self._rental_entry(rental), urgent=False)
-        machine = self._add_machine(report.machine, rental, now_us)
+        machine = self._add_unnamed(report.machine, report, now_us)
         if returned:
             self.give_back(machine, "its return was answered before")
         return machine
 
+    def _add_unnamed(self, name: str, told: Report | Listed, rented_us: int) -> Machine:
+        """Keep a machine that no rental of ours names under a rental of its own."""
+        rental = Rental(f"adopted-{name}", told.type, told.zone, told.spot, 1, True, [name])
+        self.rentals[rental.name] = rental
+        self.keeper.touch(self._rental_entry(rental), urgent=False)
+        return self._add_machine(name, rental, rented_us)
+
     def drain(self, machine: Machine, reason: str) -> None:
         """Stop what runs on a machine that does harm, and return it."""
         self.log.info("drain %s: %s", machine.name, reason)
@@ -541,10 +545,7 @@
             if machine is None:
                 if item.name not in self.gone and item.age_s > 6 * self.config.settings.cloud.list_lag_s + 20:
                     self.log.info("adopt %s: the cloud lists it and no rental names it", item.name)
-                    rental = Rental(f"adopted-{item.name}", item.type, item.zone, item.spot, 1, True, [item.name])
-                    self.rentals[rental.name] = rental
-                    self.keeper.touch(self._rental_entry(rental), urgent=False)
-                    machine = self._add_machine(item.name, rental, now_us - to_us(item.age_s))
+                    self._add_unnamed(item.name, item, now_us - to_us(item.age_s))
                 continue
             machine.listed = item.status
             machine.address = machine.address or item.address
--- a/src/tideusher/core/scheduler.py
+++ b/src/tideusher/core/scheduler.py
@@ -57,7 +57,7 @@
                 if job is None or job.pending <= 0 or now_us > machine.reserved_until_us:
                     machine.reserved = ""
         within = self._within_guarantee()
-        waiting = [job for job in self._c.jobs.values() if job.status == OPEN and job.pending > 0]
+        waiting = [job for job in self._c.jobs.values() if _waits(job)]
         queue = order_jobs(
             waiting,
             self._c.ledger.ratio,
@@ -69,7 +69,7 @@
         usable = [
             m
             for m in self._c.machines.values()
-            if m.phase == UP and not m.draining and now_us - m.reported_us < fresh_us and m.free_cpus > 0
+            if _usable(m) and now_us - m.reported_us < fresh_us and m.free_cpus > 0
         ]
         used_gpus = sum(usage[1] for usage in self._c.usage.values())
         self._c.fleet.refresh_warm(now_us, used_gpus)
@@ -198,7 +198,7 @@
 
     def _preempt(self, unplaced: list[tuple[Job, int]], now_us: int) -> None:
         stops = 0
-        usable = [m for m in self._c.machines.values() if m.phase == UP and not m.draining]
+        usable = [m for m in self._c.machines.values() if _usable(m)]
         coming_free = room_of_halted(usable)
         coming = sum(
             m.gpus for m in self._c.machines.values() if m.phase == BOOTING and not m.draining and not m.spot
@@ -260,10 +260,10 @@
             return
         if self._c.keeper.waiting > self._c.config.settings.state.txn_ops:
             return  # moves would wait for their write
-        if any(job.status == OPEN and job.is_service and job.pending > 0 for job in self._c.jobs.values()):
+        if any(job.is_service and _waits(job) for job in self._c.jobs.values()):
             return
         steady_us = to_us(self._c.policy.fleet__move_after_s)
-        up = [m for m in self._c.machines.values() if m.phase == UP and not m.draining and not m.reserved]
+        up = [m for m in self._c.machines.values() if _usable(m) and not m.reserved]
         moving = sum(m.draining == MOVED and m.phase == UP for m in self._c.machines.values())
         quota = max(1, len(up) // MOVE_ONE_OF) - moving
         sources = [
@@ -321,27 +321,27 @@
         return targets
 
     def _plan_fleet(self, requests: list[Request], now_us: int) -> None:
-        held = self._gathering.held
-        open_to_all = [m for m in self._c.machines.values() if m.name not in held]
         asked = [(r.type, r.zone, r.spot, r.count) for r in self._c.rentals.values() if not r.answered]
         # What the cloud takes in a second is asked at a time. A queue of many small rentals reached it
         # half a minute late when a whole fleet was wanted; what has to wait is asked for in one.
         room = max(2, int(self._c.config.settings.cloud.rps)) - len(asked)
         if room > 0:
-            for wish in self._c.fleet.plan(now_us, requests, open_to_all, asked)[:room]:
+            for wish in self._c.fleet.plan(now_us, requests, self._not_held(), asked)[:room]:
                 self._c.rent(wish)
 
     def _thin_out(self, now_us: int) -> None:
         """Give back what is hardly used or idles."""
-        held = self._gathering.held
-        open_to_all = [m for m in self._c.machines.values() if m.name not in held]
         self._consolidate(now_us)
         for machine in self._c.machines.values():
             if machine.draining == MOVED and machine.phase == UP and not machine.tasks:
                 self._c.give_back(machine, MOVED)
-        for machine, reason in self._c.fleet.surplus(now_us, [m for m in open_to_all if m.name in self._c.machines]):
+        for machine, reason in self._c.fleet.surplus(now_us, self._not_held()):
             self._c.give_back(machine, reason)
 
+    def _not_held(self) -> list[Machine]:
+        """All machines but those whose room is held for a gang."""
+        return [m for m in self._c.machines.values() if m.name not in self._gathering.held]
+
 
 def _waits(job: Job) -> bool:
     """Is there still something of the job to be placed?"""
