--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -100,11 +100,13 @@
     assert told == ["old", "new"] and new.stamp == 9 and keeper.waiting == 0
 
 
-def sharing(leader, told):
-    """Writes that node n0 of three may make in the next 10 s, each once its turn has come."""
-    store = Store(make_config(), FakeClock(), Metrics())  # 50 writes a second for all
+def sharing(leader, told, node="n0"):
+    """How many writes a second this node of three may make."""
+    config = make_config()  # 50 writes a second for all
+    config.node = node
+    store = Store(config, FakeClock(), Metrics())
     store._apply(keys.LEADER, {"node": leader}, 1)
-    store.lead(leader == "n0")
+    store.lead(leader == node)
     store.hear_demands(lambda: told)
     store._share_writes()
     store._writes.drain()
@@ -125,11 +127,8 @@
     nodes = ("n0", "n1", "n2")
     rates = []
     for node, wanted in zip(nodes, wants, strict=True):
-        others = {n: w for n, w in zip(nodes, wants, strict=True) if n != node}
-        names = {node: "n0", "n0": node}
-        told = {names.get(n, n): w for n, w in others.items()}
-        rate = sharing(names.get("n1", "n1"), told)
-        rates.append(min(rate, wanted))
+        told = {other: wants[number] for number, other in enumerate(nodes) if other != node}
+        rates.append(min(sharing("n1", told, node), wanted))
     assert sum(rates) <= 50.0
 
 
