--- a/src/tideusher/actors/gateway.py
+++ b/src/tideusher/actors/gateway.py
@@ -14,10 +14,10 @@
 import msgspec
 
 from tideusher.actors.election import Election
-from tideusher.actors.leader import Leader
+from tideusher.actors.leader import REPORT_WAITS_US, Leader
 from tideusher.actors.peers import Peers
 from tideusher.actors.store import Store
-from tideusher.clock import Clock
+from tideusher.clock import Clock, to_s
 from tideusher.config import Config
 from tideusher.core import keys
 from tideusher.core.bounds import may_answer
@@ -25,7 +25,7 @@
 from tideusher.wire import workers
 from tideusher.wire.peers import ForwardReport
 
-FORWARD_S = 1.0
+FORWARD_S = to_s(REPORT_WAITS_US)
 
 
 @dataclass(frozen=True)
@@ -87,7 +87,7 @@
         if node == self._config.node:
             report = workers.decode_report(body)
             with gevent.Timeout(FORWARD_S, False):
-                commands = self._leader.ask("report", report).get()
+                (commands,) = self._leader.answer_reports([report]).get()
                 return workers.encode(commands) if commands is not None else None
             return None
         link = self._peers.links.get(node)
--- a/src/tideusher/actors/leader.py
+++ b/src/tideusher/actors/leader.py
@@ -5,6 +5,7 @@
 
 import gevent
 import msgspec
+from gevent.event import AsyncResult
 
 from tideusher.actors.base import Actor
 from tideusher.actors.cloud import Cloud
@@ -24,6 +25,8 @@
 from tideusher.wire import workers
 
 PASS_US = 150_000
+#: How long a gateway waits for the answer to a report before it answers alone.
+REPORT_WAITS_US = 1_000_000
 
 
 class Leader(Actor):
@@ -149,15 +152,18 @@
             self._cluster.job_changed(job_id, value, stamp, self._clock.now_us())
             self._act(self._cluster)
 
-    def on_report(self, report: workers.Report) -> workers.Commands | None:
-        """A worker's report; None if we are not entitled to answer."""
-        return self.on_reports([report])[0]
+    def answer_reports(self, reports: list[workers.Report]) -> AsyncResult:
+        """Ask for the commands to reports that came together, while their gateway waits."""
+        return self.ask("reports", reports, self._clock.now_us())
 
-    def on_reports(self, reports: list[workers.Report]) -> list[workers.Commands | None]:
-        """Reports that came together: what they change is written and acted on once."""
+    def on_reports(self, reports: list[workers.Report], asked_us: int) -> list[workers.Commands | None]:
+        """What the reports change is written and acted on once. None: we are not entitled to answer, or the
+        gateway has answered alone meanwhile; to read those too would keep a late leader late.
+        """
         cluster, now_us = self._cluster, self._clock.now_us()
         if (
             cluster is None
+            or now_us - asked_us > REPORT_WAITS_US
             or cluster.token != self._election.token
             or not may_answer(self._config, self._store.contact_us, now_us)
         ):
--- a/src/tideusher/node.py
+++ b/src/tideusher/node.py
@@ -113,7 +113,7 @@
                 known.append(message.id)
             except msgspec.DecodeError:
                 answers.append(peer_wire.ReportAnswer(message.id, False))
-        for number, commands in zip(known, self.leader.ask("reports", reports).get(), strict=True):
+        for number, commands in zip(known, self.leader.answer_reports(reports).get(), strict=True):
             body = msgspec.Raw(workers.encode(commands)) if commands is not None else msgspec.Raw(b"null")
             answers.append(peer_wire.ReportAnswer(number, commands is not None, body))
         return answers
--- a/src/tideusher/web.py
+++ b/src/tideusher/web.py
@@ -26,6 +26,9 @@
     503: "503 Service Unavailable",
 }
 
+#: Requests of users that are served at a time. Reports and health checks do not count and are never refused for them.
+MAX_USER_REQUESTS = 256
+
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
 
 
@@ -45,6 +48,7 @@
     ) -> None:
         self._users, self._gateway, self._questions, self._peers = users, gateway, questions, peers
         self._metrics, self._in_contact, self._healthy = metrics, in_contact, healthy
+        self._user_requests = 0
         self._server = WSGIServer(split_address(bind), self, log=None, error_log=None, handler_class=Handler)
 
     def start(self) -> None:
@@ -74,14 +78,13 @@
         if path == "/healthz":
             return Reply(200, b"{}") if self._healthy() else refusal(503, "this node cannot take requests")
         if path == "/work" or path.startswith("/work/"):
-            body = self._body(environ)
-            if body is None:
-                return refusal(400, "the body is over 64 KiB")
-            passed_on = None if self._in_contact() else self._through_peer(method, path, body)
-            if passed_on is not None:
-                return passed_on
-            reply = self._users.handle(method, path, body)
-            return (self._through_peer(method, path, body) or reply) if reply.status == 503 else reply
+            if self._user_requests >= MAX_USER_REQUESTS:
+                return refusal(503, "too many requests at once")
+            self._user_requests += 1
+            try:
+                return self._for_user(method, path, environ)
+            finally:
+                self._user_requests -= 1
         if path in ("/teams", "/machines", "/metrics") or path.startswith("/why/"):
             if method != "GET":
                 return refusal(405, "GET only")
@@ -92,6 +95,16 @@
             return self._questions.answer(path[1:])
         return refusal(404, "no such path")
 
+    def _for_user(self, method: str, path: str, environ: dict[str, Any]) -> Reply:
+        body = self._body(environ)
+        if body is None:
+            return refusal(400, "the body is over 64 KiB")
+        passed_on = None if self._in_contact() else self._through_peer(method, path, body)
+        if passed_on is not None:
+            return passed_on
+        reply = self._users.handle(method, path, body)
+        return (self._through_peer(method, path, body) or reply) if reply.status == 503 else reply
+
     def _through_peer(self, method: str, path: str, body: bytes) -> Reply | None:
         """What we cannot decide, a peer that reaches the state service may: any node may answer."""
         try:
