A body that breaks off or nests without end is a 400, and one debug line

A submission nested 60,000 deep and a broken chunked body got 503, for which users come back with the same bytes; each client that hung up inside its body wrote a traceback of 20 lines. Reading the body now ends in one exception that the web turns into 400 with Connection: close, and the decoders' recursion limit is malformed input like any other. Six cases through the real handler and two nested bodies; all got 503 and an error line before.

--- a/src/tideusher/actors/gateway.py
+++ b/src/tideusher/actors/gateway.py
@@ -50,7 +50,7 @@
         """Answer one report. One that is passed on is read as far as that needs; the leader reads it whole."""
         try:
             return self._handle(workers.decode_head(body), body)
-        except msgspec.DecodeError as error:
+        except (msgspec.DecodeError, RecursionError) as error:
             self.log.error("refused a report: %s", error)
             return Answer(400, b'{"error":"malformed report"}')
 
--- a/src/tideusher/actors/users.py
+++ b/src/tideusher/actors/users.py
@@ -108,7 +108,7 @@
         """A repeated `ref` gets the job's state whatever its body says."""
         try:
             raw = msgspec.json.decode(body)
-        except (msgspec.DecodeError, UnicodeDecodeError):
+        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
             return None
         ref = raw.get("ref") if isinstance(raw, dict) else None
         if not isinstance(ref, str) or not wire.JOB_ID.fullmatch(ref):
--- a/src/tideusher/web.py
+++ b/src/tideusher/web.py
@@ -32,6 +32,10 @@
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
 
 
+class BadBody(Exception):
+    """A body that cannot be read to its end: broken framing, or a client that hung up in it."""
+
+
 class Web:
     """A WSGI application. Whatever is asked, it answers at once or as soon as the answer is known."""
 
@@ -59,6 +63,11 @@
         method, path = environ["REQUEST_METHOD"], environ["PATH_INFO"]
         try:
             reply = self._route(method, path, environ)
+        except BadBody as error:
+            # Not an error of this node: as one it had the user told to come back with the same body, and
+            # each client that hung up filled the log with a traceback.
+            self._users.log.debug("%s %s: %s", method, path, error)
+            reply = Reply(400, {"error": str(error)}, [("Connection", "close")])
         except Exception:
             self._users.log.exception("%s %s failed", method, path)
             reply = refusal(503, "an error of this node")
@@ -73,7 +82,7 @@
         if path == "/checkin":
             if method != "POST":
                 return refusal(405, "POST only")
-            answer = self._gateway.handle(environ["wsgi.input"].read())
+            answer = self._gateway.handle(_read(environ))
             return Reply(answer.status, answer.body)
         if path == "/healthz":
             return Reply(200, b"{}") if self._healthy() else refusal(503, "this node cannot take requests")
@@ -118,5 +127,13 @@
     @staticmethod
     def _body(environ: dict[str, Any]) -> bytes | None:
         """The body, or None if it is over the limit."""
-        body = environ["wsgi.input"].read(MAX_BODY + 1)
+        body = _read(environ, MAX_BODY + 1)
         return None if len(body) > MAX_BODY else body
+
+
+def _read(environ: dict[str, Any], limit: int = -1) -> bytes:
+    """Up to `limit` bytes of the body (-1: all); raises BadBody."""
+    try:
+        return environ["wsgi.input"].read(limit)
+    except OSError as error:
+        raise BadBody(f"the body cannot be read: {error}") from None
--- a/src/tideusher/wire/jobs.py
+++ b/src/tideusher/wire/jobs.py
@@ -61,6 +61,8 @@
         spec = _decoder.decode(body)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         raise InvalidJob(str(error)) from None
+    except RecursionError:  # of a field that we do not know, thousands deep: as bad the next time
+        raise InvalidJob("it is nested too deeply") from None
     _check(spec)
     return spec
 
--- a/tests/test_way.py
+++ b/tests/test_way.py
@@ -8,13 +8,17 @@
 from gevent.pywsgi import WSGIServer
 
 from standins import FakeClock, make_config
+from tideusher.actors.gateway import Gateway
 from tideusher.actors.handler import MAX_HEADERS, MAX_LINE, Handler
 from tideusher.actors.leader import REPORT_WAITS_US, Leader
 from tideusher.actors.peers import MAX_WAITING, Outbox, Peers
+from tideusher.actors.users import Users
 from tideusher.config import Policy
 from tideusher.metrics import Metrics
+from tideusher.web import Web
 from tideusher.wire import peers as wire
 from tideusher.wire import workers
+from tideusher.wire.jobs import InvalidJob, parse_job
 
 
 class Wire:
@@ -181,3 +185,34 @@
     assert leader.on_reports(report, clock.now_us() - REPORT_WAITS_US)[0] is not None
     part.token = 8
     assert leader.on_reports(report, clock.now_us()) == [None] * 4  # deposed: it answers nothing
+
+
+@pytest.mark.parametrize(
+    "lines, body",
+    [
+        ([b"Transfer-Encoding: chunked"], b"zz\r\n"),  # no chunk length
+        ([b"Transfer-Encoding: chunked"], b"5\r\nab"),  # hung up inside a chunk
+        ([b"Content-Length: 50"], b'{"ref":'),  # hung up inside the body
+    ],
+)
+@pytest.mark.parametrize("path", [b"/work", b"/checkin"])
+def test_a_body_that_breaks_off_is_a_400_and_one_debug_line(path, lines, body, caplog, capfd):
+    """It got 503, for which users come back, and a traceback of 20 lines for each client that hung up."""
+    users, gateway = Users(make_config(), FakeClock(), None), Gateway(make_config(), FakeClock(), *[None] * 4)
+    web = Web("127.0.0.1:0", users, gateway, None, None, bytes, lambda: True, lambda: True)
+    caplog.set_level("DEBUG")
+    sock = Wire(b"\r\n".join([b"POST %s HTTP/1.1" % path, b"Host: a", *lines, b"", body]))
+    server = WSGIServer(("127.0.0.1", 0), web, log=None, error_log=None, handler_class=Handler)
+    Handler(sock, ("10.0.0.9", 4711), server).handle()
+    (answer,) = sock.sent
+    assert answer.startswith(b"HTTP/1.1 400") and b"Connection: close" in answer
+    assert [record.levelname for record in caplog.records] == ["DEBUG"]
+    assert capfd.readouterr().err == ""
+
+
+def test_a_submission_nested_beyond_reason_is_malformed():
+    users = Users(make_config(), FakeClock(), None)
+    for body in (b"[" * 60_000, b'{"ref":"req-000001","odd":' + b"[" * 60_000):
+        assert users.submit(body).status == 400
+    with pytest.raises(InvalidJob):
+        parse_job(b'{"ref":' + b"[" * 60_000)
