Jobs that are held, wait for a time or for other jobs, and limits of their own

PBS scripts need holds, -a, -W depend, slot limits and a walltime that binds; native jobs gain them as optional fields, absent on the platform's wire and refused unless jobs.conditions is switched on.

What a job still waits for is derived from its record and those it names, never written: an end releases any number of jobs without a write, by name and in pieces of 500, and jobs that may not start are no part of a pass. A hold changes the job's own key, which every start is guarded by. A task over its limit is recorded as over before it is stopped.

--- a/src/tideusher/actors/leader.py
+++ b/src/tideusher/actors/leader.py
@@ -135,7 +135,9 @@
         """Build the picture from the mirror."""
         self._loading = False
         now_us = self._clock.now_us()
-        cluster = Cluster(self._config, self._policy, token, now_us, self._clock.wall_us, self._metrics)
+        cluster = Cluster(
+            self._config, self._policy, token, now_us, self._clock.wall_us, self._metrics, self._record_of
+        )
         cluster.load({key: (s.value, s.stamp) for key, s in self._store.mirror.items()}, now_us)
         self._cluster, self._scheduler = cluster, Scheduler(cluster, now_us)
         self._metrics.count("leaderships")
@@ -144,6 +146,10 @@
         )
         self.on_survey()
 
+    def _record_of(self, job_id: str) -> dict[str, Any] | None:
+        stored = self._store.mirror.get(keys.job_key(job_id))
+        return None if stored is None else stored.value
+
     # ---------------------------------------------------------------- inputs
 
     def on_job(self, job_id: str, value: dict | None, stamp: int) -> None:
--- a/src/tideusher/actors/questions.py
+++ b/src/tideusher/actors/questions.py
@@ -12,7 +12,7 @@
 from tideusher.actors.users import Reply, refusal
 from tideusher.config import Config
 from tideusher.core import keys
-from tideusher.core.explain import told_stops
+from tideusher.core.explain import told_end, told_stops
 from tideusher.core.records import JOB_CANCELLED, JOB_DONE
 from tideusher.wire.peers import Ask
 
@@ -63,7 +63,7 @@
         status = stored.value["st"]
         reason = {
             JOB_DONE: "It is done.",
-            JOB_CANCELLED: "Its user cancelled it.",
+            JOB_CANCELLED: told_end(stored.value.get("why", "")),
         }.get(status, "It is accepted; the leader cannot be asked at the moment what it waits for.")
         stops: list[dict[str, Any]] = (chunk.value if chunk else stored.value).get("w", [])
         answer = {"job": job_id, "status": status, "reasons": [reason], "stops": told_stops(stops)}
--- a/src/tideusher/actors/users.py
+++ b/src/tideusher/actors/users.py
@@ -1,6 +1,7 @@
 """Users: submissions, polls and cancellations, answered by any node (docs/safety.md, 7)."""
 
 import logging
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -10,12 +11,13 @@
 from tideusher.clock import Clock
 from tideusher.config import Config
 from tideusher.core import keys
-from tideusher.core.cluster import open_value
+from tideusher.core.cluster import held_value, holder, open_value
+from tideusher.core.conditions import hopeless
 from tideusher.core.records import CHUNK_TASKS, JOB_CANCELLED, JOB_DONE, OPEN
 from tideusher.wire import jobs as wire
 from tideusher.wire.cloud import MachineType
 from tideusher.wire.jobs import InvalidJob, JobSpec, JobStatus
-from tideusher.wire.state import Guard, Put
+from tideusher.wire.state import Guard, Put, Write
 
 #: Who would have to wait longer for the state service's budget is told at once to come back.
 PATIENCE_S = 2.0
@@ -35,6 +37,12 @@
     return Reply(status, {"error": reason}, retry_later(status))
 
 
+class HoldRequest(msgspec.Struct):
+    """The body of a hold; all of it may be missing."""
+
+    by: str = "its user"
+
+
 def retry_later(status: int) -> list[tuple[str, str]]:
     """What cannot be taken now is told when to come back, instead of being held."""
     return [("Retry-After", "1")] if status in (429, 503) else []
@@ -43,8 +51,9 @@
 class Users:
     """Stateless beside the mirror: every acceptance and cancellation is a guarded transaction."""
 
-    def __init__(self, config: Config, clock: Clock, store: Store) -> None:
+    def __init__(self, config: Config, clock: Clock, store: Store, conditions: bool = False) -> None:
         self.log = logging.getLogger("users")
+        self._conditions = conditions  # are jobs with conditions taken (`jobs.conditions`)?
         self._clock, self._store = clock, store
         self._max_value = int(config.settings.state.value_kb * 1024)
         self._teams = {team.name: team for team in config.settings.teams}
@@ -60,6 +69,8 @@
             return self.poll(name) if method == "GET" else refusal(405, "GET only")
         if action == "abort":
             return self.cancel(name) if method == "POST" else refusal(405, "POST only")
+        if action in ("hold", "release"):
+            return self.hold(name, action, body) if method == "POST" else refusal(405, "POST only")
         return refusal(404, "no such path")
 
     # ---------------------------------------------------------------- POST /work
@@ -74,9 +85,13 @@
                 return known
             self.log.info("refused a submission: %s", error)
             return refusal(400, str(error))
+        return self.accept(spec)
+
+    def accept(self, spec: JobSpec, more: Sequence[Write] = ()) -> Reply:
+        """Accept a job that is well-formed, with what else is to be written together with it."""
         if self._store.mirror.get(keys.job_key(spec.id)) is not None:
             return self._state(spec.id)
-        problem = self._cannot_run(spec)
+        problem = self._cannot_run(spec) or self._cannot_wait(spec)
         if problem is not None:
             status, reason = problem
             if status == 422:
@@ -92,7 +107,7 @@
             # The state service would refuse it each time; the user must not be told to come back.
             return refusal(400, "the job's description is too long")
         try:
-            self._store.txn([Guard(key, 0)], [Put(key, value)], patience_s=PATIENCE_S)
+            self._store.txn([Guard(key, 0)], [Put(key, value), *more], patience_s=PATIENCE_S)
         except Conflict:
             return self._state(spec.id)
         except Busy:
@@ -142,6 +157,29 @@
         ]
         return None if fitting else (422, "a task fits no allowed machine type")
 
+    def _cannot_wait(self, spec: JobSpec) -> tuple[int, str] | None:
+        """Can what the job waits for not be promised, or never come?
+
+        No guard is needed on those that it names: one that ends while this job is accepted is read by
+        the leader, which sees this job's record only after that of every job it names.
+        """
+        if not spec.conditional:
+            return None
+        if not self._conditions:
+            return 422, "hold, not_before, after, at_once and limit_s are not switched on here (jobs.conditions)"
+        after = spec.after or []
+        for fresh in (False, True):
+            missing = [one.job for one in after if keys.job_key(one.job) not in self._store.mirror]
+            if missing and not fresh and not self._store.sync():
+                return 503, "the state service does not answer"
+        if missing:
+            return 422, f"it is to start after {missing[0]}, and there is no such job"
+        for one in after:
+            reason = hopeless(one, self._store.mirror[keys.job_key(one.job)].value)
+            if reason:
+                return 422, reason
+        return None
+
     def _known_types(self) -> list[MachineType]:
         stored = self._store.mirror.get(keys.TYPES)
         if stored is not None and stored.value is not self._types_value:
@@ -171,9 +209,10 @@
         if value["st"] == JOB_DONE:
             return Reply(200, JobStatus(job_id, wire.DONE, value["n"], 0))
         if value["st"] == JOB_CANCELLED:
-            return Reply(200, JobStatus(job_id, wire.CANCELLED, 0, 0))
+            return Reply(200, JobStatus(job_id, wire.CANCELLED, 0, 0, why=value.get("why")))
         done, running = self._count(job_id, value["spec"]["pieces"])
-        return Reply(200, JobStatus(job_id, wire.RUNNING if running else wire.PENDING, done, running))
+        status = wire.RUNNING if running else wire.PENDING
+        return Reply(200, JobStatus(job_id, status, done, running, held=holder(value) or None))
 
     def _count(self, job_id: str, tasks: int) -> tuple[int, int]:
         done = running = 0
@@ -186,6 +225,39 @@
 
     def cancel(self, job_id: str) -> Reply:
         """Cancel; told to the user only when no start can be committed any more."""
+
+        def cancelled(value: dict[str, Any]) -> dict[str, Any]:
+            # Whoever waits for the job's begin must know later whether there was one.
+            begun = {"b": 1} if keys.chunk_key(job_id, 0) in self._store.mirror else {}
+            return {**value, "st": JOB_CANCELLED, **begun}
+
+        return self._change(job_id, cancelled, "cancelled") or Reply(200, JobStatus(job_id, wire.CANCELLED))
+
+    def hold(self, job_id: str, action: str, body: bytes) -> Reply:
+        """Hold a job or let it go on. Told to the user only when no start can be committed any more.
+
+        What was committed by then goes on: a hold stops nothing, it lets nothing more start.
+        """
+        if not self._conditions:
+            return refusal(422, "holds are not switched on here (jobs.conditions)")
+        by = ""
+        if action == "hold":
+            try:
+                by = msgspec.json.decode(body or b"{}", type=HoldRequest).by
+            except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+                return refusal(400, str(error))
+            if not 0 < len(by) <= wire.MAX_NAME or not by.isprintable():
+                return refusal(400, f"by must be 1 to {wire.MAX_NAME} printable characters")
+        told = "held" if by else "released"
+        reply = self._change(job_id, lambda value: held_value(value, by), told)
+        if reply is None:
+            return self._state(job_id)
+        if reply.status == 200:
+            return refusal(409, f"{job_id} is {reply.body.status} already")
+        return reply
+
+    def _change(self, job_id: str, change: Callable[[dict[str, Any]], dict[str, Any]], told: str) -> Reply | None:
+        """Change an open job's record; its final state or a refusal, and None if the change is through."""
         if not wire.JOB_ID.fullmatch(job_id):
             return refusal(404, "no such job")
         key = keys.job_key(job_id)
@@ -201,13 +273,15 @@
                 return Reply(200, JobStatus(job_id, wire.DONE))
             if stored.value["st"] == JOB_CANCELLED:
                 return Reply(200, JobStatus(job_id, wire.CANCELLED))
+            changed = change(stored.value)
+            if changed == stored.value:
+                return None
             try:
-                cancelled = Put(key, {**stored.value, "st": JOB_CANCELLED})
-                self._store.txn([Guard(key, stored.stamp)], [cancelled], patience_s=PATIENCE_S)
+                self._store.txn([Guard(key, stored.stamp)], [Put(key, changed)], patience_s=PATIENCE_S)
             except Conflict:
                 continue
             except (Unavailable, NoLease):
                 break
-            self.log.info("cancelled %s for its user", job_id)
-            return Reply(200, JobStatus(job_id, wire.CANCELLED))
+            self.log.info("%s %s for its user", told, job_id)
+            return None
         return refusal(503, "the state service does not answer")
--- a/src/tideusher/core/cluster.py
+++ b/src/tideusher/core/cluster.py
@@ -8,6 +8,7 @@
 import logging
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
+from functools import partial
 from typing import Any
 
 import msgspec
@@ -15,10 +16,12 @@
 from tideusher.clock import to_s, to_us
 from tideusher.config import Config, Policy, Team
 from tideusher.core import keys
+from tideusher.core.conditions import Conditions, RecordOf
 from tideusher.core.fleet import Fleet, Wish
 from tideusher.core.health import Health
 from tideusher.core.keeper import Effect, Entry, Keeper
 from tideusher.core.ledger import Ledger
+from tideusher.core.limits import Limits
 from tideusher.core.preempt import Standing
 from tideusher.core.records import (
     ASSIGNED,
@@ -94,14 +97,17 @@
         now_us: int,
         wall_us: Callable[[], int],
         metrics: Metrics | None = None,
+        record_of: RecordOf = lambda job_id: None,
     ) -> None:
         self.log = logging.getLogger("cluster")
         self.config, self.policy, self.token = config, policy, token
         self.metrics = metrics or Metrics()
-        self._wall_us = wall_us
+        self.wall_us = wall_us
         settings = config.settings
         self.teams: dict[str, Team] = {team.name: team for team in settings.teams}
         self.jobs: dict[str, Job] = {}
+        #: Those that a pass looks at: all but the ones that may not start yet and have nothing running.
+        self.active: dict[str, Job] = {}
         self.machines: dict[str, Machine] = {}
         self.rentals: dict[str, Rental] = {}
         self.gone: set[str] = set()
@@ -109,6 +115,8 @@
         self.fleet = Fleet(policy, settings.objectives)
         self.health = Health(config, policy, self.machines, self.fleet, now_us)
         self.reports = Reports(self)
+        self.conditions = Conditions(self, record_of)
+        self.limits = Limits(self)
         self.keeper = Keeper(keys.LEADER, token, settings.state.txn_ops)
         self._entries: dict[str, Entry] = {}
         self.usage: dict[str, list[float]] = {name: [0.0, 0.0] for name in self.teams}
@@ -148,12 +156,17 @@
         for job in list(self.jobs.values()):
             if job.status == OPEN:
                 self._finish_if_done(job)
-                if job.is_gang and 0 < len(job.live) + job.done_count < job.spec.tasks:
+                if job.is_gang and 0 < len(job.live) + job.done_count < job.spec.tasks and not job.failed_count:
                     # The last leader ended between the transactions of one large gang.
                     self._stop_job(job, 0.0, "its gang was not placed whole")
+                for task in list(job.live.values()) if job.failed_count else ():
+                    if job.is_over(task.index) and not job.is_done(task.index):
+                        self.halt(task, self._grace_s(job), over_limit_reason(job.spec))
             else:
-                self._stop_job(job, 0.0, "its user cancelled it")
+                self._stop_job(job, 0.0, job.why or "its user cancelled it")
             self._retire(job)
+        for job in list(self.jobs.values()):
+            self.conditions.admit(job, now_us)
         self.ledger.set_fleet(self.machines.values())
 
     def _load_rental(self, name: str, value: dict[str, Any], stamp: int, now_us: int) -> None:
@@ -183,16 +196,18 @@
         chunk, places = read_chunk(number, value, stamp)
         job.chunks[number] = chunk
         job.done_count += chunk.done.bit_count()
+        job.failed_count += chunk.failed.bit_count()
         if number == 0:
             job.stops = list(value.get("w", []))
         self._chunk_entry(job, chunk)
-        for index, (attempt, host) in places.items():
+        for index, (attempt, host, began_s) in places.items():
             machine = self.machines.get(host)
             if machine is None:
                 # The machine's record is gone, and that is written only after its return was
                 # answered: the task went with it.
                 continue
             task = Task(job, index, attempt, machine, ASSIGNED, now_us, sent=(0, 0), inherited=True)
+            task.began_s = began_s
             job.started.add(index)
             self._place(task)
 
@@ -250,39 +265,85 @@
                 return
             spec = msgspec.convert(value["spec"], JobSpec)
             job = self.jobs[job_id] = Job(spec, stamp, value["at"], now_us, status=value["st"])
-            self.fleet.arrived(spec, now_us - max(0, self._wall_us() - job.submitted_us))
-            self.dirty = True
+            job.hold, job.why = holder(value), value.get("why", "")
+            if not loading:  # else once all jobs are known
+                self.conditions.admit(job, now_us)
             return
         if stamp <= job.stamp:
             return
         job.stamp = stamp
         if value["st"] != job.status:
-            job.status = value["st"]
-            self.log.info("job %s is %s", job_id, job.status)
+            job.status, job.why = value["st"], value.get("why", "")
+            self.log.info("job %s is %s%s", job_id, job.status, job.why and f": {job.why}")
             if job.status == JOB_CANCELLED:
-                self._stop_job(job, 0.0, "its user cancelled it")
+                if "spec" in value:
+                    self._keep_begun(job, value)
+                self._stop_job(job, 0.0, job.why or "its user cancelled it")
             self._retire(job)
             self.dirty = True
+        elif job.status == OPEN:
+            self.conditions.held(job, holder(value), now_us)
+
+    def _keep_begun(self, job: Job, value: dict[str, Any]) -> None:
+        """Others wait for the begin of a job that is cancelled now: write down that it had begun.
+
+        The node that took the cancellation may not have known. Urgent, so that it is written before the
+        removal of the job's chunks, from which a later leader would know it else.
+        """
+        if job.begun and "b" not in value and self.conditions.names_its_begin(job.spec.id):
+            entry = Entry(keys.job_key(job.spec.id), lambda: {**value, "b": 1}, job.stamp)
+            self.keeper.touch(entry)
+
+    def park_or_wake(self, job: Job, now_us: int) -> None:
+        """Passes look at the job from now on, or no more, as its conditions say."""
+        name = job.spec.id
+        if job.status == OPEN and job.blocked and not job.live:
+            self.active.pop(name, None)
+            job.woken = True
+        elif name not in self.active:
+            self.active[name] = job
+            came_us = now_us if job.woken else now_us - max(0, self.wall_us() - job.submitted_us)
+            self.fleet.arrived(job.spec, came_us)
+        self.dirty = True
+
+    def take_back(self, job: Job) -> None:
+        """Places that were not committed yet are given up: whoever held the job was told that it is held."""
+        for task in list(job.live.values()):
+            if task.phase == COMMITTING and job.live.get(task.index) is task:
+                self.free(task, task.placed_us)
 
     def _finish_if_done(self, job: Job) -> None:
-        """All tasks done and persisted: now the job's own key may say so (safety 2)."""
-        if job.status != OPEN or job.is_service or job.done_count < job.spec.tasks or job.finish_dirty:
+        """All tasks over and persisted: now the job's own key may say so (safety 2)."""
+        if job.status != OPEN or job.is_service or job.over_count < job.spec.tasks or job.finish_dirty:
             return
         if job.live:
             return  # a gang's other tasks have yet to report their exit
         if not all(self.keeper.clean(self._chunk_entry(job, c)) for c in job.chunks.values()):
             return
+        if job.failed_count:
+            count = f"{job.failed_count} of its {job.spec.tasks} tasks"
+            self._finish(job, JOB_CANCELLED, f"{count} ran longer than its limit of {job.spec.limit_s:g} s")
+        else:
+            self._finish(job, JOB_DONE)
+
+    def _finish(self, job: Job, status: str, why: str = "", urgent: bool = True) -> None:
         job.finish_dirty = True
         key = keys.job_key(job.spec.id)
         # Dropped if a cancellation came first: `done` must not overwrite it.
-        entry = Entry(key, lambda: final_value(job, JOB_DONE), job.stamp, valid=lambda: job.status == OPEN)
+        entry = Entry(key, lambda: final_value(job, status, why), job.stamp, valid=lambda: job.status == OPEN)
 
         def told() -> None:
             if job.status == OPEN:
-                job.status, job.stamp = JOB_DONE, entry.stamp
+                job.status, job.stamp, job.why = status, entry.stamp, why
                 self._retire(job)
 
-        self.keeper.touch(entry, told)
+        self.keeper.touch(entry, told, urgent)
+
+    def end(self, job: Job, why: str) -> None:
+        """The job can never run: its record will say why. Not urgent: starts and ends of others go first."""
+        self.log.info("end %s: %s", job.spec.id, why)
+        self._finish(job, JOB_CANCELLED, why, urgent=False)
+        self.conditions.doomed(job)
 
     def _stop_job(self, job: Job, grace_s: float, reason: str) -> None:
         for task in list(job.live.values()):
@@ -298,7 +359,9 @@
                 self.keeper.touch(entry, urgent=False)
         for chunk in list(job.chunks.values()):
             self._entries.pop(keys.chunk_key(job.spec.id, chunk.number), None)
-        self.jobs.pop(job.spec.id, None)
+        if self.jobs.pop(job.spec.id, None) is not None:
+            self.active.pop(job.spec.id, None)
+            self.conditions.retired(job)
 
     # ---------------------------------------------------------------- places
 
@@ -328,13 +391,14 @@
             machine.idle_since_us = now_us
         # With the last task of a finished job gone, the write of that is what `done` waits for: the
         # members of a gang report their exits one by one, after the gang's completion was written.
-        over = job.status == OPEN and job.done_count == job.spec.tasks
+        over = job.status == OPEN and job.over_count == job.spec.tasks
         self.touch_chunk(job, task.index, (lambda: self._finish_if_done(job)) if over else None, urgent=over)
         self.dirty = True
         target = task.move_to
         if (
             target is not None
             and job.status == OPEN
+            and not job.blocked  # held since the move was planned
             and self.machines.get(target.name) is target
             and target.phase == UP
             and not target.draining
@@ -365,7 +429,7 @@
         self.direct.append(Direct(task.machine, workers.halt(task.name, task.attempt, grace_s)))
 
     def note_stop(self, job: Job, task: Task, reason: str) -> None:
-        job.stops.append({"at": self._wall_us(), "task": task.index, "on": task.machine.name, "why": reason})
+        job.stops.append({"at": self.wall_us(), "task": task.index, "on": task.machine.name, "why": reason})
         del job.stops[:-MAX_STOPS_KEPT]
         self.touch_chunk(job, 0, urgent=False)  # the record of stops outlives this leader
 
@@ -402,6 +466,34 @@
         job.failures = 0
         self.dirty = True
 
+    def running(self, task: Task, now_us: int) -> None:
+        """A report says for the first time that the task runs."""
+        task.running_us = now_us
+        self.limits.began(task, now_us)
+        self.conditions.began(task.job)
+
+    def over_limit(self, task: Task) -> None:
+        """Stop a task for good that ran longer than its job allows; a gang is stopped whole.
+
+        That it is over is persisted first: a leader that dies after the stop would else leave a task
+        that was stopped for nothing, and the next would start it again.
+        """
+        job = task.job
+        for index in range(job.spec.tasks) if job.is_gang else (task.index,):
+            if job.mark_failed(index):
+                self.touch_chunk(job, index, partial(self._stop_over_limit, job, index))
+        self.dirty = True
+
+    def _stop_over_limit(self, job: Job, index: int) -> None:
+        task = job.live.get(index)
+        if task is not None:
+            self.halt(task, self._grace_s(job), over_limit_reason(job.spec))
+        self._finish_if_done(job)
+
+    @staticmethod
+    def _grace_s(job: Job) -> float:
+        return job.spec.save_s + 1.0 if job.spec.checkpoint_s else 0.0
+
     # ---------------------------------------------------------------- machines
 
     def _add_machine(self, name: str, rental: Rental, now_us: int) -> Machine:
@@ -645,13 +737,34 @@
 
 
 def open_value(spec: JobSpec, wall_us: int) -> dict[str, Any]:
-    """A job's own record as accepted."""
-    return {"st": OPEN, "at": wall_us, "spec": msgspec.to_builtins(spec)}
+    """A job's own record as accepted; held from the start if it says so."""
+    value = {"st": OPEN, "at": wall_us, "spec": msgspec.to_builtins(spec)}
+    return held_value(value, spec.hold) if spec.hold else value
+
+
+def held_value(value: dict[str, Any], by: str) -> dict[str, Any]:
+    """An open job's record with a hold on it; without one if `by` is empty."""
+    rest = {name: part for name, part in value.items() if name != "hold"}
+    return {**rest, "hold": by} if by else rest
+
+
+def holder(value: dict[str, Any]) -> str:
+    """Who holds the job of this record; empty: nobody."""
+    return value.get("hold", "")
+
+
+def over_limit_reason(spec: JobSpec) -> str:
+    """Why a task was stopped for good."""
+    return f"it ran longer than its job's limit of {spec.limit_s:g} s"
 
 
-def final_value(job: Job, status: str) -> dict[str, Any]:
+def final_value(job: Job, status: str, why: str = "") -> dict[str, Any]:
     """A job's own record once it is over: kept for ever, so kept small."""
     value: dict[str, Any] = {"st": status, "at": job.submitted_us, "n": job.spec.tasks}
+    if why:
+        value["why"] = why
+        if job.begun:
+            value["b"] = 1
     if job.stops:
         value["w"] = job.stops[-MAX_STOPS_KEPT // 2 :]
     return value
--- a/src/tideusher/core/explain.py
+++ b/src/tideusher/core/explain.py
@@ -1,12 +1,16 @@
 """Plain answers to what people ask: why does a job wait, why did it stop, where do teams stand?"""
 
+from datetime import UTC, datetime
 from typing import Any
 
 from tideusher.clock import to_s
 from tideusher.core.cluster import Cluster
-from tideusher.core.records import BOOTING, JOB_CANCELLED, JOB_DONE, OPEN, SEEN, Job
+from tideusher.core.records import BOOTING, JOB_CANCELLED, JOB_DONE, SEEN, Job
 from tideusher.wire.workers import FETCHING, SAVING, WAITING
 
+#: Of the jobs that one waits for so many are named.
+MAX_NAMED = 8
+
 
 def told_stops(stops: list[dict[str, Any]]) -> list[dict[str, Any]]:
     """The persisted record of stops as told to people."""
@@ -15,6 +19,11 @@
     ]
 
 
+def told_end(why: str) -> str:
+    """How a job ended that was not done."""
+    return f"The service ended it: {why}." if why else "Its user cancelled it."
+
+
 def explain_job(cluster: Cluster, job_id: str, now_us: int) -> dict[str, Any] | None:
     """What the job waits for and why its tasks were stopped; None if nothing of it is open here."""
     job = cluster.jobs.get(job_id)
@@ -34,11 +43,11 @@
 
 def _reasons(cluster: Cluster, job: Job, now_us: int) -> list[str]:
     if job.status == JOB_CANCELLED:
-        return ["Its user cancelled it; what is left of it is being stopped."]
+        return [told_end(job.why)[:-1] + "; what is left of it is being stopped."]
     if job.status == JOB_DONE:
         return ["It is done."]
-    reasons = []
-    if job.pending > 0:
+    reasons = _blocks(cluster, job)
+    if job.pending > 0 and not reasons:
         text = f"{job.pending} tasks wait for {job.waits_for}."
         booting = sum(m.phase == BOOTING and not m.draining and m.allows(job.spec) for m in cluster.machines.values())
         if booting and job.waits_for == "room on a machine":
@@ -47,8 +56,8 @@
         ratio = cluster.ledger.ratio(job.spec.team)
         ahead = {
             other.spec.team
-            for other in cluster.jobs.values()
-            if other.status == OPEN and other.pending > 0 and cluster.ledger.ratio(other.spec.team) < ratio
+            for other in cluster.active.values()
+            if other.waits and cluster.ledger.ratio(other.spec.team) < ratio
         }
         if ahead:
             reasons.append(
@@ -71,6 +80,25 @@
     return reasons or [f"{len(job.live)} tasks run; nothing holds it up."]
 
 
+def _blocks(cluster: Cluster, job: Job) -> list[str]:
+    """What keeps the job from starting, whatever room there is."""
+    reasons = []
+    if job.hold:
+        reasons.append(f"It is held by {job.hold}; nothing more of it starts until it is released.")
+    if job.early_us:
+        at = datetime.fromtimestamp(to_s(job.early_us), UTC)
+        reasons.append(f"It is not to start before {at:%Y-%m-%d %H:%M:%S} UTC.")
+    unmet = list(job.unmet or ())
+    for kind, ref in unmet[:MAX_NAMED]:
+        other = cluster.jobs.get(ref)
+        state = "not known here yet" if other is None else "held" if other.hold else other.status
+        placed = f", {len(other.live)} of its tasks placed" if other is not None and other.live else ""
+        reasons.append(f"It waits for {ref} ({kind}), which is {state}{placed}.")
+    if len(unmet) > MAX_NAMED:
+        reasons.append(f"It waits for {len(unmet) - MAX_NAMED} more jobs.")
+    return reasons
+
+
 def teams(cluster: Cluster) -> list[dict[str, Any]]:
     """Ratios, charges, guarantees and present use."""
     rows = []
--- a/src/tideusher/core/records.py
+++ b/src/tideusher/core/records.py
@@ -48,6 +48,8 @@
     halt_grace_s: float | None = None
     halt_reason: str = ""
     move_to: "Machine | None" = None  # where it goes on once it is proven gone from here
+    #: Of a job with a limit: seconds from the job's submission to the task's first run, persisted.
+    began_s: int = 0
 
     @property
     def name(self) -> str:
@@ -62,6 +64,7 @@
     number: int
     attempts: int = 0
     done: int = 0  # bit i: task number*CHUNK_TASKS+i is done
+    failed: int = 0  # bit i: that task ran longer than its limit and is not started again
     stamp: int = 0
     dirty: bool = False
 
@@ -88,6 +91,13 @@
     started: set[int] = field(default_factory=set)  # tasks whose minimum runtime was charged
     runs: deque[tuple[str, int]] = field(default_factory=lambda: deque(maxlen=16))  # machine, run time
     waits_for: str = "its first look by the scheduler"
+    failed_count: int = 0
+    hold: str = ""  # by whom it is held; empty: by nobody
+    early_us: int = 0  # time of day before which nothing of it starts; 0: there is none, or it has come
+    unmet: dict[tuple[str, str], None] | None = None  # (kind, job) it still waits for
+    woken: bool = False  # was it ever kept from passes?
+    ran: bool = False  # has this leader been told of a task of it that runs?
+    why: str = ""  # why the service ended it
 
     @property
     def is_gang(self) -> bool:
@@ -128,8 +138,28 @@
 
     @property
     def pending(self) -> int:
-        """Tasks that hold no place and are not done."""
-        return self.spec.tasks - self.done_count - len(self.live)
+        """Tasks that hold no place and are not over (less those that are over and not yet gone)."""
+        return self.spec.tasks - self.over_count - len(self.live)
+
+    @property
+    def over_count(self) -> int:
+        """Tasks that are not started again: done, or stopped at their limit."""
+        return self.done_count + self.failed_count
+
+    @property
+    def blocked(self) -> bool:
+        """Must it not start anything, whatever room there is?"""
+        return bool(self.hold or self.early_us or self.unmet)
+
+    @property
+    def waits(self) -> bool:
+        """Does it want places?"""
+        return self.status == OPEN and not self.blocked and self.pending > 0
+
+    @property
+    def begun(self) -> bool:
+        """Was a start of it ever persisted?"""
+        return self.over_count > 0 or any(chunk.attempts for chunk in self.chunks.values())
 
     def chunk_of(self, index: int) -> Chunk:
         """The chunk record of a task, made when first needed."""
@@ -144,12 +174,17 @@
         chunk = self.chunks.get(index // CHUNK_TASKS)
         return chunk is not None and bool(chunk.done >> (index % CHUNK_TASKS) & 1)
 
+    def is_over(self, index: int) -> bool:
+        """Is this task not to be started again?"""
+        chunk = self.chunks.get(index // CHUNK_TASKS)
+        return chunk is not None and bool((chunk.done | chunk.failed) >> (index % CHUNK_TASKS) & 1)
+
     def pick(self, count: int) -> list[int]:
         """Up to `count` tasks that wait for a place, interrupted ones first."""
         picked = sorted(self.retry)[:count]
         index = self.next_fresh
         while len(picked) < count and index < self.spec.tasks:
-            if index not in self.live and index not in self.retry and not self.is_done(index):
+            if index not in self.live and index not in self.retry and not self.is_over(index):
                 picked.append(index)
             index += 1
         return picked
@@ -158,19 +193,19 @@
         """The task holds a place from now on."""
         self.live[task.index] = task
         self.retry.discard(task.index)
-        while self.next_fresh < self.spec.tasks and (self.next_fresh in self.live or self.is_done(self.next_fresh)):
+        while self.next_fresh < self.spec.tasks and (self.next_fresh in self.live or self.is_over(self.next_fresh)):
             self.next_fresh += 1
 
     def drop(self, task: Task) -> None:
         """The task holds no place any more; unless done it waits again."""
         if self.live.get(task.index) is task:
             del self.live[task.index]
-            if not self.is_done(task.index) and task.index < self.next_fresh:
+            if not self.is_over(task.index) and task.index < self.next_fresh:
                 self.retry.add(task.index)
 
     def mark_done(self, index: int) -> bool:
-        """Record completion; True if it was news."""
-        if self.is_done(index):
+        """Record completion; True if it was news. What was stopped at its limit stays so."""
+        if self.is_over(index):
             return False
         chunk = self.chunk_of(index)
         chunk.done |= 1 << (index % CHUNK_TASKS)
@@ -179,6 +214,17 @@
         self.retry.discard(index)
         return True
 
+    def mark_failed(self, index: int) -> bool:
+        """Record that the task ran longer than its limit; True if it was news."""
+        if self.is_over(index):
+            return False
+        chunk = self.chunk_of(index)
+        chunk.failed |= 1 << (index % CHUNK_TASKS)
+        chunk.dirty = True
+        self.failed_count += 1
+        self.retry.discard(index)
+        return True
+
 
 def chunk_value(job: Job, chunk: Chunk) -> dict[str, Any]:
     """A chunk as persisted: attempt counter, done bits, and who is where with which attempt."""
@@ -187,10 +233,12 @@
     for index in range(first, min(first + CHUNK_TASKS, job.spec.tasks)):
         task = job.live.get(index)
         if task is not None:
-            places[str(index)] = [task.attempt, task.machine.name]
+            places[str(index)] = [task.attempt, task.machine.name, *([task.began_s] if task.began_s else [])]
     value: dict[str, Any] = {"n": chunk.attempts}
     if chunk.done:
         value["d"] = f"{chunk.done:x}"
+    if chunk.failed:
+        value["f"] = f"{chunk.failed:x}"
     if places:
         value["a"] = places
     if chunk.number == 0 and job.stops:
@@ -198,10 +246,14 @@
     return value
 
 
-def read_chunk(number: int, value: dict[str, Any], stamp: int) -> tuple[Chunk, dict[int, tuple[int, str]]]:
-    """The inverse of chunk_value: the chunk and its places."""
-    chunk = Chunk(number, int(value.get("n", 0)), int(value.get("d", "0"), 16), stamp)
-    places = {int(index): (place[0], place[1]) for index, place in value.get("a", {}).items()}
+def read_chunk(number: int, value: dict[str, Any], stamp: int) -> tuple[Chunk, dict[int, tuple[int, str, int]]]:
+    """The inverse of chunk_value: the chunk, and of each place the attempt, the machine and when it began."""
+    done, failed = int(value.get("d", "0"), 16), int(value.get("f", "0"), 16)
+    chunk = Chunk(number, int(value.get("n", 0)), done, failed, stamp)
+    places = {
+        int(index): (place[0], place[1], place[2] if len(place) > 2 else 0)
+        for index, place in value.get("a", {}).items()
+    }
     return chunk, places
 
 
--- a/src/tideusher/core/reports.py
+++ b/src/tideusher/core/reports.py
@@ -95,8 +95,8 @@
         elif item.state == workers.FETCHING:
             task.machine.images.pop(task.job.spec.image, None)  # we counted on one that is gone
         if item.state == workers.ACTIVE and task.running_us is None:
-            task.running_us = now_us
-            waited_us = self._c._wall_us() - task.job.submitted_us
+            self._c.running(task, now_us)
+            waited_us = self._c.wall_us() - task.job.submitted_us
             self._c.metrics.waited(task.job.spec.job_class, max(0.0, to_s(waited_us)))
 
     def _absent(self, task: Task, report: Report, new_session: bool, now_us: int) -> None:
--- a/src/tideusher/core/scheduler.py
+++ b/src/tideusher/core/scheduler.py
@@ -49,6 +49,9 @@
         the next pass.
         """
         self._c.dirty = False
+        self._c.limits.step(now_us)
+        while self._c.conditions.step(now_us):
+            yield
         if not self._c.fleet.types:
             return
         for machine in self._c.machines.values():
@@ -57,7 +60,7 @@
                 if job is None or job.pending <= 0 or now_us > machine.reserved_until_us:
                     machine.reserved = ""
         within = self._within_guarantee()
-        waiting = [job for job in self._c.jobs.values() if _waits(job)]
+        waiting = [job for job in self._c.active.values() if _waits(job)]
         queue = order_jobs(
             waiting,
             self._c.ledger.ratio,
@@ -115,26 +118,29 @@
         """Jobs that fit their team's guarantee along with the team's earlier unfinished jobs."""
         sums: dict[str, list[float]] = {}
         within = set()
-        for job in sorted(self._c.jobs.values(), key=lambda j: (j.submitted_us, j.spec.id)):
+        for job in sorted(self._c.active.values(), key=lambda j: (j.submitted_us, j.spec.id)):
             if job.status != OPEN:
                 continue
             team = self._c.teams.get(job.spec.team)
             if team is None or not (team.cpus or team.gpus):
                 continue
             total = sums.setdefault(team.name, [0.0, 0.0])
-            total[0] += job.spec.cpus * job.spec.tasks
-            total[1] += job.spec.gpus * job.spec.tasks
+            tasks = min(job.spec.tasks, job.spec.at_once or job.spec.tasks)
+            total[0] += job.spec.cpus * tasks
+            total[1] += job.spec.gpus * tasks
             if (not team.cpus or total[0] <= team.cpus + 1e-9) and (not team.gpus or total[1] <= team.gpus + 1e-9):
                 within.add(job.spec.id)
         return within
 
     def _quota_room(self, job: Job) -> int:
-        """How many more tasks the team's limit allows; tasks not proven gone count."""
+        """How many more tasks the limits of its team and its own allow; tasks not proven gone count."""
         team = self._c.teams.get(job.spec.team)
         if team is None:
             return 0
         usage = self._c.usage[team.name]
         room = [job.pending]
+        if job.spec.at_once is not None:
+            room.append(job.spec.at_once - len(job.live))
         if team.cpus_max and job.spec.cpus:
             room.append(int((team.cpus_max - usage[0] + 1e-6) / job.spec.cpus))
         if team.gpus_max and job.spec.gpus:
@@ -151,7 +157,7 @@
             return 0
         count = self._quota_room(job)
         if not count or (job.is_gang and count < job.pending):
-            job.waits_for = "its team's limit"
+            job.waits_for = _limit_of(job)
             return 0
         limit = job.zone_limit
         avoid = job.error_machines if len(job.error_machines) < 4 else set()
@@ -194,6 +200,8 @@
         left = count - len(machines)
         if left:
             job.waits_for = "room on a machine"
+        elif job.pending > 0:
+            job.waits_for = _limit_of(job)
         return left
 
     def _preempt(self, unplaced: list[tuple[Job, int]], now_us: int) -> None:
@@ -203,7 +211,7 @@
         coming = sum(
             m.gpus for m in self._c.machines.values() if m.phase == BOOTING and not m.draining and not m.spot
         )
-        stoppable = Stoppable(self._c.jobs.values(), self._c.standing, self._c.min_run_us, self._c.policy, now_us)
+        stoppable = Stoppable(self._c.active.values(), self._c.standing, self._c.min_run_us, self._c.policy, now_us)
 
         def lost_us(task: Task) -> int:
             if task.running_us is None or task.job.is_service:
@@ -260,7 +268,7 @@
             return
         if self._c.keeper.waiting > self._c.config.settings.state.txn_ops:
             return  # moves would wait for their write
-        if any(job.is_service and _waits(job) for job in self._c.jobs.values()):
+        if any(job.is_service and _waits(job) for job in self._c.active.values()):
             return
         steady_us = to_us(self._c.policy.fleet__move_after_s)
         up = [m for m in self._c.machines.values() if _usable(m) and not m.reserved]
@@ -272,14 +280,17 @@
             if m.tasks
             and 2 * (m.gpus - m.free_gpus) <= m.gpus
             and all(
-                t.job.is_service and t.running_us is not None and now_us - t.running_us > steady_us
+                t.job.is_service
+                and not t.job.blocked
+                and t.running_us is not None
+                and now_us - t.running_us > steady_us
                 for t in m.tasks.values()
             )
         ]
         self._next_move_us = now_us + SECOND_US
         # Of a job one machine's tasks move at a time: where each may go depends on where the others are,
         # and two that moved at once have both gone to the zone that had room for one.
-        moving_jobs = {job.spec.id for job in self._c.jobs.values() for t in job.live.values() if t.move_to}
+        moving_jobs = {job.spec.id for job in self._c.active.values() for t in job.live.values() if t.move_to}
         holding = [m for m in up if m.tasks and m.free_gpus > 0 and not m.fetching]
         for source in sorted(sources, key=lambda m: (m.gpus - m.free_gpus, m.name)):
             if quota <= 0:
@@ -344,8 +355,16 @@
 
 
 def _waits(job: Job) -> bool:
-    """Is there still something of the job to be placed?"""
-    return job.status == OPEN and job.pending > 0
+    """Is there still something of the job to be placed, and may it start?"""
+    return job.waits
+
+
+def _limit_of(job: Job) -> str:
+    """Which limit keeps more of the job from starting."""
+    at_once = job.spec.at_once
+    if at_once is not None and len(job.live) >= at_once:
+        return f"its own limit of {at_once} at once"
+    return "its team's limit"
 
 
 def _still_wait(unplaced: list[tuple[Job, int]]) -> list[tuple[Job, int]]:
--- a/src/tideusher/node.py
+++ b/src/tideusher/node.py
@@ -44,7 +44,7 @@
         self.peers = Peers(config, self._clock, self._hello)
         self.store.hear_demands(self.peers.demands)
         self.gateway = Gateway(config, self._clock, self.store, self.election, self.leader, self.peers)
-        self.users = Users(config, self._clock, self.store)
+        self.users = Users(config, self._clock, self.store, policy.jobs__conditions)
         questions = Questions(config, self.store, self.election, self.leader, self.peers)
         self.web = Web(
             config.bind,
--- a/src/tideusher/web.py
+++ b/src/tideusher/web.py
@@ -20,6 +20,7 @@
     400: "400 Bad Request",
     404: "404 Not Found",
     405: "405 Method Not Allowed",
+    409: "409 Conflict",
     421: "421 Misdirected Request",
     422: "422 Unprocessable Content",
     429: "429 Too Many Requests",
--- a/src/tideusher/wire/jobs.py
+++ b/src/tideusher/wire/jobs.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+from tideusher.wire.arrays import BadArray, parse_indexes
+
 MAX_BODY = 64 * 1024
 MAX_TASKS = 100_000
 JOB_ID = re.compile(r"req-[0-9]{1,19}")
@@ -12,12 +14,23 @@
 #: Highest priority first; the position is the rank used for ordering and preemption.
 PRIORITIES = ("critical", "urgent", "standard", "best_effort")
 PENDING, RUNNING, DONE, CANCELLED = "pending", "running", "done", "withdrawn"
+#: What a job may wait for of another: that it has begun, ended well, ended otherwise, ended in any way.
+AFTER, AFTER_OK, AFTER_NOT_OK, AFTER_ANY = "after", "afterok", "afternotok", "afterany"
+MAX_AFTER = 64
+MAX_NAME = 230
 
 
 class InvalidJob(ValueError):
     """The submission is malformed; the text is the one-line reason for the user (400)."""
 
 
+class After(msgspec.Struct, frozen=True):
+    """One job that must have begun or ended first."""
+
+    on: str
+    job: str = msgspec.field(name="ref")
+
+
 class JobSpec(msgspec.Struct, frozen=True, omit_defaults=True):
     """One submission. Field renames translate the users' words."""
 
@@ -43,12 +56,26 @@
     deadline_s: float | None = msgspec.field(name="due_s", default=None)
     #: Our optional addition: the declared minimum runtime. Absent, it is derived from the shape.
     min_run_s: float | None = None
+    #: More of ours, absent on the platform's wire; `docs/pbs.md` tells what each promises.
+    name: str | None = None  # for people
+    hold: str | None = None  # accepted as held, by whom
+    not_before: float | None = None  # time of day in seconds since 1970, UTC
+    after: list[After] | None = None
+    at_once: int | None = None  # of a batch: tasks that may hold a place at a time
+    limit_s: float | None = None  # a task that runs longer is stopped for good
+    array: str | None = None  # of a batch: the users' numbers of its tasks, such as 1,4,7-9:2
 
     @property
     def rank(self) -> int:
         """0 is the highest priority."""
         return PRIORITIES.index(self.priority)
 
+    @property
+    def conditional(self) -> bool:
+        """Does it use what only a service with `jobs.conditions` promises?"""
+        ours = (self.hold, self.not_before, self.after, self.at_once, self.limit_s)
+        return any(value is not None for value in ours)
+
 
 _decoder: msgspec.json.Decoder[JobSpec] = msgspec.json.Decoder(JobSpec)
 
@@ -93,6 +120,40 @@
     for name, text in (("jobclass", spec.job_class), ("owner", spec.team), ("bundle", spec.image)):
         if not text:
             raise InvalidJob(f"{name} must not be empty")
+    _check_ours(spec)
+
+
+def _check_ours(spec: JobSpec) -> None:
+    """The optional fields that the platform does not know."""
+    for name, text in (("name", spec.name), ("hold", spec.hold)):
+        if text is not None and (not 0 < len(text) <= MAX_NAME or not text.isprintable()):
+            raise InvalidJob(f"{name} must be 1 to {MAX_NAME} printable characters")
+    if spec.not_before is not None and not 0 <= spec.not_before < 1e11:  # false for no number too
+        raise InvalidJob("not_before must be a time of day in seconds since 1970")
+    if spec.limit_s is not None:
+        if not 0 < spec.limit_s < 1e9:
+            raise InvalidJob("limit_s must be a number above 0")
+        if spec.shape == SERVICE:
+            raise InvalidJob("limit_s does not go with a service, which runs until it is cancelled")
+    if spec.at_once is not None and (spec.at_once < 1 or spec.shape != BATCH):
+        raise InvalidJob("at_once must be at least 1 and goes with a batch only")
+    after = spec.after or []
+    if len(after) > MAX_AFTER:
+        raise InvalidJob(f"after names {len(after)} jobs; {MAX_AFTER} are possible")
+    for one in after:
+        if one.on not in (AFTER, AFTER_OK, AFTER_NOT_OK, AFTER_ANY):
+            raise InvalidJob(f"after: {one.on!r} is not one of after, afterok, afternotok, afterany")
+        if not JOB_ID.fullmatch(one.job):
+            raise InvalidJob("after: ref must look like req-000412")
+    if spec.array is not None:
+        if spec.shape != BATCH:
+            raise InvalidJob("array goes with a batch only")
+        try:
+            indexes = parse_indexes(spec.array, MAX_TASKS)
+        except BadArray as error:
+            raise InvalidJob(f"array: {error}") from None
+        if len(indexes) != spec.tasks:
+            raise InvalidJob(f"array names {len(indexes)} tasks, pieces says {spec.tasks}")
 
 
 class JobStatus(msgspec.Struct, omit_defaults=True):
@@ -102,3 +163,6 @@
     status: str = ""
     done: int | None = None
     running: int | None = None
+    #: Ours, only where there is something to say: by whom it is held, and why the service ended it.
+    held: str | None = None
+    why: str | None = None
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -122,6 +122,9 @@
         assert token is not None
         return token
 
+    def record_of(self, job_id: str) -> Any:
+        return self.items.get(keys.job_key(job_id), (None, 0))[0]
+
     def submit(self, spec: JobSpec, wall_us: int) -> None:
         assert self.txn([Guard(keys.job_key(spec.id), 0)], [Put(keys.job_key(spec.id), open_value(spec, wall_us))])
 
@@ -316,7 +319,9 @@
     def new_leader(self) -> Cluster:
         """Another node is elected and loads; the old one does not know yet and goes on."""
         token = self.state.elect(f"n{len(self.leaders)}")
-        cluster = Cluster(self.config, self.policy, token, self.clock.now_us(), self.clock.wall_us)
+        cluster = Cluster(
+            self.config, self.policy, token, self.clock.now_us(), self.clock.wall_us, record_of=self.state.record_of
+        )
         cluster.load(self.state.items, self.clock.now_us())
         cluster.set_types([TYPE])
         self.leaders.append(cluster)
@@ -455,7 +460,9 @@
 
     def elect(self) -> Cluster:
         token = self.state.elect("n0")
-        cluster = Cluster(make_config(), Policy(), token, self.clock.now_us(), self.clock.wall_us)
+        cluster = Cluster(
+            make_config(), Policy(), token, self.clock.now_us(), self.clock.wall_us, record_of=self.state.record_of
+        )
         cluster.load(self.state.items, self.clock.now_us())
         cluster.set_types([TYPE])
         self.cluster, self.scheduler = cluster, Scheduler(cluster, self.clock.now_us())
@@ -473,7 +480,7 @@
 
     def commit(self) -> None:
         """Write until nothing waits, as the leader's actor does, conflicts included."""
-        for _ in range(50):
+        for _ in range(500):
             batch = self.cluster.keeper.next_batch(8)
             if batch is None:
                 return
