--- a/src/tideusher/cli.py
+++ b/src/tideusher/cli.py
@@ -4,7 +4,7 @@
 
 import click
 
-from tideusher.cli_ask import JSON, NODE, ask, show_explanation, show_status
+from tideusher.cli_ask import JSON, NODE, ask, fail, show_explanation, show_status
 from tideusher.cli_pbs import pbs
 
 CONFIG = click.option("--config", "config_path", required=True, type=click.Path(), help="The platform's TOML file.")
@@ -29,6 +29,22 @@
     service.serve(config_path, properties_path)
 
 
+@main.command()
+@click.option(
+    "--port", default=8080, show_default=True, help="Where the controller will serve; the next three are ours."
+)
+@click.option("--settings", default="/tmp/tideusher.toml", show_default=True, help="The settings file to write.")
+def playground(port: int, settings: str) -> None:
+    """Serve a small region of stand-ins on loopback, to try tideusher without a cluster."""
+    from tideusher.playground.servers import serve as stand_in
+
+    try:
+        click.echo(f"stand-ins come up; now: python3 run.py --config {settings}")
+        stand_in(port, settings)
+    except OSError as error:
+        fail(f"{error.filename or f'127.0.0.1:{port + 2}'}: {error.strerror}", 1)
+
+
 @main.command("check-config")
 @CONFIG
 @PROPERTIES
--- a/tests/playground.py
+++ b/src/tideusher/playground/servers.py
@@ -1,28 +1,25 @@
 """A small region on loopback: state service, cloud and workers, to try tideusher without a cluster.
 
-`python3 tests/playground.py` serves until interrupted and writes a settings file for one controller.
 Stand-ins only: they follow the protocol far enough for a first job, and keep everything in memory.
 """
 
-import sys
 from pathlib import Path
 from typing import Any
 from urllib.parse import parse_qs
 
-sys.path[:0] = [str(Path(__file__).parent), str(Path(__file__).parent.parent / "src")]
+import gevent
+import msgspec
+from gevent.pywsgi import WSGIServer
 
-import click  # noqa: E402
-import gevent  # noqa: E402
-import msgspec  # noqa: E402
-from gevent.pywsgi import WSGIServer  # noqa: E402
+from tideusher.actors.http import CallFailed, HttpClient
+from tideusher.clock import Clock
+from tideusher.core import keys
+from tideusher.playground.standins import TYPE, OnMachine, StateStandIn, WorkerStandIn
+from tideusher.wire import cloud, workers
+from tideusher.wire.jobs import JobSpec
+from tideusher.wire.state import Delete, Guard, Put
 
-from standins import TYPE, OnMachine, StateStandIn, WorkerStandIn  # noqa: E402
-from tideusher.actors.http import CallFailed, HttpClient  # noqa: E402
-from tideusher.clock import Clock  # noqa: E402
-from tideusher.core import keys  # noqa: E402
-from tideusher.wire import cloud, workers  # noqa: E402
-from tideusher.wire.jobs import JobSpec  # noqa: E402
-from tideusher.wire.state import Delete, Guard, Put  # noqa: E402
+VALUE_BYTES = 8 * 1024
 
 SETTINGS = """host_name = "n0"
 site = "a"
@@ -213,18 +210,10 @@
         return self[job]
 
 
-@click.command()
-@click.option("--port", default=8080, show_default=True, help="Where the controller will serve.")
-@click.option("--settings", default="/tmp/tideusher.toml", show_default=True, help="The settings file to write.")
-def main(port: int, settings: str) -> None:
-    """Serve the stand-ins on loopback until interrupted."""
-    clock, controller, state = Clock(), f"127.0.0.1:{port}", StateStandIn()
+def serve(port: int, settings: str) -> None:
+    """Write a controller's settings file, and serve the stand-ins on loopback until interrupted."""
+    clock, controller, state = Clock(), f"127.0.0.1:{port}", StateStandIn(VALUE_BYTES)
     Path(settings).write_text(SETTINGS.format(port=port, peer=port + 1, cloud=port + 2, state=port + 3))
     for number, app in ((2, Cloud(clock, controller, state)), (3, StateServer(clock, state))):
         WSGIServer(("127.0.0.1", port + number), app, log=None).start()
-    click.echo(f"stand-ins are up; now: python3 run.py --config {settings}")
     gevent.get_hub().join()
-
-
-if __name__ == "__main__":
-    main()
