--- a/src/tideusher/core/explain.py
+++ b/src/tideusher/core/explain.py
@@ -6,6 +6,8 @@
 from tideusher.clock import to_s
 from tideusher.core.cluster import Cluster
 from tideusher.core.records import BOOTING, JOB_CANCELLED, JOB_DONE, SEEN, Job
+from tideusher.wire.arrays import parse_indexes
+from tideusher.wire.jobs import MAX_TASKS
 from tideusher.wire.workers import FETCHING, SAVING, WAITING
 
 #: Of the jobs that one waits for so many are named.
@@ -58,7 +60,8 @@
         state = "waits"
     else:
         state = f"has its place on {task.machine.name} ({task.state or 'not yet confirmed'})"
-    return [f"Task {index} {state}."]
+    number = "" if job.spec.array is None else f" (number {parse_indexes(job.spec.array, MAX_TASKS)[index]})"
+    return [f"Task {index}{number} {state}."]
 
 
 def _reasons(cluster: Cluster, job: Job, now_us: int) -> list[str]:
--- a/src/tideusher/playground/servers.py
+++ b/src/tideusher/playground/servers.py
@@ -150,13 +150,14 @@
         if path == "/machine_types":
             return cloud.MachineTypes([TYPE])
         if path == "/rentals/return":
-            for name in msgspec.json.decode(body, type=cloud.Rented).machines:
+            returned: cloud.Rented = msgspec.json.decode(body, type=cloud.Rented)
+            for name in returned.machines:
                 worker = self._workers.pop(name, None)
                 if worker is not None:
                     worker.dead = True
             return {}
         if method == "POST":
-            request = msgspec.json.decode(body, type=cloud.RentRequest)
+            request: cloud.RentRequest = msgspec.json.decode(body, type=cloud.RentRequest)
             if request.name not in self._charters:
                 first = sum(map(len, self._charters.values())) + 1
                 names = [f"host-{first + i:06d}" for i in range(request.count)]
