--- a/src/tideusher/core/cluster.py
+++ b/src/tideusher/core/cluster.py
@@ -209,7 +209,7 @@
                 continue
             task = Task(job, index, attempt, machine, ASSIGNED, now_us, sent=(0, 0), inherited=True)
             task.began_s = began_s
-            job.started.add(index)
+            job.charge_once(index)  # by the leader that placed it
             self._place(task)
 
     # ---------------------------------------------------------------- records
--- a/src/tideusher/core/conditions.py
+++ b/src/tideusher/core/conditions.py
@@ -104,7 +104,7 @@
 
     def _name(self, job: Job) -> None:
         """Enter the job under those that it names."""
-        job.unmet = {(one.on, one.job): None for one in job.spec.after or ()}
+        job.unmet = tuple(dict.fromkeys((one.on, one.job) for one in job.spec.after or ()))
         for kind, ref in job.unmet:
             self._on_end.setdefault(ref, {})[job.spec.id] = None
             if kind == AFTER:
@@ -112,7 +112,7 @@
 
     def _look_back(self, job: Job, now_us: int) -> None:
         """What is known already of those that the job names."""
-        for ref in dict.fromkeys(ref for _, ref in job.unmet or ()):
+        for ref in dict.fromkeys(ref for _, ref in job.unmet):
             other = self._c.jobs.get(ref)
             if other is None:
                 record = self._record_of(ref)
@@ -194,12 +194,13 @@
 
     def _judge(self, job: Job, news: News, now_us: int) -> None:
         """What the news means to a job that names the one it is about."""
-        for kind, ref in list(job.unmet or ()):
+        left = []
+        for kind, ref in job.unmet:
             met = verdict(kind, news) if ref == news.job else None
-            if met and job.unmet is not None:
-                del job.unmet[kind, ref]
-            elif met is False and not job.finish_dirty:
+            if not met:
+                left.append((kind, ref))
+            if met is False and not job.finish_dirty:
                 self._c.end(job, never(kind, news))
-        if not job.unmet:
-            job.unmet = None
+        job.unmet = tuple(left)
+        if not left:
             self._c.park_or_wake(job, now_us)
--- a/src/tideusher/core/explain.py
+++ b/src/tideusher/core/explain.py
@@ -111,14 +111,13 @@
     if job.early_us:
         at = datetime.fromtimestamp(to_s(job.early_us), UTC)
         reasons.append(f"It is not to start before {at:%Y-%m-%d %H:%M:%S} UTC.")
-    unmet = list(job.unmet or ())
-    for kind, ref in unmet[:MAX_NAMED]:
+    for kind, ref in job.unmet[:MAX_NAMED]:
         other = cluster.jobs.get(ref)
         state = "not known here yet" if other is None else "held" if other.hold else other.status
         placed = f", {len(other.live)} of its tasks placed" if other is not None and other.live else ""
         reasons.append(f"It waits for {ref} ({kind}), which is {state}{placed}.")
-    if len(unmet) > MAX_NAMED:
-        reasons.append(f"It waits for {len(unmet) - MAX_NAMED} more jobs.")
+    if len(job.unmet) > MAX_NAMED:
+        reasons.append(f"It waits for {len(job.unmet) - MAX_NAMED} more jobs.")
     return reasons
 
 
--- a/src/tideusher/core/ledger.py
+++ b/src/tideusher/core/ledger.py
@@ -66,8 +66,7 @@
 
     def charge_start(self, task: Task, min_run_us: int, now_us: int) -> None:
         """Charge the protected runtime up front, once a task: the entry penalty of a swarm."""
-        if min_run_us and task.index not in task.job.started:
-            task.job.started.add(task.index)
+        if min_run_us and task.job.charge_once(task.index):
             ahead_us = min(min_run_us, to_us(self._policy.ledger__window_s))
             if task.job.is_service:
                 # A service's estimate is its cap; only what it holds in one gathering interval is
--- a/src/tideusher/core/placement.py
+++ b/src/tideusher/core/placement.py
@@ -131,12 +131,13 @@
 def _fill(
     job: Job, count: int, pool: list[Machine], zones_taken: dict[str, int], spread_limit: int | None
 ) -> list[Machine]:
+    failed = job.error_machines or ()
     room = {machine.name: slots(machine, job) for machine in pool}
     ranked = [(m, _fetch_rank(m, job.spec.image)) for m in pool if room[m.name]]
     order = sorted(
         (pair for pair in ranked if pair[1] != BLOCKED),
         key=lambda pair: (
-            pair[0].name in job.error_machines,
+            pair[0].name in failed,
             pair[0].slow,
             pair[1],
             not pair[0].spot,
--- a/src/tideusher/core/records.py
+++ b/src/tideusher/core/records.py
@@ -25,6 +25,7 @@
 #: A run weighs this much in a machine's pace; machines of one type differ by a tenth, faulty ones by far more.
 PACE_WEIGHT = 0.3
 SLOW_PACE = 1.4
+RUNS_KEPT = 16
 
 # Machine phases.
 BOOTING, UP, RETURNING = "booting", "up", "returning"
@@ -82,19 +83,20 @@
     chunks: dict[int, Chunk] = field(default_factory=dict)
     done_count: int = 0
     next_fresh: int = 0
-    retry: set[int] = field(default_factory=set)
-    error_machines: set[str] = field(default_factory=set)
+    # Made when first needed, as most of what is empty here: of a job that has not begun it was two thirds.
+    retry: set[int] | None = None
+    error_machines: set[str] | None = None
     not_before_us: int = 0
     failures: int = 0
     stops: list[dict[str, Any]] = field(default_factory=list)
     finish_dirty: bool = False
-    started: set[int] = field(default_factory=set)  # tasks whose minimum runtime was charged
-    runs: deque[tuple[str, int]] = field(default_factory=lambda: deque(maxlen=16))  # machine, run time
+    started: set[int] | None = None  # tasks whose minimum runtime was charged
+    runs: deque[tuple[str, int]] | None = None  # machine and run time of the last few
     waits_for: str = "its first look by the scheduler"
     failed_count: int = 0
     hold: str = ""  # by whom it is held; empty: by nobody
     early_us: int = 0  # time of day before which nothing of it starts; 0: there is none, or it has come
-    unmet: dict[tuple[str, str], None] | None = None  # (kind, job) it still waits for
+    unmet: tuple[tuple[str, str], ...] = ()  # (kind, job) it still waits for
     woken: bool = False  # was it ever kept from passes?
     ran: bool = False  # has this leader been told of a task of it that runs?
     why: str = ""  # why the service ended it
@@ -185,10 +187,11 @@
 
     def pick(self, count: int) -> list[int]:
         """Up to `count` tasks that wait for a place, interrupted ones first."""
-        picked = sorted(self.retry)[:count]
+        retry = self.retry or ()
+        picked = sorted(retry)[:count]
         index = self.next_fresh
         while len(picked) < count and index < self.spec.tasks:
-            if index not in self.live and index not in self.retry and not self.is_over(index):
+            if index not in self.live and index not in retry and not self.is_over(index):
                 picked.append(index)
             index += 1
         return picked
@@ -196,7 +199,7 @@
     def take(self, task: Task) -> None:
         """The task holds a place from now on."""
         self.live[task.index] = task
-        self.retry.discard(task.index)
+        self._no_retry(task.index)
         while self.next_fresh < self.spec.tasks and (self.next_fresh in self.live or self.is_over(self.next_fresh)):
             self.next_fresh += 1
 
@@ -205,8 +208,26 @@
         if self.live.get(task.index) is task:
             del self.live[task.index]
             if not self.is_over(task.index) and task.index < self.next_fresh:
+                self.retry = self.retry or set()
                 self.retry.add(task.index)
 
+    def _no_retry(self, index: int) -> None:
+        if self.retry is not None:
+            self.retry.discard(index)
+
+    def charge_once(self, index: int) -> bool:
+        """Is this the first time that the task's minimum runtime is to be charged?"""
+        if self.started is None:
+            self.started = set()
+        news = index not in self.started
+        self.started.add(index)
+        return news
+
+    def failed_on(self, machine: str) -> None:
+        """A task of it failed there: others are tried first."""
+        self.error_machines = self.error_machines or set()
+        self.error_machines.add(machine)
+
     def mark_done(self, index: int) -> bool:
         """Record completion; True if it was news. What was stopped at its limit stays so."""
         if self.is_over(index):
@@ -215,7 +236,7 @@
         chunk.done |= 1 << (index % CHUNK_TASKS)
         chunk.dirty = True
         self.done_count += 1
-        self.retry.discard(index)
+        self._no_retry(index)
         return True
 
     def mark_failed(self, index: int) -> bool:
@@ -226,7 +247,7 @@
         chunk.failed |= 1 << (index % CHUNK_TASKS)
         chunk.dirty = True
         self.failed_count += 1
-        self.retry.discard(index)
+        self._no_retry(index)
         return True
 
 
@@ -321,6 +342,7 @@
 
     def completed(self, job: Job, run_us: int) -> None:
         """Compare a run with the same array's runs on other machines: some machines are far slower."""
+        job.runs = job.runs if job.runs is not None else deque(maxlen=RUNS_KEPT)
         others = [other_us for name, other_us in job.runs if name != self.name]
         job.runs.append((self.name, run_us))
         if len(others) >= 2:
--- a/src/tideusher/core/reports.py
+++ b/src/tideusher/core/reports.py
@@ -138,7 +138,7 @@
 
     def _errored(self, job: Job, machine: Machine, now_us: int) -> None:
         """A failure is mostly the machine's fault; a job that fails everywhere backs off instead."""
-        job.error_machines.add(machine.name)
+        job.failed_on(machine.name)
         job.failures += 1
         machine.error_jobs.add(job.spec.id)
         if job.failures >= 3:
--- a/src/tideusher/core/scheduler.py
+++ b/src/tideusher/core/scheduler.py
@@ -160,7 +160,8 @@
             job.waits_for = _limit_of(job)
             return 0
         limit = job.zone_limit
-        avoid = job.error_machines if len(job.error_machines) < 4 else set()
+        failed = job.error_machines or ()
+        avoid = failed if len(failed) < 4 else ()
         spec = job.spec
 
         def usable(machine: Machine) -> bool:
