A task done between two reports had begun; large scripts are acceptable within a node's writes

Found by reading: a job that waits for the begin of another waited for its end if no report showed a task running, and a script in more pieces than a node may save up writes for would have been told to come back for ever.

--- a/src/tideusher/actors/scripts.py
+++ b/src/tideusher/actors/scripts.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from tideusher.actors.store import Store, Unavailable
+from tideusher.actors.store import BURST_WRITES, Store, Unavailable
 from tideusher.actors.users import Reply, Users, refusal
 from tideusher.clock import Clock, to_s
 from tideusher.config import Config
@@ -35,7 +35,10 @@
     def __init__(self, config: Config, clock: Clock, store: Store, users: Users, profile: "Profile") -> None:
         self._clock, self._store, self._users, self._profile = clock, store, users, profile
         self._value_bytes = int(config.settings.state.value_kb * 1024)
-        self._most_values = config.settings.state.txn_ops - 1  # one is the job's own record
+        # One write is the job's own record. A node must be able to write all of it within a user's patience,
+        # or a large script would be told to come back for ever: no more than what it may save up.
+        limits = config.settings.state
+        self._most_values = max(1, min(limits.txn_ops, int(limits.write_rps * BURST_WRITES)) - 1)
 
     def profile(self) -> Reply:
         """What PBS does not say and this service adds, for those who translate before they submit."""
--- a/src/tideusher/core/cluster.py
+++ b/src/tideusher/core/cluster.py
@@ -343,6 +343,7 @@
     def end(self, job: Job, why: str) -> None:
         """The job can never run: its record will say why. Not urgent: starts and ends of others go first."""
         self.log.info("end %s: %s", job.spec.id, why)
+        self.metrics.count("jobs_ended_unmet")
         self._finish(job, JOB_CANCELLED, why, urgent=False)
         self.conditions.doomed(job)
 
@@ -483,6 +484,7 @@
         for index in range(job.spec.tasks) if job.is_gang else (task.index,):
             if job.mark_failed(index):
                 self.touch_chunk(job, index, partial(self._stop_over_limit, job, index))
+                self.metrics.count("tasks_over_limit")
         self.dirty = True
 
     def _stop_over_limit(self, job: Job, index: int) -> None:
--- a/src/tideusher/core/conditions.py
+++ b/src/tideusher/core/conditions.py
@@ -120,7 +120,7 @@
                     self._judge(job, ended(ref, record), now_us)
             elif other.finish_dirty and not other.begun:
                 self._judge(job, News(ref, DOOMED), now_us)
-            elif other.ran:
+            elif other.ran or other.over_count:
                 self._judge(job, News(ref, BEGAN), now_us)
 
     def held(self, job: Job, by: str, now_us: int) -> None:
--- a/src/tideusher/core/reports.py
+++ b/src/tideusher/core/reports.py
@@ -119,6 +119,7 @@
         job, machine = task.job, task.machine
         if item.cause == workers.CAUSE_DONE:
             machine.error_jobs.clear()
+            self._c.conditions.began(job)  # it may have run between two reports
             if task.running_us is not None:
                 if not job.is_gang:
                     machine.completed(job, now_us - task.running_us)
--- a/tests/test_conditions.py
+++ b/tests/test_conditions.py
@@ -10,8 +10,10 @@
 from tideusher.actors.users import Users
 from tideusher.clock import SECOND_US
 from tideusher.core import conditions, explain, keys
+from tideusher.core.cluster import held_value
 from tideusher.core.records import COMMITTING, JOB_CANCELLED, JOB_DONE, OPEN
 from tideusher.wire.jobs import After, InvalidJob, parse_job
+from tideusher.wire.state import Put
 
 
 @pytest.fixture
@@ -100,6 +102,20 @@
     assert not bed.cluster.jobs[then.spec.id].blocked  # the next leader knows that it had begun
 
 
+@pytest.mark.parametrize("new_leader", [False, True])
+def test_a_task_that_was_done_between_two_reports_had_begun(bed, new_leader):
+    first = job("batch", 3, gpus=4.0)
+    bed.place(first)
+    then = bed.submit(job(after=after(first, "after")))
+    bed.report("host-1", 2)
+    bed.report("host-1", 3, (f"{first.id}/0", 1, "exited", "done"))
+    bed.commit()
+    if new_leader:
+        bed.elect()
+    step(bed)
+    assert not bed.cluster.jobs[then.spec.id].blocked
+
+
 def test_what_a_cancelled_job_left_running_is_gone_before_those_after_it_start(bed):
     first = job()
     bed.place(first)
@@ -435,3 +451,49 @@
         assert here <= 5, number
         most = max(most, here)
     assert most == 5 and len(harness.rules.done_tasks[spec.id]) > 50
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_under_storms_nothing_starts_that_is_held_or_waits_for_another(seed):
+    """Judged on what is persisted: a start is an attempt counter that grows."""
+    harness = Harness(seed, faults=0.15)
+    rng, state = harness.rng, harness.state
+    specs = [harness.submit(job("batch", 2, estimate_s=3.0, limit_s=60.0)) for _ in range(6)]
+    for _ in range(30):
+        kinds = {other.id: rng.choice(["afterok", "afterany", "after"]) for other in rng.sample(specs, 2)}
+        named = [After(kind, other) for other, kind in kinds.items()]
+        specs.append(harness.submit(job(rng.choice(["batch", "gang"]), 2, after=named, estimate_s=3.0)))
+
+    def starts(spec):
+        chunk = state.items.get(keys.chunk_key(spec.id, 0))
+        return chunk[0]["n"] if chunk else 0
+
+    held = {}
+    released = ended = 0
+    for _ in range(220):
+        if rng.random() < 0.04:
+            harness.new_leader()
+        spec = rng.choice(specs)
+        value, _ = state.items[keys.job_key(spec.id)]
+        if value["st"] == OPEN and rng.random() < 0.3:
+            by = "" if spec.id in held else "anna"
+            state.txn([], [Put(keys.job_key(spec.id), held_value(value, by))])
+            held.pop(spec.id, None)
+            if by:
+                held[spec.id] = starts(spec)
+        elif rng.random() < 0.02:
+            harness.cancel(spec)
+        before = {spec.id: starts(spec) for spec in specs}
+        harness.step()
+        for spec in specs:
+            if spec.id in held:
+                assert starts(spec) in (0, held[spec.id]), spec.id
+            if starts(spec) > before[spec.id] and spec.after:
+                released += 1
+                for one in spec.after:
+                    record = state.record_of(one.job)
+                    over = record["st"] != OPEN
+                    begun = keys.chunk_key(one.job, 0) in state.items or over
+                    assert begun if one.on == "after" else over and (one.on != "afterok" or record["st"] == JOB_DONE)
+    ended = sum("why" in state.record_of(spec.id) for spec in specs)
+    assert released >= 5 and ended + released > 12
