--- a/src/tideusher/core/records.py
+++ b/src/tideusher/core/records.py
@@ -67,7 +67,6 @@
     done: int = 0  # bit i: task number*CHUNK_TASKS+i is done
     failed: int = 0  # bit i: that task ran longer than its limit and is not started again
     stamp: int = 0
-    dirty: bool = False
 
 
 @dataclass(slots=True, eq=False)
@@ -230,26 +229,29 @@
 
     def mark_done(self, index: int) -> bool:
         """Record completion; True if it was news. What was stopped at its limit stays so."""
-        if self.is_over(index):
+        chunk = self._ends(index)
+        if chunk is None:
             return False
-        chunk = self.chunk_of(index)
         chunk.done |= 1 << (index % CHUNK_TASKS)
-        chunk.dirty = True
         self.done_count += 1
-        self._no_retry(index)
         return True
 
     def mark_failed(self, index: int) -> bool:
         """Record that the task ran longer than its limit; True if it was news."""
-        if self.is_over(index):
+        chunk = self._ends(index)
+        if chunk is None:
             return False
-        chunk = self.chunk_of(index)
         chunk.failed |= 1 << (index % CHUNK_TASKS)
-        chunk.dirty = True
         self.failed_count += 1
-        self._no_retry(index)
         return True
 
+    def _ends(self, index: int) -> Chunk | None:
+        """The chunk in which the end of a task is to be marked; None if it is over already."""
+        if self.is_over(index):
+            return None
+        self._no_retry(index)
+        return self.chunk_of(index)
+
 
 def chunk_value(job: Job, chunk: Chunk) -> dict[str, Any]:
     """A chunk as persisted: attempt counter, done bits, and who is where with which attempt."""
