One engine drives the decisions; the leader runs it over its actors

An embedded instance must take the same decisions as the daemon, so what drives core (passes in pieces, writes first, effects after) leaves the leader's actor for core/engine.py, which has no I/O. The leader keeps what is I/O: transactions, cloud, direct calls, probes.

--- a/src/tideusher/actors/leader.py
+++ b/src/tideusher/actors/leader.py
@@ -1,6 +1,5 @@
-"""The leader: feeds the cluster's picture, persists its changes, and carries out what it decides."""
+"""The leader: runs an engine over the state service, the cloud and the workers' reports."""
 
-from collections.abc import Iterator
 from typing import Any
 
 import gevent
@@ -17,9 +16,9 @@
 from tideusher.core import explain, keys
 from tideusher.core.bounds import may_answer
 from tideusher.core.cluster import Cluster, Rental
+from tideusher.core.engine import Engine
 from tideusher.core.keeper import Batch
 from tideusher.core.records import RETURNING, UP, Machine
-from tideusher.core.scheduler import Scheduler
 from tideusher.metrics import Metrics
 from tideusher.wire import cloud as cloud_wire
 from tideusher.wire import workers
@@ -30,7 +29,7 @@
 
 
 class Leader(Actor):
-    """Owns a Cluster while this node leads; forgets it when it does not."""
+    """Owns an Engine while this node leads; forgets it when it does not."""
 
     def __init__(
         self,
@@ -46,13 +45,10 @@
         self._config, self._policy, self._clock = config, policy, clock
         self._store, self._election, self._cloud = store, election, cloud
         self._metrics = metrics
-        self._cluster: Cluster | None = None
-        self._scheduler: Scheduler
+        self._engine: Engine | None = None
         self._loading = False
         self._probing: set[str] = set()
         self._direct: dict[str, HttpClient] = {}
-        self._last_pass_us = 0
-        self._pass: Iterator[None] | None = None  # the pass under way
 
     def start(self) -> None:
         super().start()
@@ -61,8 +57,12 @@
         self.every(to_us(self._policy.ledger__gather_s), "gather")
         self.every(to_us(max(2.0, self._config.settings.cloud.list_lag_s)), "survey")
 
+    @property
+    def _cluster(self) -> Cluster | None:
+        return self._engine.cluster if self._engine is not None else None
+
     def _on_change(self, key: str, value: object, stamp: int) -> None:
-        if self._cluster is not None and key.startswith(keys.JOB_PREFIX):
+        if self._engine is not None and key.startswith(keys.JOB_PREFIX):
             self.tell("job", key[len(keys.JOB_PREFIX) :], value, stamp)
 
     # ---------------------------------------------------------------- leadership
@@ -70,43 +70,33 @@
     def on_tick(self) -> None:
         """Follow the election; run a scheduling pass when something changed."""
         token = self._election.token
-        cluster = self._cluster
-        if cluster is not None and cluster.token != token:
-            self.log.info("stepped down from token %d", cluster.token)
-            self._cluster = cluster = self._pass = None
+        engine = self._engine
+        if engine is not None and engine.token != token:
+            self.log.info("stepped down from token %d", engine.token)
+            self._engine = engine = None
             self._store.lead(False)
-        if cluster is None:
+        if engine is None:
             if token is not None and not self._loading:
                 self._loading = True
                 self._store.lead(True)
                 self.spawn(self._take_over, token)
             return
         now_us = self._clock.now_us()
-        self._look_after(cluster, now_us)
-        if self._pass is None and (cluster.dirty or now_us - self._last_pass_us > 1_000_000):
-            self._last_pass_us = now_us
-            self._pass = self._scheduler.pieces(now_us)
-            self.on_go_on(self._pass)
-        else:
-            self._act(cluster)
+        self._look_after(engine.cluster, now_us)
+        self._after_piece(engine, engine.tick(now_us))
 
-    def on_go_on(self, the_pass: Iterator[None]) -> None:
+    def on_go_on(self, engine: Engine) -> None:
         """One piece of a pass. The next comes when the loop has looked at what else there is to do.
 
         Of a whole pass a leader of 570 machines once did nothing else for 0.1 s.
         """
-        cluster = self._cluster
-        if cluster is None or the_pass is not self._pass:
-            return  # we stepped down in between
-        try:
-            next(the_pass)
-            gevent.spawn_later(0, self.tell, "go_on", the_pass)
-        except StopIteration:
-            self._pass = None
-        except Exception:
-            self._pass = None  # the next tick begins another
-            raise
-        self._act(cluster)
+        if engine is self._engine:  # else we stepped down in between
+            self._after_piece(engine, engine.go_on())
+
+    def _after_piece(self, engine: Engine, more: bool) -> None:
+        if more:
+            gevent.spawn_later(0, self.tell, "go_on", engine)
+        self._act(engine)
 
     def _look_after(self, cluster: Cluster, now_us: int) -> None:
         """Machines taken back or silent. Done at ticks: after each report of a fleet it cost most of a core."""
@@ -135,11 +125,17 @@
         """Build the picture from the mirror."""
         self._loading = False
         now_us = self._clock.now_us()
-        cluster = Cluster(
-            self._config, self._policy, token, now_us, self._clock.wall_us, self._metrics, self._record_of
+        self._engine = Engine(
+            self._config,
+            self._policy,
+            token,
+            now_us,
+            self._clock.wall_us,
+            self._metrics,
+            self._record_of,
+            {key: (s.value, s.stamp) for key, s in self._store.mirror.items()},
         )
-        cluster.load({key: (s.value, s.stamp) for key, s in self._store.mirror.items()}, now_us)
-        self._cluster, self._scheduler = cluster, Scheduler(cluster, now_us)
+        cluster = self._engine.cluster
         self._metrics.count("leaderships")
         self.log.info(
             "took over with token %d: %d jobs, %d machines", token, len(cluster.jobs), len(cluster.machines)
@@ -154,9 +150,9 @@
 
     def on_job(self, job_id: str, value: dict | None, stamp: int) -> None:
         """A job's own key changed."""
-        if self._cluster is not None:
-            self._cluster.job_changed(job_id, value, stamp, self._clock.now_us())
-            self._act(self._cluster)
+        if self._engine is not None:
+            self._engine.cluster.job_changed(job_id, value, stamp, self._clock.now_us())
+            self._act(self._engine)
 
     def answer_reports(self, reports: list[workers.Report]) -> AsyncResult:
         """Ask for the commands to reports that came together, while their gateway waits."""
@@ -166,21 +162,21 @@
         """What the reports change is written and acted on once. None: we are not entitled to answer, or the
         gateway has answered alone meanwhile; to read those too would keep a late leader late.
         """
-        cluster, now_us = self._cluster, self._clock.now_us()
+        engine, now_us = self._engine, self._clock.now_us()
         if (
-            cluster is None
+            engine is None
             or now_us - asked_us > REPORT_WAITS_US
-            or cluster.token != self._election.token
+            or engine.token != self._election.token
             or not may_answer(self._config, self._store.contact_us, now_us)
         ):
             return [None] * len(reports)
         answers = [
-            workers.Commands(cluster.token, cluster.reports.answer(report, now_us))
-            if report.token <= cluster.token
+            workers.Commands(engine.token, engine.cluster.reports.answer(report, now_us))
+            if report.token <= engine.token
             else None
             for report in reports
         ]
-        self._act(cluster)
+        self._act(engine)
         return answers
 
     def on_gather(self) -> None:
@@ -207,9 +203,10 @@
 
     def on_listed(self, token: int, listing: list[cloud_wire.Listed] | None) -> None:
         """The cloud's list of machines."""
-        if self._cluster is not None and self._cluster.token == token and listing is not None:
-            self._cluster.listed(listing, self._clock.now_us())
-            self._act(self._cluster)
+        engine = self._engine
+        if engine is not None and engine.token == token and listing is not None:
+            engine.cluster.listed(listing, self._clock.now_us())
+            self._act(engine)
 
     def on_question(self, what: str, arg: str) -> Any:
         """A question of an operator or a user; None if we cannot answer it."""
@@ -226,30 +223,25 @@
 
     # ---------------------------------------------------------------- acting
 
-    def _act(self, cluster: Cluster) -> None:
-        """Carry out what the picture asks for. Rentals and returns get here only when persisted."""
-        self._flush(cluster)
-        token = cluster.token
-        for rental in cluster.to_rent:
+    def _act(self, engine: Engine) -> None:
+        """Write what changed, and carry out what may be done. Rentals and returns get here only when persisted."""
+        batch = engine.batch()
+        if batch is not None:
+            self.spawn(self._commit, engine, batch)
+        token, orders = engine.token, engine.orders()
+        for rental in orders.rent:
             self._rent(token, rental)
-        cluster.to_rent.clear()
-        while cluster.to_return:
-            machines = cluster.to_return[: cloud_wire.MAX_RETURN]
-            del cluster.to_return[: cloud_wire.MAX_RETURN]
+        for first in range(0, len(orders.give_back), cloud_wire.MAX_RETURN):
+            machines = orders.give_back[first : first + cloud_wire.MAX_RETURN]
             names = [machine.name for machine in machines]
             self._cloud.submit(
                 Cloud.RETURN,
                 lambda names=names: self._cloud.give_back(names),
                 lambda r, machines=machines: self.tell("returned", token, machines, r),
             )
-        if cluster.direct:
-            by_machine: dict[Machine, list[workers.Command]] = {}
-            for direct in cluster.direct:
-                by_machine.setdefault(direct.machine, []).append(direct.command)
-            cluster.direct.clear()
-            for machine, commands in by_machine.items():
-                if machine.address and machine.phase == UP:
-                    self.spawn(self._send, machine, token, commands)
+        for machine, commands in orders.direct.items():
+            if machine.address and machine.phase == UP:
+                self.spawn(self._send, machine, token, commands)
 
     def _rent(self, token: int, rental: Rental) -> None:
         request = cloud_wire.RentRequest(rental.name, rental.type, rental.zone, rental.spot, rental.count)
@@ -259,17 +251,17 @@
 
     def on_rented(self, token: int, rental: Rental, names: list[str] | None) -> None:
         """A rental was answered, refused, or must be asked again under the same name."""
-        cluster = self._cluster
-        if cluster is None or cluster.token != token:
+        engine = self._engine
+        if engine is None or engine.token != token:
             return
         now_us = self._clock.now_us()
         if names is None:
             gevent.spawn_later(1.0, self.tell, "rent_again", token, rental)
         elif names:
-            cluster.rented(rental, names, now_us)
+            engine.cluster.rented(rental, names, now_us)
         else:
-            cluster.refused(rental, now_us)
-        self._act(cluster)
+            engine.cluster.refused(rental, now_us)
+        self._act(engine)
 
     def on_rent_again(self, token: int, rental: Rental) -> None:
         """Repeat a rental whose answer never came: under its name it cannot rent twice."""
@@ -278,16 +270,16 @@
 
     def on_returned(self, token: int, machines: list[Machine], names: list[str] | None) -> None:
         """A return was confirmed, or must be asked again."""
-        cluster = self._cluster
-        if cluster is None or cluster.token != token:
+        engine = self._engine
+        if engine is None or engine.token != token:
             return
         if names is None:
             gevent.spawn_later(1.0, self.tell, "return_again", token, machines)
             return
-        cluster.returned(names, self._clock.now_us())
+        engine.cluster.returned(names, self._clock.now_us())
         for name in names:
             self._direct.pop(name, None)
-        self._act(cluster)
+        self._act(engine)
 
     def on_return_again(self, token: int, machines: list[Machine]) -> None:
         """The cloud did not confirm a return."""
@@ -315,16 +307,16 @@
 
     def on_answered(self, token: int, body: bytes) -> None:
         """The report in the answer to direct commands is as good as one that the worker sent."""
-        cluster = self._cluster
-        if cluster is None or cluster.token != token:
+        engine = self._engine
+        if engine is None or engine.token != token:
             return
         try:
             report = workers.decode_report(body)
         except msgspec.DecodeError as error:
             self.log.error("bad answer of a worker: %s", error)
             return
-        cluster.reports.look(report, self._clock.now_us())
-        self._act(cluster)
+        engine.cluster.reports.look(report, self._clock.now_us())
+        self._act(engine)
 
     def _probe(self, token: int, machine: Machine) -> None:
         """Ask a silent machine directly: a cut to its gateway must not look like its death."""
@@ -347,23 +339,18 @@
 
     def on_probe_failed(self, token: int, machine: Machine) -> None:
         """A silent machine did not answer: return it, if its zone is heard and only it is not."""
-        cluster = self._cluster
-        if cluster is None or cluster.token != token or not cluster.health.is_suspect(machine, self._clock.now_us()):
+        engine, now_us = self._engine, self._clock.now_us()
+        if engine is None or engine.token != token or not engine.cluster.health.is_suspect(machine, now_us):
             return
         machine.probes_failed += 1
-        now_us = self._clock.now_us()
+        cluster = engine.cluster
         if machine.probes_failed >= 2 and cluster.health.zone_heard(machine.zone, now_us):
             cluster.give_back(machine, f"{cluster.health.silence(machine, now_us)} and does not answer")
-            self._act(cluster)
+            self._act(engine)
 
     # ---------------------------------------------------------------- persisting
 
-    def _flush(self, cluster: Cluster) -> None:
-        batch = cluster.keeper.next_batch(self._config.settings.state.txn_ops)
-        if batch is not None:
-            self.spawn(self._commit, cluster, batch)
-
-    def _commit(self, cluster: Cluster, batch: Batch) -> None:
+    def _commit(self, engine: Engine, batch: Batch) -> None:
         """One transaction; then tell the actor how it went, after the mirror is newer than it."""
         try:
             revision = self._store.txn(batch.guards, batch.writes)
@@ -371,36 +358,35 @@
             self.log.info("transaction refused: %s changed", ", ".join(conflict.failed))
             synced = self._store.sync()
             lost = keys.LEADER in conflict.failed
-            self.tell("not_saved", cluster, synced, lost)
+            self.tell("not_saved", engine, synced, lost)
         except (Unavailable, NoLease) as error:
             self.log.info("transaction not confirmed: %s", error)
-            self.tell("unwritable", cluster)
+            self.tell("unwritable", engine)
             gevent.sleep(0.3)
-            self.tell("not_saved", cluster, self._store.sync(), False)
+            self.tell("not_saved", engine, self._store.sync(), False)
         else:
-            self.tell("saved", cluster, revision)
+            self.tell("saved", engine, revision)
 
-    def on_saved(self, cluster: Cluster, revision: int) -> None:
+    def on_saved(self, engine: Engine, revision: int) -> None:
         """A batch is through: its effects may be told."""
-        if cluster is self._cluster:
-            cluster.keeper.saved(revision)
-            cluster.saved_us, cluster.writable = self._clock.now_us(), True
-            self._act(cluster)
+        if engine is self._engine:
+            engine.saved(revision, self._clock.now_us())
+            self._act(engine)
 
-    def on_unwritable(self, cluster: Cluster) -> None:
-        """The state service did not take a write: nothing more is stopped until it does."""
-        cluster.writable = False
+    def on_unwritable(self, engine: Engine) -> None:
+        """The state service did not take a write."""
+        engine.unwritable()
 
-    def on_not_saved(self, cluster: Cluster, synced: bool, lost: bool) -> None:
+    def on_not_saved(self, engine: Engine, synced: bool, lost: bool) -> None:
         """A batch failed: read first, then write again what still holds."""
-        if cluster is not self._cluster or lost:
+        if engine is not self._engine or lost:
             return
         if not synced:
-            self.spawn(self._sync_again, cluster)
+            self.spawn(self._sync_again, engine)
             return
-        cluster.keeper.not_saved(self._store.stamp_of)
-        self._act(cluster)
+        engine.not_saved(self._store.stamp_of)
+        self._act(engine)
 
-    def _sync_again(self, cluster: Cluster) -> None:
+    def _sync_again(self, engine: Engine) -> None:
         gevent.sleep(0.5)
-        self.tell("not_saved", cluster, self._store.sync(), False)
+        self.tell("not_saved", engine, self._store.sync(), False)
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -17,9 +17,11 @@
 )
 from tideusher.core import keys
 from tideusher.core.cluster import Cluster
+from tideusher.core.engine import Engine
 from tideusher.core.keeper import Batch
 from tideusher.core.records import JOB_DONE, OPEN
 from tideusher.core.scheduler import Scheduler
+from tideusher.metrics import Metrics
 from tideusher.playground.standins import TYPE, OnMachine, StateStandIn, WorkerStandIn
 from tideusher.wire.jobs import JobSpec
 from tideusher.wire.workers import Commands, Report, TaskReport
@@ -308,6 +310,14 @@
         self.cluster, self.scheduler = cluster, Scheduler(cluster, self.clock.now_us())
         return cluster
 
+    def engine(self) -> Engine:
+        """What a leader under the same token would run."""
+        items = self.state.items
+        token, clock = self.cluster.token, self.clock
+        return Engine(
+            make_config(), Policy(), token, clock.now_us(), clock.wall_us, Metrics(), self.state.record_of, items
+        )
+
     def see_jobs(self) -> None:
         for key, (value, stamp) in self.state.items.items():
             if key.startswith(keys.JOB_PREFIX):
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -289,9 +289,9 @@
     election = Part(token=bed.cluster.token)
     store = Part(contact_us=bed.clock.now_us(), listen=lambda f: None, lead=lambda leads: None)
     leader = Leader(make_config(), Policy(), bed.clock, store, election, Part(), Metrics())
-    leader._cluster = bed.cluster
+    leader._engine = bed.engine()
     first, second = (Report("host-1", "1:2", "m4", "a", False, 1, serial, election.token) for serial in (1, 2))
-    leader._act = lambda cluster: None
+    leader._act = lambda engine: None
     assert leader.on_reports([first], bed.clock.now_us())[0].token == election.token
     bed.clock.pass_s(14.0)
     assert leader.on_reports([second], bed.clock.now_us()) == [None]
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -441,8 +441,9 @@
             pass
 
     leader = Leader(bed.cluster.config, POLICY, bed.clock, Store(), Election(), None, Metrics())
-    leader._cluster, leader._scheduler = bed.cluster, Slices(done)
-    leader._act = lambda cluster: None
+    leader._engine = engine = bed.engine()
+    engine.scheduler = Slices(done)
+    leader._act = lambda engine: None
     served = gevent.spawn(leader._serve)
     leader.tell("tick")
     while len(done) < 5:
@@ -460,9 +461,9 @@
     assert pieces[:4] == ["piece 0", "piece 1", "piece 2", "end"]
     assert "report" in done[: done.index("end")]
     # One that stepped down in between does not go on with the old pass.
-    leader._pass = None
-    leader.on_go_on(Slices(done).pieces(0))
-    assert done.count("end") == 1
+    leader._engine, engine._pass = None, Slices(done).pieces(0)
+    leader.on_go_on(engine)
+    assert done.count("end") == 1 and done.count("piece 0") == 1
 
 
 def test_a_machine_of_which_nobody_told_the_address_counts_as_not_answering(monkeypatch):
--- a/tests/test_way.py
+++ b/tests/test_way.py
@@ -157,12 +157,12 @@
 
 
 class Picture:
-    """A cluster that answers each report with one command."""
+    """An engine whose cluster answers each report with one command."""
 
     token = 7
 
     def __init__(self):
-        self.reports, self.answered = self, 0
+        self.cluster, self.reports, self.answered = self, self, 0
 
     def answer(self, report, now_us):
         self.answered += 1
@@ -173,7 +173,7 @@
     clock, part = FakeClock(), Part()
     part.contact_us = clock.now_us()
     leader = Leader(make_config(), Policy(), clock, part, part, None, Metrics())
-    leader._cluster = picture = Picture()
+    leader._engine = picture = Picture()
     acted = []
     leader._act = acted.append
     report = [workers.Report(f"host-{n}", "a:1", "m4", "a", False, 1, 1, 7 + (n == 2)) for n in range(4)]
