--- a/src/tideusher/core/placement.py
+++ b/src/tideusher/core/placement.py
@@ -103,12 +103,19 @@
 
 def slots_in(cpus: float, gpus: float, ram: float, spec: JobSpec) -> int:
     """How many tasks of the job fit in the given room."""
-    counts = [
-        int((room + 1e-9) / need)
-        for room, need in ((cpus, spec.cpus), (gpus, spec.gpus), (ram, spec.ram_gb))
-        if need > 0
-    ]
-    return max(0, min(counts, default=spec.tasks))
+    # Asked of each machine for each job, hence without lists: what is not asked for does not limit.
+    least = None
+    if spec.gpus > 0:
+        least = int((gpus + 1e-9) / spec.gpus)
+        if least <= 0:
+            return 0
+    if spec.cpus > 0:
+        count = int((cpus + 1e-9) / spec.cpus)
+        least = count if least is None or count < least else least
+    if spec.ram_gb > 0:
+        count = int((ram + 1e-9) / spec.ram_gb)
+        least = count if least is None or count < least else least
+    return spec.tasks if least is None else max(0, least)
 
 
 BLOCKED = 3
