--- a/src/tideusher/core/cluster.py
+++ b/src/tideusher/core/cluster.py
@@ -126,6 +126,9 @@
         self.to_return: list[Machine] = []
         self._rental_count = 0
         self._types_value: Any = None
+        self.rents = True  # false: the machines are the program's own, and neither rented nor given back
+        #: Own machines for which there may be a command: they are not waited for until they report.
+        self.touched: dict[str, Machine] = {}
         self.writable = True  # did the state service answer our last write?
         self.saved_us = 0  # when the state service last took a write of ours
         self.dirty = True
@@ -429,6 +432,8 @@
             self.free(task, task.placed_us)
             return
         self.direct.append(Direct(task.machine, workers.halt(task.name, task.attempt, grace_s)))
+        if not self.rents:
+            self.touched[task.machine.name] = task.machine
 
     def note_stop(self, job: Job, task: Task, reason: str) -> None:
         job.stops.append({"at": self.wall_us(), "task": task.index, "on": task.machine.name, "why": reason})
@@ -518,6 +523,14 @@
         self.dirty = True
         return machine
 
+    def own(self, machines: Iterable[tuple[str, str, str]], now_us: int) -> None:
+        """Machines that are there for good: (name, type, zone). They are known to nobody but this process."""
+        self.rents = False
+        for name, kind, zone in machines:
+            rental = Rental(f"own-{name}", kind, zone, False, 1, True, [name])
+            self.rentals[rental.name] = rental
+            self._add_machine(name, rental, now_us)
+
     def set_types(self, types: Iterable[MachineType]) -> None:
         """Machine types became known or prices changed."""
         first = not self.fleet.types
@@ -682,6 +695,8 @@
                     ready = not unsaved if job.is_gang else task.index // CHUNK_TASKS == number
                     if ready and task.phase == COMMITTING:
                         task.phase = ASSIGNED
+                        if not self.rents:
+                            self.touched[task.machine.name] = task.machine
 
             self.keeper.touch(self._chunk_entry(job, chunk), persisted)
         self.log.debug("place %s: %s", job.spec.id, ", ".join(f"{t.index}@{t.machine.name}" for t in tasks[:8]))
--- a/src/tideusher/core/scheduler.py
+++ b/src/tideusher/core/scheduler.py
@@ -59,8 +59,10 @@
                 job = self._c.jobs.get(machine.reserved)
                 if job is None or job.pending <= 0 or now_us > machine.reserved_until_us:
                     machine.reserved = ""
-        within = self._within_guarantee()
         waiting = [job for job in self._c.active.values() if job.waits]
+        if not waiting and not self._c.rents:
+            return  # and nothing to rent or to give back for others
+        within = self._within_guarantee()
         queue = order_jobs(
             waiting,
             self._c.ledger.ratio,
@@ -107,9 +109,10 @@
         requests = self._gathering.update(unplaced, holding, self._c.machines.values(), self._offer(now_us))
         yield
         requests = [request for request in requests if request.job.waits]
-        self._plan_fleet(requests, now_us)
-        yield
-        self._thin_out(now_us)
+        if self._c.rents:
+            self._plan_fleet(requests, now_us)
+            yield
+            self._thin_out(now_us)
 
     def _offer(self, now_us: int) -> Callable[[Job, str], int]:
         return lambda job, zone: self._c.fleet.offer(job.spec, zone, now_us)
@@ -206,6 +209,8 @@
         return left
 
     def _preempt(self, unplaced: list[tuple[Job, int]], now_us: int) -> None:
+        if not unplaced:
+            return
         stops = 0
         usable = [m for m in self._c.machines.values() if _usable(m)]
         coming_free = room_of_halted(usable)
--- /dev/null
+++ b/src/tideusher/embed/__init__.py
@@ -0,0 +1,27 @@
+"""The scheduler inside a program: the same decisions as the daemon, on machines of the program's own.
+
+Importing it starts nothing and loads no web server; see `docs/embed.md`.
+"""
+
+from tideusher.embed.errors import Closed, Damaged, EmbedError, Forked, Locked, Refused, StorageError
+from tideusher.embed.instance import Instance, new_ref, small_job
+from tideusher.embed.machines import Started
+from tideusher.embed.settings import Card, MachineKind, Settings, load_settings
+
+__all__ = [
+    "Card",
+    "Closed",
+    "Damaged",
+    "EmbedError",
+    "Forked",
+    "Instance",
+    "Locked",
+    "MachineKind",
+    "Refused",
+    "Settings",
+    "Started",
+    "StorageError",
+    "load_settings",
+    "new_ref",
+    "small_job",
+]
