Embedded instances: the daemon's decisions inside a program, on machines of its own

A child of a fork is refused, a second opener is locked out, a crash of the program frees what it held, as only its own life could run it. A report that lists a completed task again is no reason for a pass any more.

--- a/src/tideusher/core/cluster.py
+++ b/src/tideusher/core/cluster.py
@@ -470,8 +470,8 @@
         for one in indexes:
             if job.mark_done(one):
                 self.touch_chunk(job, one, lambda: self._finish_if_done(job))
+                self.dirty = True  # not for each report that lists it until it is forgotten
         job.failures = 0
-        self.dirty = True
 
     def running(self, task: Task, now_us: int) -> None:
         """A report says for the first time that the task runs."""
@@ -531,6 +531,11 @@
             self.rentals[rental.name] = rental
             self._add_machine(name, rental, now_us)
 
+    def hear_own(self, now_us: int) -> None:
+        """Own machines live as long as their program: they are as good as heard at any moment."""
+        for machine in self.machines.values():
+            machine.reported_us = now_us
+
     def set_types(self, types: Iterable[MachineType]) -> None:
         """Machine types became known or prices changed."""
         first = not self.fleet.types
--- a/src/tideusher/core/gather.py
+++ b/src/tideusher/core/gather.py
@@ -46,6 +46,8 @@
     ) -> list[Request]:
         """Hold what is free for gangs in the order of the queue; returns what is missing beyond that."""
         self.held = {}
+        if not unplaced:
+            return []
         requests, gathering = [], set()
         outlook = _Outlook(machines)
         for job, count in unplaced:
--- a/src/tideusher/core/scheduler.py
+++ b/src/tideusher/core/scheduler.py
@@ -209,6 +209,8 @@
         return left
 
     def _preempt(self, unplaced: list[tuple[Job, int]], now_us: int) -> None:
+        if not unplaced:
+            return
         if not unplaced:
             return
         stops = 0
--- a/src/tideusher/embed/instance.py
+++ b/src/tideusher/embed/instance.py
@@ -38,7 +38,8 @@
 
 #: How long a thread of ours sleeps when nothing is asked.
 IDLE_S = 0.2
-SESSION_KEY = "t/session"
+#: Reports of a machine in one round at most; what is left then is for the next.
+DIGESTS = 4
 
 #: Instances of this process, for its children after a fork.
 _open: "weakref.WeakSet[Instance]" = weakref.WeakSet()
@@ -435,20 +436,23 @@
             self._gathered_us = now_us
             engine.cluster.gather(now_us)
         told = self._digest(now_us)
+        engine.cluster.hear_own(now_us)
         more = engine.tick(now_us)
         while more:
             more = engine.go_on()
         self._persist(now_us)
         begun: list[Started] = []
         ended: list[Started] = []
-        while told:
+        for left in reversed(range(DIGESTS)):
             for machine, commands in told:
                 started, stopped = machine.execute(commands, self._exited)
                 begun += started
                 ended += stopped
-                if machine.changed:
+                if machine.changed or machine.has_exited:  # it is to be forgotten, now that its end is kept
                     engine.cluster.touched[machine.name] = engine.cluster.machines[machine.name]
-            told = self._digest(now_us)
+            told = self._digest(now_us) if left else []
+            if not told:
+                break
         engine.orders()  # what goes to machines directly went with their reports
         try:
             if self._state.tidy(lambda job: job in engine.cluster.jobs):
@@ -486,7 +490,7 @@
         if now_us - self._reported_us >= to_us(REPORT_S) // 2:
             self._reported_us = now_us
             cluster.touched.update(cluster.machines)
-        touched = [self._machines[name] for name in cluster.touched]
+        touched = [self._machines[name] for name in sorted(cluster.touched)]  # whatever order the program has
         cluster.touched.clear()
         return [(machine, cluster.reports.answer(machine.report(self._engine.token), now_us)) for machine in touched]
 
--- a/src/tideusher/embed/machines.py
+++ b/src/tideusher/embed/machines.py
@@ -64,6 +64,11 @@
         self._serial = 0
         self.changed = True
 
+    @property
+    def has_exited(self) -> bool:
+        """Is there an attempt that has ended and is not forgotten?"""
+        return any(task.state == workers.EXITED for task in self._tasks.values())
+
     def report(self, token: int) -> Report:
         """What runs here now."""
         self._serial += 1
--- /dev/null
+++ b/tests/test_embed.py
@@ -0,0 +1,473 @@
+"""Embedded instances: one life, many lives, threads and forks, and the same decisions as the daemon."""
+
+import os
+import random
+import subprocess
+import sys
+import threading
+
+import msgspec
+import pytest
+
+from history import BadHistory, History
+from standins import TYPE, Bed, FakeClock, make_config
+from test_journal import Crash, FaultyDisk
+from tideusher.clock import SECOND_US
+from tideusher.config import ConfigError, Policy, Team
+from tideusher.core.engine import Engine
+from tideusher.embed import (
+    Card,
+    Closed,
+    Forked,
+    Instance,
+    Locked,
+    MachineKind,
+    Refused,
+    Settings,
+    StorageError,
+    load_settings,
+    new_ref,
+    small_job,
+)
+from tideusher.metrics import Metrics
+from tideusher.wire.jobs import After
+
+KIND = MachineKind(TYPE.name, TYPE.cpus, TYPE.gpus, TYPE.ram_gb)
+TEAMS = [Team("red", gpus=8.0, gpus_max=12.0), Team("blue", gpus=8.0, gpus_max=12.0)]
+SETTINGS = Settings([KIND], [Card(f"host-{n}", KIND.name, "ab"[n % 2]) for n in range(4)], TEAMS)
+
+
+class Program:
+    """A host program: keeps what was started, ends it when the test says so."""
+
+    def __init__(self, directory, settings=SETTINGS, **more):
+        self.running, self.ending, self.clock = {}, [], FakeClock()
+        more = {"drive": "step", "clock": self.clock, **more}
+        self.instance = Instance(str(directory), settings, self.on_start, self.ending.append, **more)
+
+    def on_start(self, task):
+        self.running[task.name] = task
+
+    def round(self, specs, ended, cancelled):
+        """Ends, then cancellations one by one, then submissions; after each, whatever follows."""
+        for name in sorted(ended):
+            self.running.pop(name).done()
+        self.settle()
+        for name in sorted(cancelled):
+            self.instance.cancel(name)
+            self.settle()
+        self.instance.submit_many(specs)
+        self.settle()
+
+    def settle(self):
+        while True:
+            while self.instance.step():
+                pass
+            if not self.ending:
+                return
+            for task in self.ending:
+                self.running.pop(task.name, task).stopped()
+            self.ending.clear()
+
+    def end(self, name, cause="done", **more):
+        task = self.running.pop(name)
+        getattr(task, cause)(**more)
+        while self.instance.step():
+            pass
+
+
+@pytest.fixture
+def program(tmp_path):
+    one = Program(tmp_path / "state")
+    yield one
+    one.instance.close()
+
+
+def test_a_job_is_placed_run_and_done_and_can_be_explained(program):
+    instance = program.instance
+    spec = small_job("req-1", "red", tasks=2, gpus=1.0)
+    assert instance.submit(spec).status == "pending"
+    assert sorted(program.running) == ["req-1/0", "req-1/1"] and instance.status("req-1").running == 2
+    assert program.running["req-1/0"].cards and instance.explain("req-1")["placed"] == 2
+    assert instance.submit(spec).status == "running" and len(program.running) == 2  # a repeat
+    program.end("req-1/0")
+    assert instance.status("req-1").done == 1
+    program.end("req-1/1")
+    assert instance.wait("req-1", 0).status == "done" and instance.explain("req-1")["reasons"] == ["It is done."]
+    assert instance.teams()[0]["used_gpus"] == 0.0
+
+
+@pytest.mark.parametrize(
+    "fields, words",
+    [
+        ({"team": "nobody"}, "unknown team"),
+        ({"gpus": 0.5}, "cards are given out whole"),
+        ({"gpus": 5.0}, "fits none of the machines"),
+        ({"gpus": 4.0, "tasks": 4, "shape": "gang"}, "may use 12"),
+        ({"tasks": 0}, "pieces"),
+        ({"after": [After("afterok", "req-9")]}, "there is no such job"),
+    ],
+)
+def test_what_can_never_run_is_refused_and_nothing_of_it_is_kept(program, fields, words):
+    bad = small_job("req-1", **{"team": "red", **fields})
+    with pytest.raises(Refused, match=words):
+        program.instance.submit_many([small_job("req-2", "red"), bad])
+    for ref in ("req-1", "req-2"):
+        with pytest.raises(Refused, match="there is no job"):
+            program.instance.status(ref)
+
+
+def test_cancel_stops_through_the_program_and_frees_only_when_it_says_so(program):
+    instance = program.instance
+    instance.submit(small_job("req-1", "red", gpus=4.0, shape="service"))
+    instance.submit_many([small_job(f"req-{n}", "red", gpus=4.0) for n in (2, 3, 4)])
+    assert len(program.running) == 3  # the team's limit
+    assert instance.cancel("req-1").status == "withdrawn"
+    (task,) = program.ending
+    assert task.stopping and task.name == "req-1/0" and len(program.running) == 3
+    program.clock.pass_s(1000)
+    assert not instance.step() and len(program.running) == 3  # time frees nothing
+    program.end("req-1/0", "stopped")
+    assert len(program.running) == 3 and "req-4/0" in program.running
+    program.end("req-2/0", "failed")
+    assert program.running["req-2/0"].attempt == 2
+
+
+def test_a_call_back_that_raises_is_a_failure_of_its_task(tmp_path, caplog):
+    calls = []
+
+    def on_start(task):
+        calls.append(task)
+        if len(calls) == 1:
+            raise ValueError("a bug of the program")
+
+    with Instance(str(tmp_path), SETTINGS, on_start, drive="step", clock=FakeClock()) as instance:
+        instance.submit(small_job("req-1", "red"))
+    assert [task.attempt for task in calls] == [1, 2] and calls[0].machine != calls[1].machine
+    assert "a bug of the program" in caplog.text
+
+
+def test_what_ran_when_the_program_ended_is_open_again_under_a_new_attempt(tmp_path):
+    first = Program(tmp_path)
+    first.instance.submit_many([small_job(f"req-{n}", "red", gpus=2.0) for n in range(8)])
+    assert len(first.running) == 6
+    first.end("req-0/0")
+    first.instance.cancel("req-1")
+    first.instance.hold("req-7", "anna")
+    first.instance.close()
+    with pytest.raises(Closed):
+        first.instance.submit(small_job("req-9", "red"))
+    second = Program(tmp_path)
+    second.instance.step()
+    status = {n: second.instance.status(f"req-{n}").status for n in range(8)}
+    assert status == {0: "done", 1: "withdrawn", 7: "pending", **dict.fromkeys((2, 3, 4, 5, 6), "running")}
+    assert second.running["req-2/0"].attempt == 2 and second.running["req-6/0"].attempt == 2
+    assert second.instance.status("req-7").held == "anna"
+    second.instance.close()
+
+
+def test_threads_share_writes_and_each_gets_its_answer(tmp_path):
+    done, lock = [], threading.Lock()
+
+    def on_start(task):
+        with lock:
+            done.append(task.name)
+        task.done()
+
+    with Instance(str(tmp_path), SETTINGS, on_start) as instance:
+
+        def work(number):
+            refs = [f"req-{number}{n:03d}" for n in range(1, 21)]
+            for ref in refs:
+                instance.submit(small_job(ref, "red" if number % 2 else "blue", gpus=1.0))
+            assert all(instance.wait(ref, 30).status == "done" for ref in refs)
+
+        threads = [threading.Thread(target=work, args=(number,)) for number in range(1, 5)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        assert len(done) == len(set(done)) == 80
+
+
+def test_instances_do_not_share_a_directory_but_a_process(tmp_path):
+    one, two = Program(tmp_path / "one"), Program(tmp_path / "two")
+    with pytest.raises(Locked):
+        Program(tmp_path / "one")
+    for each in (one, two):
+        each.instance.submit(small_job("req-1", "red"))
+        assert list(each.running) == ["req-1/0"]
+        each.instance.close()
+
+
+def test_a_child_must_not_use_its_parents_instance_and_does_not_keep_its_directory(tmp_path):
+    program = Program(tmp_path)
+    program.instance.submit(small_job("req-1", "red"))
+    read, write = os.pipe()
+    child = os.fork()
+    if not child:
+        told = []
+        for call in (lambda: program.instance.submit(small_job("req-2", "red")), program.running["req-1/0"].done):
+            try:
+                call()
+                told.append("done")
+            except Forked:
+                told.append("forked")
+        program.instance.close()
+        os.write(write, " ".join(told).encode())
+        os._exit(0)
+    assert os.read(read, 100) == b"forked forked"
+    os.waitpid(child, 0)
+    program.end("req-1/0")
+    assert program.instance.status("req-1").status == "done"
+    holder = os.fork()  # lives on after the parent let go
+    if not holder:
+        os.read(read, 1)
+        os._exit(0)
+    program.instance.close()
+    Program(tmp_path).instance.close()
+    os.write(write, b"x")
+    os.waitpid(holder, 0)
+
+
+def test_importing_it_starts_nothing_and_loads_no_server():
+    probe = "import sys, threading, tideusher.embed as e; print(threading.active_count(), *sorted(sys.modules))"
+    path = os.path.join(os.path.dirname(__file__), "..", "src")
+    env = {**os.environ, "PYTHONPATH": path}
+    found = subprocess.run([sys.executable, "-c", probe], env=env, check=True, capture_output=True, text=True)
+    threads, *modules = found.stdout.split()
+    assert threads == "1"
+    for name in ("gevent", "click", "prometheus_client", "http", "tideusher.actors", "tideusher.web"):
+        assert name not in modules, name
+
+
+def test_broken_settings_name_what_is_wrong(tmp_path):
+    path = tmp_path / "own.toml"
+    good = 'kinds = [{ name = "k", cpus = 4.0 }]\nmachines = [{ machine = "m", kind = "k" }]\n'
+    good += 'teams = [{ name = "red" }]\n'
+    path.write_text(good)
+    assert load_settings(str(path)).machines[0].zone == "here"
+    for old, new, words in (
+        ('kind = "k"', 'kind = "x"', "machine m: there is no kind 'x'"),
+        ("cpus = 4.0", 'cpus = "many"', r"kinds\[0\].cpus"),
+        ("teams", "temas", "temas"),
+        ("4.0", "-1.0", "kind k: an amount is below 0"),
+        ("kinds =", "kinds", "own.toml: "),
+    ):
+        path.write_text(good.replace(old, new))
+        with pytest.raises(ConfigError, match=words):
+            load_settings(str(path))
+    with pytest.raises(ConfigError, match="declared twice"):
+        Settings([KIND], [Card("m", KIND.name)] * 2, TEAMS).check()
+
+
+# Many lives
+
+
+def live(directory, rng, history, disk, names):
+    """One life of a host program that ends at the disk's next fault; raises Crash or StorageError."""
+    tasks = {}
+
+    def on_start(task):
+        cards = task.cards
+        history.start(task.job.id, task.index, task.attempt, task.machine, cards, int(task.job.gpus))
+        tasks[task.name] = task
+
+    clock = FakeClock()
+    instance = Instance(str(directory), SETTINGS, on_start, drive="step", clock=clock, disk=disk, snapshot_bytes=2000)
+    try:
+        known = {}
+        for name in sorted(history.accepted):
+            known[name] = instance.status(name).status
+        history.reopened(known.get)
+        for _ in range(40):
+            clock.pass_s(0.3)
+            choice = rng.random()
+            if choice < 0.5:
+                specs = []
+                for _ in range(rng.randrange(1, 4)):
+                    shape, count = rng.choice([("batch", 3), ("gang", 2), ("batch", 1)])
+                    team, gpus = rng.choice(["red", "blue"]), float(rng.randrange(3))
+                    specs.append(small_job(f"req-{next(names)}", team, tasks=count, shape=shape, gpus=gpus))
+                for answer in instance.submit_many(specs):
+                    history.accept(answer.id)
+            elif choice < 0.6 and history.accepted:
+                name = rng.choice(sorted(history.accepted))
+                status = instance.cancel(name).status
+                history.end(name, status)
+            for name in sorted(tasks):
+                if tasks[name].stopping or rng.random() < 0.5:
+                    task = tasks.pop(name)
+                    history.stop(task.job.id, task.index)
+                    task.stopped() if task.stopping else task.done() if rng.random() < 0.9 else task.failed()
+            while instance.step():
+                pass
+            for name in sorted(history.accepted - set(history.final)):
+                status = instance.status(name).status
+                if status in ("done", "withdrawn"):
+                    history.end(name, status)
+    finally:
+        history.crash()
+        instance.close()
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_through_many_lives_nothing_is_lost_or_used_twice(tmp_path, seed):
+    """The program ends, or its disk fails, at seeded calls: in writes, in snapshots, between the two."""
+    rng, history, names = random.Random(seed), History({f"host-{n}": 4 for n in range(4)}), iter(range(1, 10**9))
+    for _ in range(25):
+        error = rng.choice([None, None, 28, 5])
+        disk = FaultyDisk(rng.randrange(1, 120), error, rng.random())
+        try:
+            live(tmp_path, rng, history, disk, names)
+        except (Crash, StorageError):
+            history.crash()
+    assert history.starts > 100 and history.crashes >= 25 and len(history.final) > 30
+
+
+def test_the_checker_of_histories_finds_each_planted_fault():
+    def told(*events):
+        history = History({"m": 4})
+        history.accept("req-1")
+        for name, *args in events:
+            getattr(history, name)(*args)
+
+    start = ("start", "req-1", 0, 1, "m", (0,), 1)
+    told(start, ("stop", "req-1", 0), ("start", "req-1", 0, 2, "m", (0,), 1), ("end", "req-1", "done"))
+    for words, events in (
+        ("runs twice", [start, ("start", "req-1", 0, 2, "m", (1,), 1)]),
+        ("twice as attempt 1", [start, ("crash",), start]),
+        ("use a card", [start, ("start", "req-2", 0, 1, "m", (0,), 1)]),
+        ("asks for 2", [("start", "req-1", 0, 1, "m", (0,), 2)]),
+        ("has cards", [("start", "req-1", 0, 1, "m", (4,), 1)]),
+        ("starts and is done", [("end", "req-1", "done"), start]),
+        ("was done and is", [("end", "req-1", "done"), ("end", "req-1", "withdrawn")]),
+        ("is lost", [("reopened", {}.get)]),
+        ("was done and is pending", [("end", "req-1", "done"), ("reopened", {"req-1": "pending"}.get)]),
+    ):
+        with pytest.raises(BadHistory, match=words):
+            told(*events)
+
+
+# The daemon
+
+
+class Daemon:
+    """A leader's engine on the state stand-in, with workers that report and a program that stops at once."""
+
+    def __init__(self):
+        self.bed = Bed()
+        settings = make_config()
+        settings.settings = msgspec.structs.replace(settings.settings, teams=TEAMS)
+        state, clock = self.bed.state, self.bed.clock
+        self.engine = Engine(
+            settings, Policy(), state.elect("n0"), clock.us, clock.wall_us, Metrics(), state.record_of, state.items
+        )
+        self.cluster = self.bed.cluster = self.engine.cluster
+        self.cluster.set_types([TYPE])
+        self.gathered_us, self.tasks = clock.us, {}
+        self.serial = dict.fromkeys((card.machine for card in SETTINGS.machines), 0)
+        self.zones = {card.machine: card.zone for card in SETTINGS.machines}
+        self.report()
+        self.cluster.rents = False  # the fleet is what it is
+        for machine in self.cluster.machines.values():
+            machine.images["program"] = 0.0
+
+    def report(self):
+        told = False
+        for name in self.serial:
+            self.serial[name] += 1
+            listed = [(task, *state) for (host, task), state in sorted(self.tasks.items()) if host == name]
+            for command in self.bed.report(name, self.serial[name], *listed, zone=self.zones[name]):
+                key = (name, command.task)
+                if command.op == "run":
+                    self.tasks[key] = (command.attempt, "running", None)
+                elif command.op == "forget":
+                    self.tasks.pop(key, None)
+                elif key in self.tasks and self.tasks[key][1] == "running":
+                    self.tasks[key] = (command.attempt, "flushing", None)
+                    told = True
+                told = told or command.op == "run"
+        return told
+
+    def round(self, specs, ended, cancelled):
+        if self.bed.clock.us - self.gathered_us >= 5 * SECOND_US:
+            self.gathered_us = self.bed.clock.us
+            self.cluster.gather(self.gathered_us)
+        for key, state in list(self.tasks.items()):
+            if key[1] in ended:
+                self.tasks[key] = (state[0], "exited", "done")
+        self.settle()
+        for name in sorted(cancelled):
+            self.bed.state.cancel(name)
+            self.settle()
+        for spec in specs:
+            self.bed.state.submit(spec, self.bed.clock.wall_us())
+        self.settle()
+
+    def settle(self):
+        self.bed.see_jobs()
+        saving = True
+        while saving:
+            busy = True
+            while busy:
+                busy = self.report()
+                more = self.engine.tick(self.bed.clock.us)
+                while more:
+                    more = self.engine.go_on()
+                self.bed.commit()
+                busy = busy or self.cluster.dirty or bool(self.engine.orders().direct)
+                busy = busy or any(task.sent is None for task in self.placed())
+            saving = [key for key, state in self.tasks.items() if state[1] == "flushing"]
+            for key in saving:
+                self.tasks[key] = (self.tasks[key][0], "exited", "stopped")
+
+    def placed(self):
+        return [task for machine in self.cluster.machines.values() for task in machine.tasks.values()]
+
+    def running(self):
+        return {task: (host, state[0]) for (host, task), state in self.tasks.items() if state[1] == "running"}
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_the_same_jobs_are_placed_as_by_the_daemon(tmp_path, seed):
+    rng, daemon = random.Random(seed), Daemon()
+    program = Program(tmp_path)
+    program.clock.us = daemon.bed.clock.us
+    placed = 0
+    for number in range(60):
+        specs = []
+        for part in range(rng.randrange(4)):
+            shape, tasks = rng.choice([("batch", 1), ("batch", 5), ("gang", 2), ("service", 2)])
+            specs.append(
+                small_job(
+                    f"req-{number * 10 + part}",
+                    rng.choice(["red", "blue"]),
+                    tasks=tasks,
+                    shape=shape,
+                    gpus=float(rng.choice([1, 1, 2])),
+                    cpus=2.0,
+                    priority=rng.choice(["standard", "urgent", "best_effort"]),
+                    one_zone=shape == "gang",
+                    estimate_s=5.0,
+                )
+            )
+        running = sorted(daemon.running())
+        ended = {name for name in running if rng.random() < 0.3}
+        gangs = {name.partition("/")[0] for name in ended}
+        ended = {name for name in running if name in ended or name.partition("/")[0] in gangs}  # a gang ends whole
+        services = {name for name in gangs if daemon.cluster.jobs[name].is_service}
+        ended -= {name for name in ended if name.partition("/")[0] in services}
+        for clock in (daemon.bed.clock, program.clock):
+            clock.pass_s(0.3)
+        daemon.round(specs, ended, services)
+        program.round(specs, ended, services)
+        here = {name: (task.machine, task.attempt) for name, task in program.running.items()}
+        assert here == daemon.running(), number
+        placed += len(here)
+    assert placed > 300
+    program.instance.close()
+
+
+def test_new_refs_are_names_that_the_daemon_takes():
+    assert len({new_ref() for _ in range(100)}) == 100
