--- a/src/tideusher/core/reports.py
+++ b/src/tideusher/core/reports.py
@@ -145,7 +145,7 @@
         if job.failures >= 3:
             job.not_before_us = now_us + min(60, 2 ** min(job.failures, 6)) * SECOND_US
         honest = [name for name in machine.error_jobs if (j := self._c.jobs.get(name)) is None or j.failures < 3]
-        if len(machine.error_jobs) >= 2 and honest and not machine.draining:
+        if len(machine.error_jobs) >= 2 and honest and not machine.draining and self._c.rents:
             self._c.drain(machine, "tasks of several jobs failed on it")
 
     def _recalled(self, machine: Machine, recall_s: float, now_us: int) -> None:
--- a/src/tideusher/core/scheduler.py
+++ b/src/tideusher/core/scheduler.py
@@ -14,6 +14,8 @@
 MOVE_ONE_OF = 40
 #: After so many looks at machines a pass lets others have their turn.
 PIECE_LOOKS = 1000
+#: A job that failed on so many machines is at fault itself, and avoids none.
+AVOIDED = 4
 MOVED = "hardly used; its tasks moved to others"
 
 
@@ -164,7 +166,9 @@
             return 0
         limit = job.zone_limit
         failed = job.error_machines or ()
-        avoid = failed if len(failed) < 4 else ()
+        # Of own machines there may be few: where each has failed once, none is avoided.
+        most = AVOIDED if self._c.rents else min(AVOIDED, len(self._c.machines))
+        avoid = failed if len(failed) < most else ()
         spec = job.spec
 
         def usable(machine: Machine) -> bool:
--- a/tests/test_embed.py
+++ b/tests/test_embed.py
@@ -5,6 +5,7 @@
 import subprocess
 import sys
 import threading
+from pathlib import Path
 
 import msgspec
 import pytest
@@ -133,6 +134,37 @@
     assert program.running["req-2/0"].attempt == 2
 
 
+def test_what_failed_on_every_machine_is_tried_again_and_no_own_machine_is_given_up(tmp_path):
+    """A job that had failed once on each of two machines was never placed again, and a faulty one was drained."""
+    settings = Settings([KIND], [Card(f"host-{n}", KIND.name) for n in range(2)], TEAMS)
+    program = Program(tmp_path, settings)
+    program.instance.submit_many([small_job(f"req-{n}", "red", gpus=4.0, shape="service") for n in (1, 2)])
+    for _ in range(2):
+        for name in sorted(program.running):
+            program.end(name, "failed")
+        program.clock.pass_s(70)
+        while program.instance.step():
+            pass
+    assert sorted(program.running) == ["req-1/0", "req-2/0"]
+    assert {task.attempt for task in program.running.values()} == {3}
+    assert not any(machine.draining for machine in program.instance._engine.cluster.machines.values())
+    program.instance.close()
+
+
+@pytest.mark.parametrize(
+    "name, arguments, words",
+    [
+        ("renderer", ["--jobs", "60", "--seconds", "0"], "60 of 60 tiles are rendered"),
+        ("advice", ["--seconds", "0.5"], "of the replica time; "),
+    ],
+)
+def test_the_examples_run(name, arguments, words):
+    root = Path(__file__).parent.parent
+    command = [sys.executable, str(root / "examples" / f"{name}.py"), *arguments]
+    env = {**os.environ, "PYTHONPATH": str(root / "src")}
+    assert words in subprocess.run(command, env=env, check=True, capture_output=True, text=True, timeout=60).stdout
+
+
 def test_a_call_back_that_raises_is_a_failure_of_its_task(tmp_path, caplog):
     calls = []
 
