--- a/src/tideusher/actors/users.py
+++ b/src/tideusher/actors/users.py
@@ -3,7 +3,7 @@
 import logging
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Annotated, Any
 
 import msgspec
 
@@ -11,7 +11,7 @@
 from tideusher.clock import Clock
 from tideusher.config import Config
 from tideusher.core import keys
-from tideusher.core.cluster import held_value, holder, open_value
+from tideusher.core.cluster import held_value, holder, open_value, shrunk_value
 from tideusher.core.conditions import hopeless
 from tideusher.core.records import CHUNK_TASKS, JOB_CANCELLED, JOB_DONE, OPEN
 from tideusher.wire import jobs as wire
@@ -47,6 +47,12 @@
     by: str = "its user"
 
 
+class ShrinkRequest(msgspec.Struct):
+    """The body of a request to make a service smaller."""
+
+    tasks: Annotated[int, msgspec.Meta(ge=1)] = msgspec.field(name="pieces")
+
+
 def retry_later(status: int) -> list[tuple[str, str]]:
     """What cannot be taken now is told when to come back, instead of being held."""
     return [("Retry-After", "1")] if status in (429, 503) else []
@@ -86,6 +92,8 @@
             return self.cancel(name) if method == "POST" else refusal(405, "POST only")
         if action == "script":
             return self._script(name) if method == "GET" else refusal(405, "GET only")
+        if action == "shrink":
+            return self.shrink(name, body) if method == "POST" else refusal(405, "POST only")
         if action in ("hold", "release"):
             return self.hold(name, action, body) if method == "POST" else refusal(405, "POST only")
         return refusal(404, "no such path")
@@ -289,7 +297,28 @@
             if not 0 < len(by) <= wire.MAX_NAME or not by.isprintable():
                 return refusal(400, f"by must be 1 to {wire.MAX_NAME} printable characters")
         told = "held" if by else "released"
-        reply = self._change(job_id, lambda value: held_value(value, by), told)
+        return self._changed(job_id, lambda value: held_value(value, by), told)
+
+    def shrink(self, job_id: str, body: bytes) -> Reply:
+        """Let a service have fewer replicas, the first ones; the others are stopped, and freed by proof."""
+        if not self._conditions:
+            return refusal(422, "services are not made smaller here (jobs.conditions)")
+        try:
+            tasks: int = msgspec.json.decode(body, type=ShrinkRequest).tasks
+        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+            return refusal(400, str(error))
+        stored = self._store.mirror.get(keys.job_key(job_id))
+        if stored is not None and stored.value["st"] == OPEN and stored.value["spec"]["shape"] != wire.SERVICE:
+            return refusal(409, f"{job_id} is no service")
+        return self._changed(
+            job_id,
+            lambda value: shrunk_value(value, tasks) if value["spec"]["shape"] == wire.SERVICE else value,
+            f"made smaller ({tasks})",
+        )
+
+    def _changed(self, job_id: str, change: Callable[[dict[str, Any]], dict[str, Any]], told: str) -> Reply:
+        """The answer to a change that only an open job can have."""
+        reply = self._change(job_id, change, told)
         if reply is None:
             return self._state(job_id)
         if reply.status == 200:
--- a/src/tideusher/core/cluster.py
+++ b/src/tideusher/core/cluster.py
@@ -48,6 +48,7 @@
 from tideusher.wire.workers import Command, Report
 
 MAX_STOPS_KEPT = 6
+SHRUNK = "its user made the service smaller"
 
 
 @dataclass(slots=True, eq=False)
@@ -163,6 +164,8 @@
                 if job.is_gang and 0 < len(job.live) + job.done_count < job.spec.tasks and not job.failed_count:
                     # The last leader ended between the transactions of one large gang.
                     self._stop_job(job, 0.0, "its gang was not placed whole")
+                for task in [task for task in job.live.values() if task.index >= job.spec.tasks]:
+                    self.halt(task, self._grace_s(job), SHRUNK)
                 for task in list(job.live.values()) if job.failed_count else ():
                     if job.is_over(task.index) and not job.is_done(task.index):
                         self.halt(task, self._grace_s(job), over_limit_reason(job.spec))
@@ -287,6 +290,11 @@
             self.dirty = True
         elif job.status == OPEN:
             self.conditions.held(job, holder(value), now_us)
+            tasks = value["spec"]["pieces"]
+            if tasks < job.spec.tasks:
+                for task in job.shrink(tasks):
+                    self.halt(task, self._grace_s(job), SHRUNK)
+                self.dirty = True
 
     def _keep_begun(self, job: Job, value: dict[str, Any]) -> None:
         """Others wait for the begin of a job that is cancelled now: write down that it had begun.
@@ -776,6 +784,13 @@
     return value.get("hold", "")
 
 
+def shrunk_value(value: dict[str, Any], tasks: int) -> dict[str, Any]:
+    """An open service's record with fewer tasks; as it is if it has no more than that."""
+    if value["spec"]["pieces"] <= tasks:
+        return value
+    return {**value, "spec": {**value["spec"], "pieces": tasks}}
+
+
 def over_limit_reason(spec: JobSpec) -> str:
     """Why a task was stopped for good."""
     return f"it ran longer than its job's limit of {spec.limit_s:g} s"
--- a/src/tideusher/core/records.py
+++ b/src/tideusher/core/records.py
@@ -9,6 +9,8 @@
 from statistics import median
 from typing import Any
 
+import msgspec
+
 from tideusher.wire.jobs import GANG, SERVICE, JobSpec
 from tideusher.wire.workers import FETCHING, WAITING
 
@@ -93,6 +95,7 @@
     runs: deque[tuple[str, int]] | None = None  # machine and run time of the last few
     waits_for: str = "its first look by the scheduler"
     failed_count: int = 0
+    widest: int = 0  # one more than the highest task that ever held a place: a service may have been shrunk
     hold: str = ""  # by whom it is held; empty: by nobody
     early_us: int = 0  # time of day before which nothing of it starts; 0: there is none, or it has come
     unmet: tuple[tuple[str, str], ...] = ()  # (kind, job) it still waits for
@@ -198,6 +201,7 @@
     def take(self, task: Task) -> None:
         """The task holds a place from now on."""
         self.live[task.index] = task
+        self.widest = max(self.widest, task.index + 1)
         self._no_retry(task.index)
         while self.next_fresh < self.spec.tasks and (self.next_fresh in self.live or self.is_over(self.next_fresh)):
             self.next_fresh += 1
@@ -206,10 +210,16 @@
         """The task holds no place any more; unless done it waits again."""
         if self.live.get(task.index) is task:
             del self.live[task.index]
-            if not self.is_over(task.index) and task.index < self.next_fresh:
+            if not self.is_over(task.index) and task.index < self.spec.tasks and task.index < self.next_fresh:
                 self.retry = self.retry or set()
                 self.retry.add(task.index)
 
+    def shrink(self, tasks: int) -> list[Task]:
+        """Have fewer tasks from now on, the first ones; returns those beyond that still hold a place."""
+        self.spec = msgspec.structs.replace(self.spec, tasks=tasks)
+        self.retry = {index for index in self.retry or () if index < tasks}
+        return [task for task in self.live.values() if task.index >= tasks]
+
     def _no_retry(self, index: int) -> None:
         if self.retry is not None:
             self.retry.discard(index)
@@ -257,7 +267,7 @@
     """A chunk as persisted: attempt counter, done bits, and who is where with which attempt."""
     first = chunk.number * CHUNK_TASKS
     places = {}
-    for index in range(first, min(first + CHUNK_TASKS, job.spec.tasks)):
+    for index in range(first, min(first + CHUNK_TASKS, max(job.spec.tasks, job.widest))):
         task = job.live.get(index)
         if task is not None:
             places[str(index)] = [task.attempt, task.machine.name, *([task.began_s] if task.began_s else [])]
--- a/tests/test_conditions.py
+++ b/tests/test_conditions.py
@@ -374,6 +374,42 @@
     assert bed.cluster.jobs[spec.id].live
 
 
+def test_a_service_made_smaller_frees_by_proof_and_never_grows_again(bed):
+    spec = job("service", 6, gpus=1.0)
+    placed = bed.place(spec, "host-1", "host-2")
+    hosts = {task.index: task.machine.name for task in placed.live.values()}
+    for serial, state in ((2, None), (3, "running")):
+        for host in ("host-1", "host-2"):
+            listed = [(f"{spec.id}/{i}", 1, state, None) for i, name in hosts.items() if name == host and state]
+            bed.report(host, serial, *listed)
+    users = holding(bed)  # noqa: F811
+    assert users.shrink(spec.id, b'{"pieces":2}').status == 200
+    assert users.shrink(spec.id, b'{"pieces":4}').status == 200  # a repeat that came late
+    step(bed)
+    assert len(bed.cluster.direct) == 4 and len(placed.live) == 6 and placed.pending <= 0
+    bed.commit()
+    bed.elect()  # dies before anybody has stopped: the places are still known, and counted
+    placed = bed.cluster.jobs[spec.id]
+    assert placed.spec.tasks == 2 and len(placed.live) == 6 and bed.cluster.usage["red"][1] == 6.0
+    assert len(bed.cluster.direct) == 4
+    for serial, ended in ((4, 3), (5, 99)):
+        for host in ("host-1", "host-2"):
+            listed = [
+                (f"{spec.id}/{i}", 1, *(("exited", "stopped") if 2 <= i <= ended else ("running", None)))
+                for i, name in hosts.items()
+                if name == host and not (serial == 5 and 2 <= i <= 3)
+            ]
+            bed.report(host, serial, *listed)
+        step(bed)
+        bed.elect() if serial == 4 else None
+    assert set(bed.cluster.jobs[spec.id].live) == {0, 1} and bed.cluster.usage["red"][1] == 2.0
+    other = job("batch", 2)
+    users.submit(body(other))
+    assert users.shrink(other.id, b'{"pieces":1}').status == 409
+    for bad in (b"{}", b'{"pieces":0}', b"["):
+        assert users.shrink(spec.id, bad).status == 400
+
+
 # Limits
 
 
