--- a/src/tideusher/core/cluster.py
+++ b/src/tideusher/core/cluster.py
@@ -539,6 +539,26 @@
             self.rentals[rental.name] = rental
             self._add_machine(name, rental, now_us)
 
+    def withdraw(self, name: str, reason: str, grace_s: float) -> None:
+        """An own machine is not to be used any more: what runs there is stopped, and it leaves when all is gone."""
+        machine = self.machines.get(name)
+        if machine is None or machine.phase == RETURNING:
+            return
+        self.log.info("withdraw %s: %s", name, reason)
+        machine.phase, machine.draining = RETURNING, reason
+        self.rentals[machine.rental].returning.append(name)
+        for task in list(machine.tasks.values()):
+            for member in list(task.job.live.values()) if task.job.is_gang else [task]:
+                self.halt(member, grace_s, reason)
+        self.dirty = True
+
+    def withdrawn(self, now_us: int) -> list[str]:
+        """Withdrawn machines on which nothing is any more: they are gone from now on."""
+        names = [m.name for m in self.machines.values() if m.phase == RETURNING and not m.tasks and not self.rents]
+        if names:
+            self.returned(names, now_us)
+        return names
+
     def hear_own(self, now_us: int) -> None:
         """Own machines live as long as their program: they are as good as heard at any moment."""
         for machine in self.machines.values():
--- a/src/tideusher/embed/instance.py
+++ b/src/tideusher/embed/instance.py
@@ -27,7 +27,7 @@
 from tideusher.embed.disk import Disk
 from tideusher.embed.errors import Closed, Damaged, EmbedError, Forked, Refused, StorageError
 from tideusher.embed.machines import LocalMachine, Started
-from tideusher.embed.settings import REPORT_S, Settings
+from tideusher.embed.settings import REPORT_S, Card, Settings
 from tideusher.metrics import Metrics
 from tideusher.wire.jobs import BATCH, CANCELLED, DONE, PENDING, RUNNING, InvalidJob, JobSpec, JobStatus, check_job
 from tideusher.wire.state import Guard, Put
@@ -116,18 +116,20 @@
         disk: Disk | None = None,
         repair: bool = False,
         snapshot_bytes: int | None = None,
+        guard: Callable[[str], bool] | None = None,
     ) -> None:
         """Open a directory: lock it, recover, and place what is open. Raises Locked, Damaged, StorageError.
 
         `on_stop` is called for a task that is to end (`Started.grace_s` seconds to save); without it, tasks
         have to look at `Started.stopping`. `repair` cuts off what is damaged at the journal's end.
-        `snapshot_bytes`: the journal's least length before a snapshot (bytes, default 4 MiB).
+        `snapshot_bytes`: the journal's least length before a snapshot (bytes, default 4 MiB). `guard`: may
+        something start on this machine now? Asked right before `on_start`; a no withdraws the machine.
         """
         if drive not in ("thread", "greenlet", "step"):
             raise ValueError(f"drive: {drive!r} is not thread, greenlet or step")
         self.log = logging.getLogger("tideusher.embed")
         self._settings, self._clock = settings.check(), clock or Clock()
-        self._on_start, self._on_stop = on_start, on_stop
+        self._on_start, self._on_stop, self._guard = on_start, on_stop, guard
         self._drive, self._pid = drive, os.getpid()
         self._lock = threading.RLock()
         self._changed = threading.Condition(self._lock)
@@ -168,14 +170,12 @@
             dict(self._state.items),
         )
         cluster = self._engine.cluster
-        cluster.own(((one.machine, one.kind, one.zone) for one in self._settings.machines), now_us)
         cluster.set_types(self._settings.types())
-        kinds = {kind.name: kind for kind in self._settings.kinds}
-        self._machines = {
-            one.machine: LocalMachine(one, kinds[one.kind], self._spec_of) for one in self._settings.machines
-        }
-        for machine in cluster.machines.values():
-            machine.images["program"] = 0.0
+        cluster.rents = False
+        self._kinds = {kind.name: kind for kind in self._settings.kinds}
+        self._machines: dict[str, LocalMachine] = {}
+        for one in self._settings.machines:
+            self._own(one, now_us)
         self._synced = self._asked = token  # revisions: on the disk, and waited for by somebody
         self._reported_us = 0
         self._gathered_us = now_us
@@ -252,6 +252,29 @@
             reason = "It is done." if status.status == DONE else explain.told_end(status.why or "")
             return {"job": job, "status": status.status, "reasons": [reason], "stops": []}
 
+    def add_machine(self, card: Card) -> None:
+        """One more machine, of a kind that the settings declare. Its name must be new to this life."""
+        with self._changed:
+            self._usable()
+            if card.kind not in self._kinds:
+                raise Refused(f"machine {card.machine}: there is no kind {card.kind!r}")
+            if card.machine in self._machines or card.machine in self._engine.cluster.gone:
+                raise Refused(f"machine {card.machine} is known already")
+            self._own(card, self._clock.now_us())
+        self._wake.set()
+
+    def withdraw_machine(self, machine: str, reason: str, grace_s: float = 0.0) -> None:
+        """Use a machine no more: what runs there is told to stop, and starts elsewhere once it has. Repeatable."""
+        with self._changed:
+            self._usable()
+            self._engine.cluster.withdraw(machine, reason, grace_s)
+        self._wake.set()
+
+    def machines(self) -> list[str]:
+        """Names of the machines in use, those that are being withdrawn included."""
+        with self._lock:
+            return sorted(self._machines)
+
     def teams(self) -> list[dict[str, Any]]:
         """Ratios, charges, guarantees and present use."""
         with self._lock:
@@ -276,7 +299,11 @@
         for task in ended:
             self._call_back(self._on_stop, task)
         for task in begun:
-            if not self._call_back(self._on_start, task):
+            if self._guard is not None and not self._guard(task.machine):
+                # Decided in time, and late all the same: the process stood still in between.
+                self.withdraw_machine(task.machine, "it is not ours any more")
+                task.stopped()
+            elif not self._call_back(self._on_start, task):
                 task.failed()
         return more or bool(self._exits)
 
@@ -311,6 +338,13 @@
         if self._error is not None:
             raise self._error
 
+    def _own(self, card: Card, now_us: int) -> None:
+        cluster = self._engine.cluster
+        cluster.own([(card.machine, card.kind, card.zone)], now_us)
+        cluster.machines[card.machine].images["program"] = 0.0
+        cluster.touched[card.machine] = cluster.machines[card.machine]
+        self._machines[card.machine] = LocalMachine(card, self._kinds[card.kind], self._spec_of)
+
     def _check(self, spec: JobSpec) -> None:
         try:
             check_job(spec)
@@ -328,13 +362,11 @@
         for name, need, limit in (("CPUs", spec.cpus, team.cpus_max), ("GPUs", spec.gpus, team.gpus_max)):
             if limit and need * at_once > limit + 1e-9:
                 raise Refused(f"the job needs {need * at_once:g} {name}, team {team.name} may use {limit:g}")
-        kinds = {kind.name: kind for kind in self._settings.kinds}
-        for card in self._settings.machines:
-            kind = kinds[card.kind]
+        for kind in self._kinds.values():
             fits = kind.cpus >= spec.cpus and kind.gpus >= spec.gpus and kind.ram_gb >= spec.ram_gb
-            if fits and (spec.types is None or kind.name in spec.types) and spec.zone in (None, card.zone):
+            if fits and (spec.types is None or kind.name in spec.types):
                 return
-        raise Refused("a task fits none of the machines")
+        raise Refused("a task fits none of the kinds of machines")
 
     def _spec_of(self, job: str) -> JobSpec | None:
         known = self._engine.cluster.jobs.get(job)
@@ -430,6 +462,8 @@
         engine, now_us = self._engine, self._clock.now_us()
         while self._exits:
             task, cause, kept = self._exits.popleft()
+            if task.machine not in self._machines:
+                continue  # said again, after its machine has left
             self._machines[task.machine].exited(task, cause, kept)
             engine.cluster.touched[task.machine] = engine.cluster.machines[task.machine]
         if now_us - self._gathered_us >= self._gather_us:
@@ -453,6 +487,8 @@
             told = self._digest(now_us) if left else []
             if not told:
                 break
+        for name in engine.cluster.withdrawn(now_us):
+            del self._machines[name]
         engine.orders()  # what goes to machines directly went with their reports
         try:
             if self._state.tidy(lambda job: job in engine.cluster.jobs):
