Claims: cards of a cluster inside a program, under a fence, by its own clock

A claim is a service's tasks, so charge, limit, order, preemption and proof are those of any work. The library's part is to stop in time: a grant is used only while its lease less a second runs on the steady clock, one lost is lost under its fence for good, late messages of an older fence change nothing, and a program that stood still starts nothing. The keeper of the machine and the program speak netstrings of msgspec messages, versioned; an unknown version is refused in plain words.

--- a/src/tideusher/wire/peers.py
+++ b/src/tideusher/wire/peers.py
@@ -4,11 +4,9 @@
 
 import msgspec
 
-MAX_FRAME = 1 << 20
+from tideusher.wire.netstrings import MAX_FRAME, FrameError, Frames, frame_body
 
-
-class FrameError(ValueError):
-    """The peer sent something that is not a netstring of JSON."""
+__all__ = ["MAX_FRAME", "FrameError"]
 
 
 class PeerMessage(msgspec.Struct, omit_defaults=True, tag_field="kind"):
@@ -66,37 +64,11 @@
 
 def frame(message: Message) -> bytes:
     """One message as a netstring."""
-    body = _encode(message)
-    return b"%d:%s," % (len(body), body)
+    return frame_body(_encode(message))
 
 
-class Unframer:
-    """Turns received bytes into messages, whatever the packet borders."""
+class Unframer(Frames[Message]):
+    """Turns received bytes into messages between controllers."""
 
     def __init__(self) -> None:
-        self._buffer = bytearray()
-
-    def feed(self, data: bytes) -> list[Message]:
-        """Add bytes; returns the messages that are now complete. Raises FrameError."""
-        self._buffer += data
-        messages: list[Message] = []
-        while True:
-            colon = self._buffer.find(b":", 0, 9)
-            if colon < 0:
-                if len(self._buffer) >= 9:
-                    raise FrameError("no length in front of a frame")
-                return messages
-            digits = bytes(self._buffer[:colon])
-            if not digits.isdigit() or int(digits) > MAX_FRAME:
-                raise FrameError("bad frame length")
-            end = colon + 1 + int(digits)
-            if len(self._buffer) <= end:
-                return messages
-            if self._buffer[end] != ord(","):
-                raise FrameError("a frame does not end with a comma")
-            body = bytes(self._buffer[colon + 1 : end])
-            del self._buffer[: end + 1]
-            try:
-                messages.append(_decode(body))
-            except msgspec.DecodeError as error:
-                raise FrameError(f"bad message: {error}") from None
+        super().__init__(_decode)
--- /dev/null
+++ b/tests/test_claim.py
@@ -0,0 +1,199 @@
+"""Claims: leases by the program's own clock, fences, notices, lost keepers, and a program that stood still."""
+
+import socket
+
+import pytest
+
+from standins import Bed, FakeClock, job
+from test_embed import KIND, TEAMS, Program
+from tideusher.clock import SECOND_US
+from tideusher.embed import Settings, small_job
+from tideusher.embed.claim import ClaimLink, ClaimRefused, Claims
+from tideusher.wire import claims as wire
+
+SETTINGS = Settings([KIND], [], TEAMS)
+
+
+class Keeper:
+    """The other end: scripted, and strict about versions."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.sock, self.other = socket.socketpair()
+        self.sock.setblocking(False)
+        self.frames, self.gone, self.greeted = wire.frames(), [], False
+
+    def say(self, *messages):
+        for message in messages:
+            self.sock.sendall(wire.frame(message))
+
+    def grant(self, fence, lease_s=10.0, machine="host-1"):
+        until_us = self.clock.us + round(lease_s * SECOND_US)
+        self.say(wire.Granted("req-9", 0, fence, machine, KIND.name, "a", until_us, [0, 1, 2, 3]))
+
+    def alive(self, fence, lease_s=10.0):
+        self.say(wire.Alive(fence, self.clock.us + round(lease_s * SECOND_US)))
+
+    def hear(self):
+        try:
+            for message in self.frames.feed(self.sock.recv(65536)):
+                if not self.greeted:
+                    self.greeted = True
+                    reason = wire.refusal_of(message)
+                    if reason:
+                        self.say(wire.Refused(reason))
+                elif isinstance(message, wire.Gone):
+                    self.gone.append(message.fence)
+        except BlockingIOError:
+            pass
+        return self.gone
+
+
+@pytest.fixture
+def claimed(tmp_path):
+    clock = FakeClock()
+    claims = Claims(clock)
+    keeper = Keeper(clock)
+    program = Program(tmp_path, SETTINGS, clock=clock, guard=claims.usable)
+    program.keeper, program.claims = keeper, claims
+    program.link = ClaimLink(keeper.other, claims, "a test")
+    program.link.serve(program.instance)
+    yield program
+    program.instance.close()
+
+
+def test_small_jobs_run_inside_a_claim_while_it_is_renewed(claimed):
+    claimed.instance.submit_many([small_job(f"req-{n}", "red", gpus=1.0) for n in range(1, 7)])
+    assert not claimed.running  # nothing is granted
+    claimed.keeper.grant(1)
+    claimed.link.step()
+    assert len(claimed.running) == 4 and {task.machine for task in claimed.running.values()} == {"host-1#1"}
+    for _ in range(10):
+        claimed.clock.pass_s(5)
+        claimed.keeper.alive(1)
+        claimed.link.step()
+    assert not claimed.ending and claimed.claims.usable("host-1#1")
+    for name in sorted(claimed.running):
+        claimed.end(name)
+    assert len(claimed.running) == 2 and claimed.keeper.hear() == []
+
+
+def test_at_the_end_of_a_lease_it_stops_in_time_and_gives_back_by_its_word(claimed):
+    claimed.keeper.grant(1)
+    claimed.instance.submit_many([small_job(f"req-{n}", "red", gpus=1.0) for n in range(1, 7)])
+    claimed.link.step()
+    claimed.clock.pass_s(8.9)
+    claimed.link.step()
+    assert not claimed.ending
+    claimed.clock.pass_s(0.1)  # a second before the cluster may give it away
+    claimed.link.step()
+    assert len(claimed.ending) == 4 and claimed.keeper.hear() == []
+    claimed.keeper.alive(1, 60)  # too late: what was lost once is lost
+    claimed.link.step()
+    for name in sorted(claimed.running):
+        claimed.running.pop(name).stopped()
+        assert claimed.keeper.hear() == []
+    claimed.link.step()
+    assert claimed.keeper.hear() == [1] and claimed.instance.machines() == [] and not claimed.running
+    claimed.keeper.grant(2)
+    claimed.link.step()
+    assert {(task.machine, task.attempt) for task in claimed.running.values()} == {("host-1#2", 2)}
+
+
+def test_a_program_that_stood_still_beyond_its_lease_starts_nothing(claimed):
+    """Stopped between the decision and the start: the clock has gone on when it resumes."""
+    started = []
+
+    def on_start(task):
+        started.append(task.name)
+        claimed.clock.pass_s(60)
+
+    claimed.instance._on_start = on_start
+    claimed.keeper.grant(1)
+    claimed.instance.submit_many([small_job(f"req-{n}", "red", gpus=1.0) for n in range(1, 4)])
+    claimed.link.step()
+    assert started == ["req-1/0"]  # the one during which it stood still
+    claimed.keeper.grant(2)
+    claimed.clock.pass_s(60)  # and it was told while it stood still again
+    claimed.link.step()
+    assert started == ["req-1/0"]
+
+
+def test_a_claim_that_is_preempted_while_its_jobs_run_is_left_with_notice(claimed):
+    claimed.keeper.grant(1)
+    claimed.instance.submit(small_job("req-1", "red", tasks=3, gpus=1.0))
+    claimed.link.step()
+    claimed.keeper.say(wire.Notice(1, 4.0, "it is past its protected time"))
+    claimed.link.step()
+    assert [task.grace_s for task in claimed.ending] == [4.0] * 3
+    assert "past its protected time" in claimed.instance.explain("req-1")["stops"][0]["reason"]
+    claimed.instance.submit(small_job("req-2", "red"))
+    claimed.link.step()
+    assert len(claimed.running) == 3
+    for name in sorted(claimed.running):
+        claimed.end(name, "stopped", kept=True)
+    claimed.link.step()
+    assert claimed.keeper.hear() == [1]
+
+
+def test_late_and_repeated_messages_of_an_older_fence_change_nothing(claimed):
+    claimed.keeper.grant(2)
+    claimed.keeper.grant(2)
+    claimed.keeper.grant(1, 1000)
+    claimed.keeper.alive(1, 1000)
+    claimed.keeper.say(wire.Notice(1, 0.0, "late"))
+    claimed.link.step()
+    assert claimed.instance.machines() == ["host-1#2"] and not claimed.claims.lost()
+    claimed.keeper.alive(2, -5)  # a lease does not become shorter
+    claimed.link.step()
+    assert claimed.claims.usable("host-1#2")
+    claimed.keeper.grant(3, machine="host-2")  # the task was started anew elsewhere: all before is over
+    claimed.link.step()
+    claimed.link.step()
+    assert claimed.instance.machines() == ["host-2#3"] and claimed.keeper.hear() == [2]
+
+
+@pytest.mark.parametrize("how", ["closed", "broken"])
+def test_without_its_keeper_a_claim_goes_on_to_its_leases_end_and_no_further(claimed, how):
+    claimed.keeper.grant(1)
+    claimed.instance.submit(small_job("req-1", "red", tasks=2, gpus=1.0))
+    claimed.link.step()
+    if how == "broken":
+        claimed.keeper.sock.sendall(b"no frame at all")
+    else:
+        claimed.keeper.sock.close()
+    claimed.link.step()
+    assert not claimed.link.connected and len(claimed.running) == 2 and not claimed.ending
+    claimed.clock.pass_s(9)
+    claimed.link.step()
+    assert len(claimed.ending) == 2
+
+
+def test_another_version_is_refused_in_plain_words(claimed, monkeypatch):
+    keeper = Keeper(claimed.clock)
+    monkeypatch.setattr(wire, "VERSION", 7)
+    link = ClaimLink(keeper.other, Claims(claimed.clock))
+    monkeypatch.setattr(wire, "VERSION", 1)
+    link.serve(claimed.instance)
+    keeper.hear()
+    with pytest.raises(ClaimRefused, match="version 7 of the claim protocol is unknown here; known is 1"):
+        link.step()
+
+
+def test_two_claims_of_the_last_card_are_two_services_of_their_teams():
+    """The cluster's side is that of any service: limit, rank, proof."""
+    bed = Bed()
+    first = bed.place(job("service", 1, gpus=4.0, priority="standard"))
+    second = bed.submit(job("service", 1, gpus=4.0, team="blue", priority="standard"))
+    bed.report("host-1", 2)
+    bed.report("host-1", 3, (f"{first.spec.id}/0", 1, "running", None))
+    bed.scheduler.schedule(bed.clock.now_us())
+    bed.commit()
+    assert first.live and not second.live
+    bed.state.cancel(first.spec.id)  # released: the other has it only when the first is proven gone
+    bed.see_jobs()
+    bed.scheduler.schedule(bed.clock.now_us())
+    assert not second.live
+    bed.report("host-1", 4, (f"{first.spec.id}/0", 1, "exited", "stopped"))
+    bed.scheduler.schedule(bed.clock.now_us())
+    assert second.live
--- a/tests/test_embed.py
+++ b/tests/test_embed.py
@@ -42,8 +42,9 @@
     """A host program: keeps what was started, ends it when the test says so."""
 
     def __init__(self, directory, settings=SETTINGS, **more):
-        self.running, self.ending, self.clock = {}, [], FakeClock()
-        more = {"drive": "step", "clock": self.clock, **more}
+        self.running, self.ending = {}, []
+        more = {"drive": "step", "clock": FakeClock(), **more}
+        self.clock = more["clock"]
         self.instance = Instance(str(directory), settings, self.on_start, self.ending.append, **more)
 
     def on_start(self, task):
