--- a/tests/measure_embed.py
+++ b/tests/measure_embed.py
@@ -61,9 +61,10 @@
         waits.sort()
         p50, p99 = (waits[int(len(waits) * share)] * 1000 for share in (0.5, 0.99))
         how = "each job looks at each machine" if shelf is NoShelf else "on a shelf"
+        waited = f"from submission to start p50 {p50:.1f}, p99 {p99:.1f}, longest {waits[-1] * 1000:.1f} ms"
         print(
             f"{jobs:,} jobs, {together} together, {CARDS} cards, {how}: {jobs / took:,.0f} a second "
-            f"({used / jobs * 1000:.2f} ms of a core each), from submission to start p50 {p50:.1f}, p99 {p99:.1f}, longest {waits[-1] * 1000:.1f} ms"
+            f"({used / jobs * 1000:.2f} ms of a core each), {waited}"
         )
 
 
