Tools apart from tests; library and daemon compared at any length, on equal fleets

What measures, fuzzes and kills is no test and moves to tools/. The comparison with the daemon's engine is a function of its own now, and at 411 rounds it differed: the daemon's machine type could have been rented, which is looked at when room is gathered for gangs.

--- a/tests/test_embed.py
+++ b/tests/test_embed.py
@@ -410,7 +410,7 @@
             settings, Policy(), state.elect("n0"), clock.us, clock.wall_us, Metrics(), state.record_of, state.items
         )
         self.cluster = self.bed.cluster = self.engine.cluster
-        self.cluster.set_types([TYPE])
+        self.cluster.set_types([msgspec.structs.replace(TYPE, zones=[])])  # none can be rented here either
         self.gathered_us, self.tasks = clock.us, {}
         self.serial = dict.fromkeys((card.machine for card in SETTINGS.machines), 0)
         self.zones = {card.machine: card.zone for card in SETTINGS.machines}
@@ -475,13 +475,13 @@
         return {task: (host, state[0]) for (host, task), state in self.tasks.items() if state[1] == "running"}
 
 
-@pytest.mark.parametrize("seed", range(8))
-def test_the_same_jobs_are_placed_as_by_the_daemon(tmp_path, seed):
+def compare(directory, seed, rounds):
+    """Feed both the same; returns how many jobs there were, and places compared. Raises where they differ."""
     rng, daemon = random.Random(seed), Daemon()
-    program = Program(tmp_path)
+    program = Program(directory)
     program.clock.us = daemon.bed.clock.us
-    placed = 0
-    for number in range(60):
+    placed = jobs = 0
+    for number in range(rounds):
         specs = []
         for part in range(rng.randrange(4)):
             shape, tasks = rng.choice([("batch", 1), ("batch", 5), ("gang", 2), ("service", 2)])
@@ -510,9 +510,16 @@
         program.round(specs, ended, services)
         here = {name: (task.machine, task.attempt) for name, task in program.running.items()}
         assert here == daemon.running(), number
-        placed += len(here)
-    assert placed > 300
+        placed, jobs = placed + len(here), jobs + len(specs)
     program.instance.close()
+    return jobs, placed
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_the_same_jobs_are_placed_as_by_the_daemon(tmp_path, seed):
+    """At 5,000 jobs: `compare(directory, 1, 3500)`, outside CI."""
+    jobs, placed = compare(tmp_path, seed, 60)
+    assert jobs > 60 and placed > 300
 
 
 def test_new_refs_are_names_that_the_daemon_takes():
--- a/tests/fuzz_pbs.py
+++ b/tools/fuzz_pbs.py
@@ -1,4 +1,4 @@
-"""Scripts broken at random, for as long as asked. Not a test: `python tests/fuzz_pbs.py --minutes 10 [--seed N]`.
+"""Scripts broken at random, for as long as asked. Not a test: `python tools/fuzz_pbs.py --minutes 10 [--seed N]`.
 
 Each is a sample with bytes cut, doubled, swapped with another sample's or overwritten. It must end in a valid
 job, whose script comes back from its pieces as it was, or in one line that names the place.
--- a/tests/kill_embed.py
+++ b/tools/kill_embed.py
@@ -1,4 +1,4 @@
-"""Real programs killed in the middle. Not a test: `python tests/kill_embed.py --points 200 [--seed N]`.
+"""Real programs killed in the middle. Not a test: `python tools/kill_embed.py --points 200 [--seed N]`.
 
 A host program works in a directory and tells what it sees, a line an event. It is killed (SIGKILL) after a
 seeded number of lines and a seeded fraction of a second; some are stopped (SIGSTOP) for a while before.
@@ -20,14 +20,12 @@
 import tempfile
 import threading
 import time
-from pathlib import Path
 
 import click
 
 from history import BadHistory, History
 from tideusher.wire import claims as wire
 
-HERE = Path(__file__).parent
 GPUS = {f"host-{n}": 4 for n in range(4)}
 LEASE_US, MARGIN_S = 500_000, 0.1
 
--- a/tests/measure_conditions.py
+++ b/tools/measure_conditions.py
@@ -1,4 +1,4 @@
-"""What scripts and conditions cost. Not a test: `python tests/measure_conditions.py --part PART`.
+"""What scripts and conditions cost. Not a test: `python tools/measure_conditions.py --part PART`.
 
 Prints one line a figure. Everything runs on the tests' stand-ins in one process; the times are this
 machine's, so ratios are what to look at: each figure stands beside the same without conditions.
--- a/tests/measure_embed.py
+++ b/tools/measure_embed.py
@@ -1,6 +1,6 @@
 """What an embedded instance does in a second, and what it costs. Not a test:
 
-`python tests/measure_embed.py --part rate|recovery|memory [--jobs N]`, with `PYTHONPATH=src:tests`.
+`python tools/measure_embed.py --part rate|recovery|memory [--jobs N]`, with `PYTHONPATH=src:tests`.
 Everything runs on this machine's disk and one process; the figures are this machine's.
 """
 
