An instance tells a state only when it is on the disk, another thread's change too

Found by rereading: while one thread's cancellation waited for the round's write, another thread's status or wait told it already; a crash then would have taken it back. Both wait for what is queued now, which costs nothing when nothing is.

--- a/src/tideusher/embed/instance.py
+++ b/src/tideusher/embed/instance.py
@@ -221,7 +221,10 @@
         """A job's state. Raises Refused if there is no such job."""
         with self._lock:
             self._usable()
-            return self._status(job)
+            status, revision = self._status(job), self._asked
+        if self._synced < revision:  # another thread's change may be queued only: kept before told
+            self._kept(revision)
+        return status
 
     def wait(self, job: str, timeout_s: float | None = None) -> JobStatus:
         """Return when the job is over, or after `timeout_s` seconds, with its state then."""
@@ -234,13 +237,14 @@
                 status = self._status(job)
                 left = None if end is None else end - time.monotonic()
                 if status.status in (DONE, CANCELLED) or (left is not None and left <= 0):
-                    return status
+                    break
                 if self._drive != "greenlet":
                     self._changed.wait(IDLE_S if left is None else min(IDLE_S, left))
             if self._drive == "greenlet":
                 import gevent
 
                 gevent.sleep(0.005)
+        return self.status(job)
 
     def explain(self, job: str) -> dict[str, Any]:
         """Why a job waits and why its tasks were stopped, as `GET /why` of the daemon."""
--- a/src/tideusher/pbs/translate.py
+++ b/src/tideusher/pbs/translate.py
@@ -53,7 +53,7 @@
 HELD_BY = "its user"
 _VARIABLE = re.compile(r"[A-Za-z_][A-Za-z0-9_]*")
 _DATE = re.compile(r"((?:(?:(?:[0-9]{2})?[0-9]{2})?[0-9]{2})?[0-9]{2})?([0-9]{4})(?:\.([0-9]{2}))?")
-#: Parts of -l that are about the whole job, and their kind.
+#: Parts of -l that are about the whole job.
 _JOB_WIDE = ("ncpus", "ngpus", "mem", "pmem")
 
 
--- a/tests/test_embed.py
+++ b/tests/test_embed.py
@@ -236,6 +236,17 @@
         assert not repeat.is_alive()
 
 
+def test_a_change_that_is_only_queued_is_told_to_nobody(program):
+    """Another thread's cancellation was told by `status` before it was on the disk."""
+    instance = program.instance
+    instance.submit(small_job("req-1", "red"))
+    with instance._lock:
+        value = instance._state.record_of("req-1")
+        instance._write("req-1", {**value, "st": "cancelled"})
+    assert instance._synced < instance._asked
+    assert instance.status("req-1").status == "withdrawn" and instance._synced >= instance._asked
+
+
 def test_instances_do_not_share_a_directory_but_a_process(tmp_path):
     one, two = Program(tmp_path / "one"), Program(tmp_path / "two")
     with pytest.raises(Locked):
