--- a/src/tideusher/actors/questions.py
+++ b/src/tideusher/actors/questions.py
@@ -52,6 +52,7 @@
 
     def _from_mirror(self, job_id: str) -> Reply:
         """What the state service holds of a job: enough to tell how it ended and what was stopped."""
+        job_id = job_id.partition("/")[0]
         stored = self._store.mirror.get(keys.job_key(job_id))
         if stored is None:
             if not self._store.sync():
--- /dev/null
+++ b/src/tideusher/actors/scripts.py
@@ -0,0 +1,87 @@
+"""PBS scripts sent to a node: translated by its profile, then accepted like any job (docs/pbs.md).
+
+Loaded when the first script comes; a node that takes none never loads it, nor what it rests on.
+"""
+
+from collections.abc import Callable
+from datetime import UTC, datetime, timedelta, timezone
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from tideusher.actors.store import Store, Unavailable
+from tideusher.actors.users import Reply, Users, refusal
+from tideusher.clock import Clock, to_s
+from tideusher.config import Config
+from tideusher.core import keys
+from tideusher.pbs import Refusal, read_script, translate
+from tideusher.pbs.ids import pbs_id
+from tideusher.pbs.keep import Damaged, TooLong, expand, pack
+from tideusher.wire import jobs as wire
+from tideusher.wire import state
+from tideusher.wire.scripts import KeptScript, ScriptRequest, ScriptTaken
+from tideusher.wire.state import Put
+
+if TYPE_CHECKING:
+    from tideusher.pbs import Profile
+
+MAX_OFFSET_S = 86_399
+_decode: Callable[[bytes], ScriptRequest] = msgspec.json.Decoder(ScriptRequest).decode
+
+
+class Scripts:
+    """Knows the profile; acceptance is the users' part's, so that scripts get no rule of their own."""
+
+    def __init__(self, config: Config, clock: Clock, store: Store, users: Users, profile: "Profile") -> None:
+        self._clock, self._store, self._users, self._profile = clock, store, users, profile
+        self._value_bytes = int(config.settings.state.value_kb * 1024)
+        self._most_values = config.settings.state.txn_ops - 1  # one is the job's own record
+
+    def profile(self) -> Reply:
+        """What PBS does not say and this service adds, for those who translate before they submit."""
+        return Reply(200, self._profile)
+
+    def submit(self, body: bytes) -> Reply:
+        """Translate and accept. A script that was taken before gets its job's state, whatever it says now."""
+        try:
+            request = _decode(body)
+            if not wire.JOB_ID.fullmatch(request.ref):
+                raise msgspec.ValidationError("ref must look like req-000412")
+            if (request.script is None) == (request.packed is None):
+                raise msgspec.ValidationError("one of script and packed holds the script")
+            if abs(request.utc_offset_s) > MAX_OFFSET_S:
+                raise msgspec.ValidationError("utc_offset_s is more than a day")
+        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+            return self._users.known_ref(body) or refusal(400, str(error) or "it is nested too deeply")
+        if self._store.mirror.get(keys.job_key(request.ref)) is not None:
+            return self._users.poll(request.ref)
+        try:
+            text = request.script.encode() if request.script is not None else expand(request.packed or "")
+            zone = timezone(timedelta(seconds=request.utc_offset_s)) if request.utc_offset_s else UTC
+            now = datetime.fromtimestamp(to_s(self._clock.wall_us()), zone)
+            script = read_script(text, request.file, request.options)
+            submission = translate(script, self._profile, request.ref, now, request.environment)
+            values = pack(submission.run, text, self._value_bytes, self._most_values)
+        except (Refusal, TooLong, Damaged, UnicodeEncodeError) as error:
+            reason = f"{request.file}:0: {error}" if not isinstance(error, Refusal) else str(error)
+            self._users.log.info("refused a script: %s", reason)
+            return self._users.known_ref(body) or refusal(400, reason)
+        spec = submission.spec
+        parts = [Put(keys.script_key(spec.id, number), value) for number, value in enumerate(values)]
+        reply = self._users.accept(spec, parts)
+        if reply.status == 201:
+            name = pbs_id(spec.id, array=spec.array is not None)
+            reply = Reply(201, ScriptTaken(spec.id, wire.PENDING, name, submission.waived, submission.notes))
+        return reply
+
+    def fetch(self, job_id: str) -> Reply:
+        """The script of a job, for whoever runs its tasks."""
+        try:
+            status, answer = self._store.call("GET", f"/keys?under={keys.script_prefix(job_id)}&most=1000")
+        except Unavailable:
+            return refusal(503, "the state service does not answer")
+        items = state.decode_items(answer).items if status == 200 else []
+        if not items:
+            return refusal(404, "no script is kept for this job")
+        items.sort(key=lambda item: keys.script_number(item.key))
+        return Reply(200, KeptScript(job_id, "".join(item.value["z"] for item in items)))
--- a/src/tideusher/actors/users.py
+++ b/src/tideusher/actors/users.py
@@ -3,7 +3,7 @@
 import logging
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import msgspec
 
@@ -19,6 +19,10 @@
 from tideusher.wire.jobs import InvalidJob, JobSpec, JobStatus
 from tideusher.wire.state import Guard, Put, Write
 
+if TYPE_CHECKING:
+    from tideusher.actors.scripts import Scripts
+    from tideusher.pbs.profile import Profile
+
 #: Who would have to wait longer for the state service's budget is told at once to come back.
 PATIENCE_S = 2.0
 
@@ -51,8 +55,17 @@
 class Users:
     """Stateless beside the mirror: every acceptance and cancellation is a guarded transaction."""
 
-    def __init__(self, config: Config, clock: Clock, store: Store, conditions: bool = False) -> None:
+    def __init__(
+        self,
+        config: Config,
+        clock: Clock,
+        store: Store,
+        conditions: bool = False,
+        profile: "Profile | None" = None,
+    ) -> None:
         self.log = logging.getLogger("users")
+        self._config, self._profile = config, profile
+        self._scripts: Scripts | None = None
         self._conditions = conditions  # are jobs with conditions taken (`jobs.conditions`)?
         self._clock, self._store = clock, store
         self._max_value = int(config.settings.state.value_kb * 1024)
@@ -62,6 +75,8 @@
 
     def handle(self, method: str, path: str, body: bytes) -> Reply:
         """Answer a request for a job's submission, state or cancellation."""
+        if path == "/pbs":
+            return self._script_request(method, body)
         if path == "/work":
             return self.submit(body) if method == "POST" else refusal(405, "POST only")
         name, _, action = path[len("/work/") :].partition("/")
@@ -69,10 +84,35 @@
             return self.poll(name) if method == "GET" else refusal(405, "GET only")
         if action == "abort":
             return self.cancel(name) if method == "POST" else refusal(405, "POST only")
+        if action == "script":
+            return self._script(name) if method == "GET" else refusal(405, "GET only")
         if action in ("hold", "release"):
             return self.hold(name, action, body) if method == "POST" else refusal(405, "POST only")
         return refusal(404, "no such path")
 
+    # ---------------------------------------------------------------- PBS scripts
+
+    def _script_service(self) -> "Scripts | None":
+        if self._scripts is None and self._profile is not None:
+            from tideusher.actors.scripts import Scripts  # with the first script, not at each start
+
+            self._scripts = Scripts(self._config, self._clock, self._store, self, self._profile)
+        return self._scripts
+
+    def _script_request(self, method: str, body: bytes) -> Reply:
+        scripts = self._script_service()
+        if scripts is None:
+            return refusal(404, "PBS scripts are not taken here (no pbs.* settings)")
+        if method == "GET":
+            return scripts.profile()
+        return scripts.submit(body) if method == "POST" else refusal(405, "GET and POST only")
+
+    def _script(self, job_id: str) -> Reply:
+        scripts = self._script_service()
+        if scripts is None or not wire.JOB_ID.fullmatch(job_id):
+            return refusal(404, "no such script")
+        return scripts.fetch(job_id)
+
     # ---------------------------------------------------------------- POST /work
 
     def submit(self, body: bytes) -> Reply:
@@ -80,7 +120,7 @@
         try:
             spec = wire.parse_job(body)
         except InvalidJob as error:
-            known = self._known_ref(body)
+            known = self.known_ref(body)
             if known is not None:
                 return known
             self.log.info("refused a submission: %s", error)
@@ -119,7 +159,7 @@
         self.log.info("accepted %s of %s: %s of %d", spec.id, spec.team, spec.shape, spec.tasks)
         return Reply(201, JobStatus(spec.id, wire.PENDING))
 
-    def _known_ref(self, body: bytes) -> Reply | None:
+    def known_ref(self, body: bytes) -> Reply | None:
         """A repeated `ref` gets the job's state whatever its body says."""
         try:
             raw = msgspec.json.decode(body)
--- a/src/tideusher/cli.py
+++ b/src/tideusher/cli.py
@@ -1,20 +1,14 @@
 """The command line for people. Imports are lazy, so that a refusal or a question answers at once."""
 
-import sys
-from collections.abc import Callable
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 import click
 
-if TYPE_CHECKING:
-    from tideusher.client import Client
+from tideusher.cli_ask import JSON, NODE, ask, show_explanation, show_status
+from tideusher.cli_pbs import pbs
 
 CONFIG = click.option("--config", "config_path", required=True, type=click.Path(), help="The platform's TOML file.")
 PROPERTIES = click.option("--properties", "properties_path", type=click.Path(), help="The operators' properties.")
-NODE = click.option(
-    "--node", envvar="TIDEUSHER_NODE", default="127.0.0.1:8080", show_default=True, help="A node, host:port."
-)
-JSON = click.option("--json", "as_json", is_flag=True, help="Print JSON for programs.")
 
 
 @click.group()
@@ -22,6 +16,9 @@
     """tideusher: a cluster scheduler that ranks teams by charged machine time."""
 
 
+main.add_command(pbs)
+
+
 @main.command()
 @CONFIG
 @PROPERTIES
@@ -41,7 +38,7 @@
 
     from tideusher.service import load
 
-    config, policy = load(config_path, properties_path)
+    config, (policy, profile) = load(config_path, properties_path)
 
     click.echo(
         f"{config.node} in {config.zone}: {len(config.peers)} peers, {len(config.settings.teams)} teams, "
@@ -49,28 +46,14 @@
     )
     for field in msgspec.structs.fields(policy):
         click.echo(f"{field.encode_name} = {getattr(policy, field.name)}")
-
-
-def _ask(node: str, as_json: bool, call: "Callable[[Client], Any]", show: Callable[[Any], None]) -> None:
-    """Call the service; a refusal or failure is one clear line and exit 1."""
-    import msgspec
-
-    from tideusher.client import Client, ServiceError
-
-    try:
-        answer = call(Client(node))
-    except ServiceError as error:
-        click.echo(f"tideusher: {error}", err=True)
-        sys.exit(1)
-    if as_json:
-        click.echo(msgspec.json.encode(answer).decode())
-    else:
-        show(answer)
-
-
-def _show_status(answer: Any) -> None:
-    counts = "" if answer.done is None else f", {answer.done} tasks done, {answer.running or 0} placed"
-    click.echo(f"{answer.id}: {answer.status}{counts}")
+    if profile is None:
+        click.echo("PBS scripts are not taken (no pbs.* settings)")
+        return
+    click.echo(f"pbs.default_queue = {profile.default_queue}")
+    click.echo(f"pbs.waive = {','.join(sorted(profile.waive))}")
+    for name, queue in sorted(profile.queues.items()):
+        for field in msgspec.structs.fields(queue):
+            click.echo(f"pbs.queue.{name}.{field.name} = {getattr(queue, field.name)}")
 
 
 def _show_table(rows: list[dict[str, Any]]) -> None:
@@ -89,7 +72,7 @@
 @JSON
 def submit(file: Any, node: str, as_json: bool) -> None:
     """Submit the job described by a JSON FILE (- for standard input)."""
-    _ask(node, as_json, lambda client: client.submit(file.read()), _show_status)
+    ask(node, as_json, lambda client: client.submit(file.read()), show_status)
 
 
 @main.command()
@@ -98,7 +81,7 @@
 @JSON
 def status(job: str, node: str, as_json: bool) -> None:
     """Show a job's state."""
-    _ask(node, as_json, lambda client: client.status(job), _show_status)
+    ask(node, as_json, lambda client: client.status(job), show_status)
 
 
 @main.command()
@@ -107,7 +90,26 @@
 @JSON
 def cancel(job: str, node: str, as_json: bool) -> None:
     """Cancel a job."""
-    _ask(node, as_json, lambda client: client.cancel(job), _show_status)
+    ask(node, as_json, lambda client: client.cancel(job), show_status)
+
+
+@main.command()
+@click.argument("job")
+@click.option("--by", help="Who holds it, for those who ask.")
+@NODE
+@JSON
+def hold(job: str, by: str | None, node: str, as_json: bool) -> None:
+    """Let nothing more of a job start; what runs goes on."""
+    ask(node, as_json, lambda client: client.hold(job, by), show_status)
+
+
+@main.command()
+@click.argument("job")
+@NODE
+@JSON
+def release(job: str, node: str, as_json: bool) -> None:
+    """Let a held job go on."""
+    ask(node, as_json, lambda client: client.release(job), show_status)
 
 
 @main.command()
@@ -117,14 +119,7 @@
 def explain(job: str, node: str, as_json: bool) -> None:
     """Say why a job waits, and why its tasks were stopped."""
 
-    def show(answer: dict[str, Any]) -> None:
-        click.echo(f"{answer['job']}: {answer['status']}")
-        for reason in answer["reasons"]:
-            click.echo(f"  {reason}")
-        for stop in answer["stops"]:
-            click.echo(f"  stop: task {stop['task']} on {stop['machine']} at {stop['at_s']:.0f}: {stop['reason']}")
-
-    _ask(node, as_json, lambda client: client.explain(job), show)
+    ask(node, as_json, lambda client: client.explain(job), show_explanation)
 
 
 @main.command()
@@ -132,7 +127,7 @@
 @JSON
 def teams(node: str, as_json: bool) -> None:
     """Show ratios, charges, guarantees and use of all teams."""
-    _ask(node, as_json, lambda client: client.teams(), _show_table)
+    ask(node, as_json, lambda client: client.teams(), _show_table)
 
 
 @main.command()
@@ -140,4 +135,4 @@
 @JSON
 def machines(node: str, as_json: bool) -> None:
     """Show the fleet."""
-    _ask(node, as_json, lambda client: client.machines(), _show_table)
+    ask(node, as_json, lambda client: client.machines(), _show_table)
--- a/src/tideusher/client.py
+++ b/src/tideusher/client.py
@@ -1,11 +1,16 @@
 """A client of the service, for programs and the command line. Needs the wire package, not the daemon."""
 
 import http.client
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import msgspec
 
 from tideusher.wire.jobs import JobSpec, JobStatus
+from tideusher.wire.scripts import KeptScript, ScriptRequest, ScriptTaken
+
+if TYPE_CHECKING:
+    from tideusher.pbs import Profile
+    from tideusher.pbs.translate import Run
 
 
 class ServiceError(Exception):
@@ -38,6 +43,40 @@
         """Cancel the job; returns its final state."""
         return msgspec.json.decode(self._call("POST", f"/work/{job}/abort"), type=JobStatus)
 
+    def hold(self, job: str, by: str | None = None) -> JobStatus:
+        """Let nothing more of the job start until it is released; what runs goes on."""
+        body = msgspec.json.encode({"by": by} if by else {})
+        return msgspec.json.decode(self._call("POST", f"/work/{job}/hold", body), type=JobStatus)
+
+    def release(self, job: str) -> JobStatus:
+        """Let a held job go on."""
+        return msgspec.json.decode(self._call("POST", f"/work/{job}/release", b"{}"), type=JobStatus)
+
+    def submit_script(self, request: ScriptRequest) -> ScriptTaken:
+        """Submit a PBS script; one that is known by its ref already gives that job's state."""
+        from tideusher.pbs.ids import pbs_id
+
+        taken: dict[str, Any] = msgspec.json.decode(
+            self._call("POST", "/pbs", msgspec.json.encode(request)), type=dict
+        )
+        return msgspec.convert({"id": pbs_id(request.ref), **taken}, ScriptTaken)
+
+    def profile(self) -> "Profile":
+        """What the service adds to PBS scripts."""
+        from tideusher.pbs import Profile
+
+        return msgspec.json.decode(self._call("GET", "/pbs"), type=Profile)
+
+    def script(self, job: str) -> "tuple[Run, bytes]":
+        """How to run the job's script, and its text as it was submitted."""
+        from tideusher.pbs.keep import Damaged, unpack
+
+        kept: KeptScript = msgspec.json.decode(self._call("GET", f"/work/{job}/script"), type=KeptScript)
+        try:
+            return unpack([{"z": kept.packed}])
+        except Damaged as error:
+            raise ServiceError(f"the script of {job}: {error}") from None
+
     def explain(self, job: str) -> dict[str, Any]:
         """Why the job waits, and why its tasks were stopped."""
         return msgspec.json.decode(self._call("GET", f"/why/{job}"))
--- a/src/tideusher/config.py
+++ b/src/tideusher/config.py
@@ -1,13 +1,17 @@
 """The platform's settings file (TOML) and the operators' own settings (Java-style properties)."""
 
+import re
 import tomllib
 from pathlib import Path
-from typing import Annotated
+from typing import TYPE_CHECKING, Annotated, NamedTuple
 
 import msgspec
 
 from tideusher.clock import to_us
 
+if TYPE_CHECKING:
+    from tideusher.pbs.profile import Profile
+
 
 class ConfigError(ValueError):
     """One clear line naming the file and the field."""
@@ -190,21 +194,67 @@
         return to_us(min(wanted, self.min_run__cap_s))
 
 
-def load_policy(path: str | None) -> Policy:
+class Settings(NamedTuple):
+    """All that a properties file holds."""
+
+    policy: Policy
+    profile: "Profile | None" = None  # None: PBS scripts are not taken
+
+
+def load_settings(path: str | None) -> Settings:
     """Read the operators' properties; a name we do not know is refused, it is likely a slip."""
     if path is None:
-        return Policy()
+        return Settings(Policy())
+    values, lines = _read_properties(path)
+    ours = {name: value for name, value in values.items() if not name.startswith("pbs.")}
+    profile = None
+    try:
+        policy = msgspec.convert(ours, Policy, strict=False)
+        if len(ours) < len(values):
+            from tideusher.pbs.profile import ProfileError, parse_profile
+
+            try:
+                profile = parse_profile(values)
+            except ProfileError as error:
+                raise ConfigError(f"{path}{_at(error.name, lines)}: {error}") from None
+            if not policy.jobs__conditions:  # every script has a limit
+                raise ConfigError(f"{path}: pbs.default_queue needs jobs.conditions = true")
+    except msgspec.ValidationError as error:
+        names = re.findall(r"`(?:\$\.)?([^`]+)`", str(error))
+        raise ConfigError(f"{path}{_at(names[-1] if names else '', lines)}: {error}") from None
+    return Settings(policy, profile)
+
+
+def load_policy(path: str | None) -> Policy:
+    """The operators' properties less those for PBS scripts."""
+    return load_settings(path).policy
+
+
+def _at(name: str, lines: dict[str, int]) -> str:
+    """Where the setting stands, if it stands anywhere: a missing one is named by the first of its queue."""
+    if name in lines:
+        return f":{lines[name]}"
+    first = min((line for other, line in lines.items() if other.startswith(name.rpartition(".")[0])), default=0)
+    return f":{first}" if name and first else ""
+
+
+def _read_properties(path: str) -> tuple[dict[str, str], dict[str, int]]:
+    """All values by name, and the line in which each stands; a name that stands twice is refused."""
     import javaproperties
 
+    values: dict[str, str] = {}
+    lines: dict[str, int] = {}
+    number = 1
     try:
         with open(path, encoding="utf-8") as file:
-            raw = javaproperties.load(file)
+            for part in javaproperties.parse(file):
+                if isinstance(part, javaproperties.KeyValue):
+                    if part.key in lines:
+                        raise ConfigError(f"{path}:{number}: {part.key} stands in line {lines[part.key]} already")
+                    values[part.key], lines[part.key] = part.value, number
+                number += part.source.count("\n") or 1
     except OSError as error:
         raise ConfigError(f"{path}: {error.strerror}") from None
     except (javaproperties.InvalidUEscapeError, UnicodeDecodeError) as error:
         raise ConfigError(f"{path}: not a properties file: {error}") from None
-    try:
-        policy = msgspec.convert(raw, Policy, strict=False)
-    except msgspec.ValidationError as error:
-        raise ConfigError(f"{path}: {error}") from None
-    return policy
+    return values, lines
--- a/src/tideusher/core/cluster.py
+++ b/src/tideusher/core/cluster.py
@@ -49,6 +49,7 @@
 
 MAX_STOPS_KEPT = 6
 
+
 @dataclass(slots=True, eq=False)
 class Rental:
     """A rental request: persisted as an intent first, then with the machines it brought."""
--- a/src/tideusher/core/explain.py
+++ b/src/tideusher/core/explain.py
@@ -25,20 +25,40 @@
 
 
 def explain_job(cluster: Cluster, job_id: str, now_us: int) -> dict[str, Any] | None:
-    """What the job waits for and why its tasks were stopped; None if nothing of it is open here."""
+    """What the job waits for and why its tasks were stopped; None if nothing of it is open here.
+
+    `req-000412/3` asks for one task: what becomes of it comes first among the reasons.
+    """
+    job_id, _, number = job_id.partition("/")
     job = cluster.jobs.get(job_id)
     if job is None:
         return None
-    return {
+    own = _task(job, int(number)) if number.isdigit() and int(number) < job.spec.tasks else []
+    answer = {
         "job": job_id,
         "team": job.spec.team,
         "status": job.status,
         "tasks": job.spec.tasks,
         "done": job.done_count,
         "placed": len(job.live),
-        "reasons": _reasons(cluster, job, now_us),
+        "reasons": own + _reasons(cluster, job, now_us),
         "stops": told_stops(job.stops),
     }
+    more = {"name": job.spec.name, "array": job.spec.array}
+    return answer | {name: value for name, value in more.items() if value is not None}
+
+
+def _task(job: Job, index: int) -> list[str]:
+    task = job.live.get(index)
+    if job.is_done(index):
+        state = "is done"
+    elif job.is_over(index):
+        state = f"was stopped, as it ran longer than its limit of {job.spec.limit_s:g} s"
+    elif task is None:
+        state = "waits"
+    else:
+        state = f"has its place on {task.machine.name} ({task.state or 'not yet confirmed'})"
+    return [f"Task {index} {state}."]
 
 
 def _reasons(cluster: Cluster, job: Job, now_us: int) -> list[str]:
--- a/src/tideusher/core/keys.py
+++ b/src/tideusher/core/keys.py
@@ -7,6 +7,7 @@
 JOB_PREFIX = "t/j/"
 CHUNK_PREFIX = "t/r/"
 RENTAL_PREFIX = "t/m/"
+SCRIPT_PREFIX = "s/"
 
 
 def job_key(job: str) -> str:
@@ -24,6 +25,21 @@
     return RENTAL_PREFIX + name
 
 
+def script_prefix(job: str) -> str:
+    """The pieces of the job's script. Outside the watched prefix: no node keeps scripts in memory."""
+    return f"{SCRIPT_PREFIX}{job}/"
+
+
+def script_key(job: str, number: int) -> str:
+    """One piece of the job's script."""
+    return f"{script_prefix(job)}{number}"
+
+
+def script_number(key: str) -> int:
+    """Which piece this is."""
+    return int(key.rpartition("/")[2])
+
+
 def split_chunk_key(key: str) -> tuple[str, int]:
     """The inverse of chunk_key."""
     job, _, number = key[len(CHUNK_PREFIX) :].rpartition("/")
--- a/src/tideusher/core/records.py
+++ b/src/tideusher/core/records.py
@@ -139,7 +139,7 @@
     @property
     def pending(self) -> int:
         """Tasks that hold no place and are not over (less those that are over and not yet gone)."""
-        return self.spec.tasks - self.over_count - len(self.live)
+        return self.spec.tasks - self.done_count - self.failed_count - len(self.live)
 
     @property
     def over_count(self) -> int:
@@ -153,8 +153,12 @@
 
     @property
     def waits(self) -> bool:
-        """Does it want places?"""
-        return self.status == OPEN and not self.blocked and self.pending > 0
+        """Does it want places? Asked of every job several times a pass, hence in one expression."""
+        return (
+            self.status == OPEN
+            and not (self.hold or self.early_us or self.unmet)
+            and self.spec.tasks - self.done_count - self.failed_count > len(self.live)
+        )
 
     @property
     def begun(self) -> bool:
--- a/src/tideusher/core/scheduler.py
+++ b/src/tideusher/core/scheduler.py
@@ -60,7 +60,7 @@
                 if job is None or job.pending <= 0 or now_us > machine.reserved_until_us:
                     machine.reserved = ""
         within = self._within_guarantee()
-        waiting = [job for job in self._c.active.values() if _waits(job)]
+        waiting = [job for job in self._c.active.values() if job.waits]
         queue = order_jobs(
             waiting,
             self._c.ledger.ratio,
@@ -87,7 +87,7 @@
         unplaced: list[tuple[Job, int]] = []
         looks = 0
         for job in queue:
-            if not _waits(job):
+            if not job.waits:
                 continue
             left = self._place_job(job, room, now_us)
             if left:
@@ -106,7 +106,7 @@
         holding = [m for m in holding if _usable(m)]
         requests = self._gathering.update(unplaced, holding, self._c.machines.values(), self._offer(now_us))
         yield
-        requests = [request for request in requests if _waits(request.job)]
+        requests = [request for request in requests if request.job.waits]
         self._plan_fleet(requests, now_us)
         yield
         self._thin_out(now_us)
@@ -268,7 +268,7 @@
             return
         if self._c.keeper.waiting > self._c.config.settings.state.txn_ops:
             return  # moves would wait for their write
-        if any(job.is_service and _waits(job) for job in self._c.active.values()):
+        if any(job.is_service and job.waits for job in self._c.active.values()):
             return
         steady_us = to_us(self._c.policy.fleet__move_after_s)
         up = [m for m in self._c.machines.values() if _usable(m) and not m.reserved]
@@ -354,11 +354,6 @@
         return [m for m in self._c.machines.values() if m.name not in self._gathering.held]
 
 
-def _waits(job: Job) -> bool:
-    """Is there still something of the job to be placed, and may it start?"""
-    return job.waits
-
-
 def _limit_of(job: Job) -> str:
     """Which limit keeps more of the job from starting."""
     at_once = job.spec.at_once
@@ -369,7 +364,7 @@
 
 def _still_wait(unplaced: list[tuple[Job, int]]) -> list[tuple[Job, int]]:
     """After a pause: some may be over; nothing is stopped or rented for them."""
-    return [(job, min(left, job.pending)) for job, left in unplaced if _waits(job)]
+    return [(job, min(left, job.pending)) for job, left in unplaced if job.waits]
 
 
 def _usable(machine: Machine) -> bool:
--- a/src/tideusher/node.py
+++ b/src/tideusher/node.py
@@ -4,6 +4,7 @@
 import os
 import random
 import sys
+from typing import TYPE_CHECKING
 
 import gevent
 import msgspec
@@ -24,13 +25,18 @@
 from tideusher.wire import peers as peer_wire
 from tideusher.wire import workers
 
+if TYPE_CHECKING:
+    from tideusher.pbs.profile import Profile
+
 CONTACT_US = to_us(3.0)
 
 
 class Node:
     """Builds and runs everything."""
 
-    def __init__(self, config: Config, policy: Policy, clock: Clock | None = None) -> None:
+    def __init__(
+        self, config: Config, policy: Policy, clock: Clock | None = None, profile: "Profile | None" = None
+    ) -> None:
         level = {"error": logging.ERROR, "debug": logging.DEBUG}.get(os.environ.get("LOG_LEVEL", ""), logging.INFO)
         logging.basicConfig(stream=sys.stderr, level=level, format="%(levelname).1s %(name)s: %(message)s")
         self.log = logging.getLogger("node")
@@ -44,7 +50,7 @@
         self.peers = Peers(config, self._clock, self._hello)
         self.store.hear_demands(self.peers.demands)
         self.gateway = Gateway(config, self._clock, self.store, self.election, self.leader, self.peers)
-        self.users = Users(config, self._clock, self.store, policy.jobs__conditions)
+        self.users = Users(config, self._clock, self.store, policy.jobs__conditions, profile)
         questions = Questions(config, self.store, self.election, self.leader, self.peers)
         self.web = Web(
             config.bind,
--- /dev/null
+++ b/src/tideusher/pbs/profile.py
@@ -0,0 +1,121 @@
+"""What PBS does not say, from the operators' properties: `pbs.*` (docs/pbs.md has the table)."""
+
+import re
+from collections.abc import Mapping
+from typing import Annotated
+
+import msgspec
+
+from tideusher.pbs.options import FLAGS, WITH_VALUE
+from tideusher.wire.jobs import MAX_TASKS, PRIORITIES
+
+PREFIX = "pbs."
+_AMOUNT = msgspec.Meta(ge=0, lt=1e9)
+_QUEUE_KEY = re.compile(r"pbs\.queue\.([A-Za-z][A-Za-z0-9_-]{0,31})\.([a-z_]+)")
+
+#: Options that nothing here honours: refused, unless the operator waives them by name.
+NOT_HONOURED = {
+    "e": "files of output are not kept yet",
+    "f": "a submission does not stay in the foreground",
+    "F": "arguments are not passed to scripts",
+    "G": "group limits are not known here",
+    "I": "jobs are not interactive",
+    "j": "files of output are not kept yet",
+    "k": "files of output are not kept yet",
+    "m": "no mail is sent",
+    "M": "no mail is sent",
+    "o": "files of output are not kept yet",
+    "p": "the rank of a job is its queue's",
+    "R": "files of output are not kept yet",
+    "T": "scripts have no prologue here",
+    "u": "jobs do not run as another user",
+    "x": "jobs are not interactive",
+    "X": "jobs are not interactive",
+    "V": "the whole environment is not taken along; name the variables with -v",
+    "d": "machines have no directory of the submitting one",
+    "w": "machines have no directory of the submitting one",
+}
+
+
+class ProfileError(ValueError):
+    """A property is wrong; `name` says which, the text says how."""
+
+    def __init__(self, name: str, reason: str) -> None:
+        super().__init__(f"{name}: {reason}")
+        self.name, self.reason = name, reason
+
+
+class Queue(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One queue: what its jobs are called and get natively. Times in seconds, sizes in GB."""
+
+    owner: Annotated[str, msgspec.Meta(min_length=1)]
+    jobclass: Annotated[str, msgspec.Meta(min_length=1)]
+    bundle: Annotated[str, msgspec.Meta(min_length=1)]
+    image_gb: Annotated[float, _AMOUNT]
+    mem_gb: Annotated[float, msgspec.Meta(gt=0, lt=1e9)]
+    rank: str = "standard"
+    loaned: bool = False
+    max_walltime_s: Annotated[float, msgspec.Meta(gt=0, lt=1e9)] | None = None
+    max_array: Annotated[int, msgspec.Meta(ge=1, le=MAX_TASKS)] = 10_000
+    mark_s: Annotated[float, _AMOUNT] = 0.0
+    stow_s: Annotated[float, _AMOUNT] = 0.0
+
+
+class Profile(msgspec.Struct, frozen=True):
+    """All queues by name, the one for scripts that name none, and the directives that are waived."""
+
+    queues: dict[str, Queue]
+    default_queue: str
+    waive: frozenset[str] = frozenset()
+
+
+def parse_profile(properties: Mapping[str, str]) -> Profile:
+    """Check the `pbs.*` among the properties; raises ProfileError naming the first that is wrong."""
+    queues: dict[str, dict[str, str]] = {}
+    default, waive = "", frozenset[str]()
+    for name, value in properties.items():
+        if not name.startswith(PREFIX):
+            continue
+        found = _QUEUE_KEY.fullmatch(name)
+        if found:
+            queues.setdefault(found[1], {})[found[2]] = value
+        elif name == "pbs.default_queue":
+            default = value
+        elif name == "pbs.waive":
+            waive = _waived(value)
+        else:
+            raise ProfileError(name, "there is no such setting")
+    read = {queue: _queue(queue, values) for queue, values in queues.items()}
+    if default not in read:
+        raise ProfileError("pbs.default_queue", f"there is no queue {default!r}" if default else "it is missing")
+    return Profile(read, default, waive)
+
+
+def _queue(queue: str, values: dict[str, str]) -> Queue:
+    known = {field.name for field in msgspec.structs.fields(Queue)}
+    for name, value in values.items():
+        if name not in known:
+            raise ProfileError(f"pbs.queue.{queue}.{name}", "there is no such setting of a queue")
+        if name == "rank" and value not in PRIORITIES:
+            raise ProfileError(f"pbs.queue.{queue}.rank", "it must be one of " + ", ".join(PRIORITIES))
+    try:
+        return msgspec.convert(values, Queue, strict=False)
+    except msgspec.ValidationError as error:
+        # `... - at `$.mem_gb``, or "... missing required field `owner`"
+        named = re.findall(r"`(?:\$\.)?([a-z_]+)`", str(error))
+        name = f"pbs.queue.{queue}.{named[-1] if named else ''}"
+        raise ProfileError(name, re.sub(r" - at `.*", "", str(error))) from None
+
+
+def _waived(text: str) -> frozenset[str]:
+    """`-m,-M,-W umask,-l software`: options, and parts of -W and -l, that are passed over."""
+    names = set()
+    for part in filter(None, (" ".join(word.split()) for word in text.split(","))):
+        option, _, name = part.partition(" ")
+        letter = option.removeprefix("-")
+        if option != f"-{letter}" or letter not in FLAGS | WITH_VALUE:
+            raise ProfileError("pbs.waive", f"{part!r} is not an option such as -m")
+        if letter not in NOT_HONOURED and not (letter in "lW" and name):
+            raise ProfileError("pbs.waive", f"{part!r} is honoured, and cannot be waived")
+        names.add(part)
+    return frozenset(names)
--- a/src/tideusher/service.py
+++ b/src/tideusher/service.py
@@ -8,13 +8,13 @@
 import sys
 from collections.abc import Sequence
 
-from tideusher.config import Config, ConfigError, Policy, load_config, load_policy
+from tideusher.config import Config, ConfigError, Settings, load_config, load_settings
 
 
-def load(config_path: str, properties_path: str | None) -> tuple[Config, Policy]:
+def load(config_path: str, properties_path: str | None) -> tuple[Config, Settings]:
     """Both settings files; what is wrong with them is one line and exit 2."""
     try:
-        return load_config(config_path), load_policy(properties_path)
+        return load_config(config_path), load_settings(properties_path)
     except ConfigError as error:
         print(f"tideusher: {error}", file=sys.stderr)
         sys.exit(2)
@@ -22,10 +22,10 @@
 
 def serve(config_path: str, properties_path: str | None = None) -> None:
     """Run one controller until it is killed."""
-    config, policy = load(config_path, properties_path)
+    config, settings = load(config_path, properties_path)
     from tideusher.node import Node  # the command line's check of settings needs none of it
 
-    Node(config, policy).run()
+    Node(config, settings.policy, profile=settings.profile).run()
 
 
 def main(arguments: Sequence[str]) -> None:
--- a/src/tideusher/web.py
+++ b/src/tideusher/web.py
@@ -87,7 +87,7 @@
             return Reply(answer.status, answer.body)
         if path == "/healthz":
             return Reply(200, b"{}") if self._healthy() else refusal(503, "this node cannot take requests")
-        if path == "/work" or path.startswith("/work/"):
+        if path in ("/work", "/pbs") or path.startswith("/work/"):
             if self._user_requests >= MAX_USER_REQUESTS:
                 return refusal(503, "too many requests at once")
             self._user_requests += 1
--- a/src/tideusher/wire/jobs.py
+++ b/src/tideusher/wire/jobs.py
@@ -90,11 +90,12 @@
         raise InvalidJob(str(error)) from None
     except RecursionError:  # of a field that we do not know, thousands deep: as bad the next time
         raise InvalidJob("it is nested too deeply") from None
-    _check(spec)
+    check_job(spec)
     return spec
 
 
-def _check(spec: JobSpec) -> None:
+def check_job(spec: JobSpec) -> None:
+    """Raises InvalidJob if a field is out of its range or contradicts another."""
     if not JOB_ID.fullmatch(spec.id):
         raise InvalidJob("ref must look like req-000412")
     if spec.shape not in (BATCH, GANG, SERVICE):
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -21,6 +21,7 @@
 from tideusher.metrics import Metrics
 from tideusher.web import MAX_USER_REQUESTS, Web
 from tideusher.wire.peers import ReportAnswer
+from tideusher.wire.state import Item, Items
 from tideusher.wire.workers import Commands, Report, TaskReport, encode
 
 
@@ -39,6 +40,13 @@
             self.mirror = {key: Stored(value, stamp) for key, (value, stamp) in self.state.items.items()}
         return self.up
 
+    def call(self, method, path):
+        if not self.up:
+            raise Unavailable("cut")
+        under = path.partition("under=")[2].partition("&")[0]
+        items = [Item(k, v, s) for k, (v, s) in sorted(self.state.items.items()) if k.startswith(under)]
+        return 200, msgspec.json.encode(Items(items, self.state.tide))
+
     def txn(self, guards, writes, patience_s=None):
         if not self.up:
             raise Unavailable("cut")
