--- a/src/tideusher/cli.py
+++ b/src/tideusher/cli.py
@@ -128,6 +128,16 @@
     ask(node, as_json, lambda client: client.release(job), show_status)
 
 
+@main.command()
+@click.argument("job")
+@click.argument("tasks", type=click.IntRange(min=1))
+@NODE
+@JSON
+def shrink(job: str, tasks: int, node: str, as_json: bool) -> None:
+    """Let a service, or a claim, have TASKS replicas and no more."""
+    ask(node, as_json, lambda client: client.shrink(job, tasks), show_status)
+
+
 @main.command()
 @click.argument("job")
 @NODE
--- a/src/tideusher/client.py
+++ b/src/tideusher/client.py
@@ -52,6 +52,11 @@
         """Let a held job go on."""
         return msgspec.json.decode(self._call("POST", f"/work/{job}/release", b"{}"), type=JobStatus)
 
+    def shrink(self, job: str, tasks: int) -> JobStatus:
+        """Let a service have fewer replicas (at least 1): the first ones stay."""
+        body = msgspec.json.encode({"pieces": tasks})
+        return msgspec.json.decode(self._call("POST", f"/work/{job}/shrink", body), type=JobStatus)
+
     def submit_script(self, request: ScriptRequest) -> ScriptTaken:
         """Submit a PBS script; one that is known by its ref already gives that job's state."""
         from tideusher.pbs.ids import pbs_id
--- a/src/tideusher/core/cluster.py
+++ b/src/tideusher/core/cluster.py
@@ -348,6 +348,7 @@
             if job.status == OPEN:
                 job.status, job.stamp, job.why = status, entry.stamp, why
                 self._retire(job)
+                self.dirty = True  # as when a leader reads its own record first
 
         self.keeper.touch(entry, told, urgent)
 
