Workers are not sent to a controller that hears none; one that came back stays

Change: core/routing.py decides where a worker is sent. Nodes tell in their heartbeat when all workers that they had are silent; a node from which a worker came back is given none for 15 s and more, then one to see. The workers of a zone are shared among its controllers by name. A failed call tells a refused connection from one that hangs.

--- a/src/tideusher/actors/gateway.py
+++ b/src/tideusher/actors/gateway.py
@@ -22,6 +22,7 @@
 from tideusher.core import keys
 from tideusher.core.bounds import may_answer
 from tideusher.core.records import JOB_CANCELLED
+from tideusher.core.routing import Directions, Door, Ear
 from tideusher.wire import workers
 from tideusher.wire.peers import ForwardReport
 
@@ -45,6 +46,12 @@
         self.log = logging.getLogger("gateway")
         self._config, self._clock = config, clock
         self._store, self._election, self._leader, self._peers = store, election, leader, peers
+        self._directions = Directions()
+        self._ear = Ear(config.settings.workers)
+
+    def deaf(self) -> bool:
+        """Have all workers that reported here fallen silent?"""
+        return self._ear.deaf(self._clock.now_us())
 
     def handle(self, body: bytes) -> Answer:
         """Answer one report. One that is passed on is read as far as that needs; the leader reads it whole."""
@@ -55,7 +62,8 @@
             return Answer(400, b'{"error":"malformed report"}')
 
     def _handle(self, report: workers.ReportHead, body: bytes) -> Answer:
-        other = self._better_node(report.zone)
+        self._ear.heard(self._clock.now_us())
+        other = self._better_node(report)
         if other is not None:
             return Answer(421, workers.encode(workers.Redirect(other)))
         known = self._known()
@@ -74,14 +82,14 @@
         known = self._election.leader()
         return told if told[1] > (known[1] if known else 0) else known
 
-    def _better_node(self, zone: str) -> str | None:
-        """A usable controller in the worker's zone, when we are not in it."""
-        if zone == self._config.zone:
+    def _better_node(self, report: workers.ReportHead) -> str | None:
+        """A controller of the worker's zone that hears workers, when we are not in it."""
+        if report.zone == self._config.zone:
             return None
-        for link in self._peers.links.values():
-            if link.peer.zone == zone and link.usable():
-                return link.peer.name
-        return None
+        doors = [
+            Door(link.peer.name, link.peer.zone, link.deaf) for link in self._peers.links.values() if link.usable()
+        ]
+        return self._directions.better(report.machine, report.zone, doors, self._clock.now_us())
 
     def _from_leader(self, node: str, body: bytes) -> bytes | None:
         if node == self._config.node:
--- a/src/tideusher/actors/http.py
+++ b/src/tideusher/actors/http.py
@@ -13,11 +13,14 @@
 
 
 class CallFailed(Exception):
-    """No response. The request may have been, or may still be, executed unless `unsent`."""
+    """No response. The request may have been, or may still be, executed unless `unsent`.
 
-    def __init__(self, reason: str, unsent: bool = False) -> None:
+    `refused`: the other machine itself said that it takes no connections; it has power.
+    """
+
+    def __init__(self, reason: str, unsent: bool = False, refused: bool = False) -> None:
         super().__init__(reason)
-        self.unsent = unsent
+        self.unsent, self.refused = unsent, refused
 
 
 class HttpClient:
@@ -48,7 +51,8 @@
         except (OSError, http.client.HTTPException, gevent.Timeout) as error:
             if connection is not None:
                 connection.close()
-            raise CallFailed(f"{method} {path}: {type(error).__name__}: {error}", unsent=not sent) from None
+            refused = isinstance(error, ConnectionRefusedError)
+            raise CallFailed(f"{method} {path}: {type(error).__name__}: {error}", not sent, refused) from None
         except BaseException:
             if connection is not None:
                 connection.close()
--- a/src/tideusher/actors/peers.py
+++ b/src/tideusher/actors/peers.py
@@ -82,6 +82,8 @@
         self.told: tuple[str, int] = ("", 0)
         #: How many changes a second the peer wants to write.
         self.writes = 0.0
+        #: Does the peer hear none of the workers that it had?
+        self.deaf = False
 
     def usable(self) -> bool:
         """Connected, and heard from just now."""
@@ -147,7 +149,7 @@
             self._heard_us = self._clock.now_us()
             for message in unframer.feed(data):
                 if isinstance(message, wire.Hello):
-                    self.in_contact, self.writes = message.in_contact, message.writes
+                    self.in_contact, self.writes, self.deaf = message.in_contact, message.writes, message.deaf
                     if message.token > self.told[1]:
                         self.told = (message.leader, message.token)
                 elif isinstance(message, wire.ReportAnswer):
@@ -191,6 +193,10 @@
         """What each peer that we hear wants to write a second."""
         return {name: link.writes for name, link in self.links.items() if link.usable()}
 
+    def deaf_zones(self) -> set[str]:
+        """Zones of which a controller that we hear hears none of the workers that it had."""
+        return {link.peer.zone for link in self.links.values() if link.usable() and link.deaf}
+
     def any_in_contact(self) -> bool:
         """Does any peer that we hear reach the state service?"""
         return any(link.usable() and link.in_contact for link in self.links.values())
--- a/src/tideusher/node.py
+++ b/src/tideusher/node.py
@@ -75,7 +75,8 @@
 
     def _hello(self) -> peer_wire.Hello:
         node, token = self.election.leader() or ("", 0)
-        return peer_wire.Hello(self._config.node, self.in_contact(), node, token, round(self.store.wanted(), 1))
+        wanted = round(self.store.wanted(), 1)
+        return peer_wire.Hello(self._config.node, self.in_contact(), node, token, wanted, self.gateway.deaf())
 
     def in_contact(self) -> bool:
         """Has the state service answered us lately?"""
--- a/src/tideusher/wire/peers.py
+++ b/src/tideusher/wire/peers.py
@@ -15,13 +15,15 @@
 
 class Hello(PeerMessage, tag="hello"):
     """First frame of a link and its heartbeat: who speaks, whether it reaches the state service, who
-    leads as far as it knows, and how many changes a second it wants to write."""
+    leads as far as it knows, how many changes a second it wants to write, and whether all workers that
+    it had have fallen silent."""
 
     node: str
     in_contact: bool = False
     leader: str = ""
     token: int = 0
     writes: float = 0.0
+    deaf: bool = False
 
 
 class ForwardReport(PeerMessage, tag="report"):
--- a/src/tideusher/wire/workers.py
+++ b/src/tideusher/wire/workers.py
@@ -38,6 +38,7 @@
 class ReportHead(msgspec.Struct):
     """What a node that passes a report on must know of it."""
 
+    machine: str = msgspec.field(name="berth")
     zone: str = msgspec.field(name="harbor")
     token: int = msgspec.field(name="helm")
 
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -218,7 +218,7 @@
 
 class ScriptedLink:
     def __init__(self, peer, answer):
-        self.peer, self.answer, self.up = peer, answer, True
+        self.peer, self.answer, self.up, self.deaf = peer, answer, True, False
 
     def usable(self):
         return self.up
@@ -252,6 +252,7 @@
 
 def test_workers_are_sent_to_a_controller_of_their_zone_while_it_lives(gate):
     assert gate.gateway.handle(report("b")).status == 421
+    gate.clock.pass_s(8.0)
     gate.link.up = False
     assert gate.gateway.handle(report("b")).status == 200
     assert gate.gateway.handle(report("a")).body == encode(Commands(41))
