--- a/src/tideusher/core/cluster.py
+++ b/src/tideusher/core/cluster.py
@@ -30,6 +30,7 @@
     COMMITTING,
     JOB_CANCELLED,
     JOB_DONE,
+    NO_ROOM,
     OPEN,
     RETURNING,
     UP,
@@ -118,7 +119,7 @@
         self.ledger = Ledger(settings.teams, policy, now_us)
         self.fleet = Fleet(policy, settings.objectives)
         self.health = Health(config, policy, self.machines, self.fleet, now_us)
-        self.falls = Falls(config, self.machines, lambda: self.fleet.types, self.health)
+        self.falls = Falls(config, self.machines, lambda: self.fleet.types, self.health, self._crowded)
         self.recovery = Recovery(self)
         self.reports = Reports(self)
         self.conditions = Conditions(self, record_of)
@@ -631,6 +632,9 @@
         self.log.info("return %s: %s", machine.name, reason)
         self.dirty = True
 
+    def _crowded(self) -> bool:
+        return any(job.waits and job.waits_for == NO_ROOM for job in self.active.values())
+
     def look_at_silence(self, now_us: int, probing: Set[str]) -> Look:
         """Judge who has fallen silent and ask for the return of those that have fallen; returns whom to call."""
         look = self.falls.look(now_us, probing)
--- a/src/tideusher/core/explain.py
+++ b/src/tideusher/core/explain.py
@@ -5,7 +5,7 @@
 
 from tideusher.clock import to_s
 from tideusher.core.cluster import Cluster
-from tideusher.core.records import BOOTING, JOB_CANCELLED, JOB_DONE, SEEN, Job
+from tideusher.core.records import BOOTING, JOB_CANCELLED, JOB_DONE, NO_ROOM, SEEN, Job
 from tideusher.core.recovery import told_fall
 from tideusher.wire.arrays import parse_indexes
 from tideusher.wire.jobs import MAX_TASKS
@@ -80,7 +80,7 @@
     if job.pending > 0 and not job.blocked:
         text = f"{job.pending} tasks wait for {job.waits_for}."
         booting = sum(m.phase == BOOTING and not m.draining and m.allows(job.spec) for m in cluster.machines.values())
-        if booting and job.waits_for == "room on a machine":
+        if booting and job.waits_for == NO_ROOM:
             text += f" {booting} machines that it may use are booting."
         reasons.append(text)
         ratio = cluster.ledger.ratio(job.spec.team)
--- a/src/tideusher/core/falls.py
+++ b/src/tideusher/core/falls.py
@@ -15,7 +15,7 @@
 
 import logging
 from collections.abc import Callable, Iterable, Set
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from tideusher.clock import SECOND_US, to_s, to_us
 from tideusher.config import Config
@@ -23,6 +23,7 @@
 from tideusher.core.placement import slots_in
 from tideusher.core.records import RETURNING, UP, Machine
 from tideusher.wire.cloud import MachineType
+from tideusher.wire.jobs import JobSpec
 
 #: What a call to a silent machine found. ANSWERED is a report, and no silence any more.
 NO_WAY, TAKEN = "no way to it", "it takes connections and does not answer"
@@ -92,6 +93,25 @@
     control: bool = False
 
 
+@dataclass(slots=True)
+class _Room:
+    """What is free on a machine, less what was counted on already."""
+
+    machine: Machine
+    cpus: float
+    gpus: float
+    ram: float
+
+    def take(self, spec: JobSpec) -> bool:
+        """Count on room for one task of the job, if there is any that it may use."""
+        if not (self.machine.allows(spec) and slots_in(self.cpus, self.gpus, self.ram, spec)):
+            return False
+        self.cpus -= spec.cpus
+        self.gpus -= spec.gpus
+        self.ram -= spec.ram_gb
+        return True
+
+
 @dataclass(slots=True)
 class Look:
     """What one look at the fleet asks for: calls, and by zone the machines to return with the evidence."""
@@ -110,8 +130,10 @@
         machines: dict[str, Machine],
         types: Callable[[], dict[str, MachineType]],
         health: Health,
+        crowded: Callable[[], bool],
     ) -> None:
         self._machines, self._types, self._health = machines, types, health
+        self._crowded = crowded  # does work wait for room on a machine? Then what is free is spoken for
         self._report_us = to_us(config.settings.workers.report_s)
         self._at_once = max(SAMPLE, min(AT_ONCE, config.settings.resources.max_sockets // SOCKETS_PART))
         #: Zones of which a controller that we hear hears none of its workers; told by whoever runs us.
@@ -250,7 +272,7 @@
         """Those of a zone's silent machines that are given up now, with the evidence against each."""
         needed = 1 if len(silent) >= MANY else 2
         out = []
-        room: list[list[float]] | None = None
+        room: list[_Room] | None = None
         for machine in silent:
             if machine.probes_failed < needed:
                 continue
@@ -269,7 +291,7 @@
         since_us = now_us - max(machine.reported_us for machine in silent)
         return len(silent) >= MANY and LIST_FROM_US <= since_us <= LIST_TO_US
 
-    def _replace(self, machine: Machine, room: list[list[float]], now_us: int) -> bool:
+    def _replace(self, machine: Machine, room: "list[_Room]", now_us: int) -> bool:
         """Has the machine hung for as long as having its tasks elsewhere would take?
 
         With free room for all of them that is one fetch, else a boot on top. Room that was counted on for one
@@ -279,16 +301,8 @@
         if kind is None:
             return True
         specs = [task.job.spec for task in machine.tasks.values()]
-        trial = [list(part) for part in room]
-        fits = True
-        for spec in specs:
-            part = next((p for p in trial if slots_in(p[0], p[1], p[2], spec)), None)
-            if part is None:
-                fits = False
-                break
-            part[0] -= spec.cpus
-            part[1] -= spec.gpus
-            part[2] -= spec.ram_gb
+        trial = [replace(part) for part in room]
+        fits = all(any(part.take(spec) for part in trial) for spec in specs)
         fetch_s = max((spec.image_gb for spec in specs), default=0.0) / max(kind.fetch_gb_per_s, 1e-6)
         replaced_us = to_us(fetch_s + (0.0 if fits and specs else kind.boot_s))
         if now_us - machine.reported_us < replaced_us:
@@ -297,9 +311,12 @@
             room[:] = trial
         return True
 
-    def _free_room(self, now_us: int) -> list[list[float]]:
-        """What is free on machines that are heard."""
-        return [[m.free_cpus, m.free_gpus, m.free_ram] for m in self._heard(now_us) if not m.draining]
+    def _free_room(self, now_us: int) -> "list[_Room]":
+        """What is free on machines that are heard, unless work waits that will take it."""
+        if self._crowded():
+            return []
+        heard = [m for m in self._heard(now_us) if not m.draining and m.free_gpus > 0]
+        return [_Room(m, m.free_cpus, m.free_gpus, m.free_ram) for m in heard]
 
     @staticmethod
     def _by_zone(machines: Iterable[Machine]) -> dict[str, list[Machine]]:
--- a/src/tideusher/core/records.py
+++ b/src/tideusher/core/records.py
@@ -22,6 +22,9 @@
 ASSIGNED = "assigned"  # persisted; `run` goes out with answers to reports
 SEEN = "seen"  # the worker has listed it
 
+#: What a job waits for that only a machine can give.
+NO_ROOM = "room on a machine"
+
 OPEN, JOB_DONE, JOB_CANCELLED = "open", "done", "cancelled"
 
 #: A run weighs this much in a machine's pace; machines of one type differ by a tenth, faulty ones by far more.
--- a/src/tideusher/core/scheduler.py
+++ b/src/tideusher/core/scheduler.py
@@ -8,7 +8,7 @@
 from tideusher.core.order import order_jobs, urgency_us
 from tideusher.core.placement import Demand, Room, Shelf
 from tideusher.core.preempt import Offers, Stoppable, choose_room, room_of_halted
-from tideusher.core.records import BOOTING, OPEN, UP, Job, Machine, Task
+from tideusher.core.records import BOOTING, NO_ROOM, OPEN, UP, Job, Machine, Task
 from tideusher.core.recovery import EVERYBODY
 
 RESERVE_S = 12.0
@@ -221,7 +221,7 @@
             self._assign(job, machines, now_us)
         left = count - len(machines)
         if left:
-            job.waits_for = "room on a machine"
+            job.waits_for = NO_ROOM
         elif job.pending > 0:
             job.waits_for = _limit_of(job)
         return left
