Tests that are not about the disk do not wait for it; the killing tool needs no test runner

Change: a fixture leaves out the wait for the hardware except where a test is marked real_disk; the instance that tests and the tool share is defined in tests/history.py.

--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,13 @@
+"""Tests that are not about the disk do not wait for it: beside a busy machine they took twenty times as long."""
+
+import pytest
+
+from tideusher.embed.disk import Disk
+
+
+@pytest.fixture(autouse=True)
+def no_waiting_for_the_disk(request, monkeypatch):
+    """Files are written and renamed as ever; only the wait until the hardware has them is left out."""
+    if "real_disk" not in request.keywords:
+        monkeypatch.setattr(Disk, "sync", lambda self, fd: None)
+        monkeypatch.setattr(Disk, "sync_directory", lambda self, path: None)
--- a/tests/history.py
+++ b/tests/history.py
@@ -7,6 +7,15 @@
 
 from collections import defaultdict
 
+from tideusher.config import Team
+from tideusher.embed import Card, MachineKind, Settings
+from tideusher.playground.standins import TYPE
+
+#: What tests and the killing tool run an instance on; here, as that tool is to need no test runner.
+KIND = MachineKind(TYPE.name, TYPE.cpus, TYPE.gpus, TYPE.ram_gb)
+TEAMS = [Team("red", gpus=8.0, gpus_max=12.0), Team("blue", gpus=8.0, gpus_max=12.0)]
+SETTINGS = Settings([KIND], [Card(f"host-{n}", KIND.name, "ab"[n % 2]) for n in range(4)], TEAMS)
+
 
 class BadHistory(AssertionError):
     """A rule was broken; the text says which and by what."""
--- a/tests/test_claim.py
+++ b/tests/test_claim.py
@@ -4,8 +4,9 @@
 
 import pytest
 
+from history import KIND, TEAMS
 from standins import Bed, FakeClock, job
-from test_embed import KIND, TEAMS, Program
+from test_embed import Program
 from tideusher.clock import SECOND_US
 from tideusher.embed import Settings, small_job
 from tideusher.embed.claim import ClaimLink, ClaimRefused, Claims
--- a/tests/test_embed.py
+++ b/tests/test_embed.py
@@ -10,11 +10,11 @@
 import msgspec
 import pytest
 
-from history import BadHistory, History
+from history import KIND, SETTINGS, TEAMS, BadHistory, History
 from standins import TYPE, Bed, FakeClock, make_config
 from test_journal import Crash, FaultyDisk
 from tideusher.clock import SECOND_US
-from tideusher.config import ConfigError, Policy, Team
+from tideusher.config import ConfigError, Policy
 from tideusher.core.engine import Engine
 from tideusher.embed import (
     Card,
@@ -22,7 +22,6 @@
     Forked,
     Instance,
     Locked,
-    MachineKind,
     Refused,
     Settings,
     StorageError,
@@ -33,10 +32,6 @@
 from tideusher.metrics import Metrics
 from tideusher.wire.jobs import After
 
-KIND = MachineKind(TYPE.name, TYPE.cpus, TYPE.gpus, TYPE.ram_gb)
-TEAMS = [Team("red", gpus=8.0, gpus_max=12.0), Team("blue", gpus=8.0, gpus_max=12.0)]
-SETTINGS = Settings([KIND], [Card(f"host-{n}", KIND.name, "ab"[n % 2]) for n in range(4)], TEAMS)
-
 
 class Program:
     """A host program: keeps what was started, ends it when the test says so."""
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -79,6 +79,7 @@
     return journal
 
 
+@pytest.mark.real_disk
 def test_what_was_synced_is_there_again_with_its_stamps_and_what_was_not_is_not(tmp_path):
     journal = written(tmp_path)
     items, revision = dict(journal.items), journal.revision
--- a/tools/kill_embed.py
+++ b/tools/kill_embed.py
@@ -23,7 +23,7 @@
 
 import click
 
-from history import BadHistory, History
+from history import KIND, SETTINGS, TEAMS, BadHistory, History
 from tideusher.wire import claims as wire
 
 GPUS = {f"host-{n}": 4 for n in range(4)}
@@ -32,7 +32,6 @@
 
 def host(directory: str, life: int, seed: int, claim_fd: int) -> None:
     """The program that is killed. `claim_fd`: its connection to the keeper; 0: the machines are its own."""
-    from test_embed import KIND, SETTINGS, TEAMS
     from tideusher.clock import Clock
     from tideusher.embed import Instance, Settings, small_job
     from tideusher.embed.claim import ClaimLink, Claims
@@ -106,7 +105,6 @@
 
 def reopen(history: History, directory: str) -> None:
     """Look, without placing anything, at what a recovery finds."""
-    from test_embed import SETTINGS
     from tideusher.embed import EmbedError, Instance
 
     instance = Instance(directory, SETTINGS, lambda task: None, drive="step")
