--- a/tests/region.py
+++ b/tests/region.py
@@ -10,6 +10,7 @@
 from tideusher.wire.workers import Commands
 
 UP, DEAD, HANGS, CUT = "up", "dead", "hangs", "cut"
+MUTE = "mute"  # its controller has ended: it answers calls and reports to nobody yet
 STEP_S = 0.25
 LIST_TELLS_S = 30.0
 
@@ -24,6 +25,7 @@
         self.calls, self.booting, self.rented, self.gone = {}, [], {}, {}
         self.cloud_answers, self.leads, self.list_lag_s = True, True, 2.0
         self.idle_s = idle_s
+        self.write_rate, self.budget, self.written = None, 0.0, 0
         self.boot_s, self.steps, self.most_calls, self.asked_list = boot_s, 0, 0, 0
         self.types()
         for number in range(a + b):
@@ -76,6 +78,7 @@
     def _step(self):
         self.steps += 1
         self.clock.pass_s(STEP_S)
+        self.budget = min(self.budget + (self.write_rate or 0) * STEP_S, self.write_rate or 0)
         now = self.clock.now_us()
         for due, name, zone, spot in [b for b in self.booting if b[0] <= now]:
             self.booting.remove((due, name, zone, spot))
@@ -87,12 +90,28 @@
                 report = worker.report()
                 commands = Commands(self.cluster.token, self.cluster.reports.answer(report, now))
                 worker.answer(commands, now, report.session)
-            if self.is_[name] in (UP, CUT) and (self.steps + number) % 4 == 0:
+            if self.is_[name] in (UP, CUT, MUTE) and (self.steps + number) % 4 == 0:
                 began += [(worker, task) for task in worker.pass_time(now, 1.0, self._whole)]
         self.rules.check(list(self.workers.values()), began, now)
         if self.leads:
             self._lead(now)
 
+    def commit(self):
+        """As the leader's actor does; with a rate, no more than it in any second."""
+        if self.write_rate is None:
+            super().commit()
+            return
+        while self.budget >= 1:
+            lazy = 2 if self.cluster.recovery.waiting() else None
+            batch = self.cluster.keeper.next_batch(min(8, int(self.budget)), lazy)
+            if batch is None:
+                return
+            self.budget -= len(batch.writes)
+            self.written += len(batch.writes)
+            revision = self.state.txn(batch.guards, batch.writes)
+            assert revision is not None
+            self.cluster.keeper.saved(revision)
+
     def _whole(self, task):
         ready = {
             t.index
@@ -108,14 +127,14 @@
             if due <= now:
                 del self.calls[name]
                 machine, is_ = cluster.machines.get(name), self.is_.get(name, DEAD)
-                if machine is not None and is_ == UP:
+                if machine is not None and is_ in (UP, MUTE):
                     cluster.falls.answered(machine, now)
                     cluster.reports.look(self.workers[name].report(), now)
                 elif machine is not None and cluster.health.is_suspect(machine, now):
                     cluster.falls.unanswered(machine, is_ == HANGS, now)
         look = cluster.look_at_silence(now, set(self.calls))
         for probe in look.probes:
-            wait_s = 0.0 if self.is_.get(probe.machine.name) == UP else 1.5
+            wait_s = 0.0 if self.is_.get(probe.machine.name) in (UP, MUTE) else 1.5
             self.calls[probe.machine.name] = now + round(wait_s * 1e6)
         self.most_calls = max(self.most_calls, len(self.calls))
         self.asked_list += look.list_due
--- a/tests/test_falls.py
+++ b/tests/test_falls.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from region import CUT, DEAD, HANGS, UP, Region
+from region import CUT, DEAD, HANGS, MUTE, UP, Region
 from standins import job
 from tideusher.config import Team
 from tideusher.core import falls as falls_module
@@ -10,6 +10,7 @@
 from tideusher.core.explain import explain_job, falls
 from tideusher.core.falls import ASKING, FALLEN, SAMPLE, Evidence, judge
 from tideusher.core.falls import CUT as CUT_OFF
+from tideusher.core.gather import Request
 
 
 def service(tasks=4, team="red", **fields):
@@ -164,6 +165,17 @@
     assert not region.gone
 
 
+def test_half_of_a_zone_dies_in_the_second_in_which_a_controller_ends(region):
+    """The others are silent too until they find the next controller: they answer calls, and are kept."""
+    dying, mute = region.of("a")[:10], region.of("a")[10:] + region.of("b")[:8]
+    region.turn(dying, DEAD)
+    region.turn(mute, MUTE)
+    region.run(7)
+    region.turn(mute, UP)
+    region.run(8)
+    assert set(region.gone) == set(dying)
+
+
 def test_a_second_fall_in_the_middle_of_the_first_ones_recovery(region):
     specs = [service(4) for _ in range(8)]
     region.start(*specs)
@@ -274,6 +286,26 @@
     assert region.cluster.recovery.waiting() and region.rented and not region.cluster.fleet.warm
 
 
+def test_a_plan_that_rents_for_tasks_that_are_still_placed_would_be_seen(region):
+    """The planted fault of the check above."""
+    region.start(*[service(8) for _ in range(18)])
+    region.run(30)
+    region.rented.clear()
+    region.cloud_answers = False
+    fleet, jobs = region.cluster.fleet, region.cluster.jobs
+    plan = fleet.plan
+
+    def rash(now_us, requests, machines, asked):
+        silent = {machine.name for machine in region.cluster.health.suspects(now_us)}
+        more = [Request(j, 8) for j in jobs.values() if any(t.machine.name in silent for t in j.live.values())]
+        return plan(now_us, [*requests, *more], machines, asked)
+
+    fleet.plan = rash
+    region.turn(region.of("a"), DEAD)
+    region.run(20)
+    assert region.rented
+
+
 def test_a_fall_of_hundreds_costs_few_calls_at_a_time_and_few_writes():
     region = Region(a=320, b=60)
     dying = region.of("a")[8:]
@@ -288,6 +320,33 @@
     assert len(set(parts)) <= 12 and region.state.tide > before  # not one for each of 312 rentals
 
 
+@pytest.mark.parametrize("restart", [False, True])
+def test_a_herd_stays_within_the_rate_of_writes_and_services_do_not_wait_for_batch(restart):
+    """Of 320 tasks on 80 machines, half are lost at 14 writes a second; all leaders may end on the way."""
+    region = Region(a=40, b=40, boot_s=5.0)
+    for team in region.cluster.teams.values():
+        team.gpus = team.gpus_max = 400.0
+    services = [service(2) for _ in range(40)]
+    batch = [job("batch", 10, team="blue", estimate_s=900.0) for _ in range(24)]
+    region.start(*services)
+    region.start(*batch)
+    region.run(8)
+    region.write_rate, region.written, region.most_calls = 14.0, 0, 0
+    region.turn(region.of("a")[1:], DEAD)
+    region.run(6)
+    if restart:  # the state service is out, and nobody leads until it is back
+        region.leads = False
+        region.run(5)
+        region.leads = True
+        region.next_leader()
+    began = region.steps
+    whole_s = region.run(120, lambda: bool(region.gone) and all(region.up_of(spec) == 2 for spec in services))
+    assert region.written <= 14 * (region.steps - began + 24) / 4 + 14
+    assert whole_s < (45 if restart else 30)
+    region.run(90)
+    assert sum(region.up_of(spec) for spec in batch) == 240
+
+
 def test_of_a_zone_that_is_cut_off_only_a_sample_is_called():
     region = Region(a=100, b=10)
     region.turn(region.of("a"), CUT)
