--- a/tests/test_falls.py
+++ b/tests/test_falls.py
@@ -288,7 +288,7 @@
 
 def test_a_plan_that_rents_for_tasks_that_are_still_placed_would_be_seen(region):
     """The planted fault of the check above."""
-    region.start(*[service(8) for _ in range(18)])
+    region.start(*[service(8, spread=False) for _ in range(18)])
     region.run(30)
     region.rented.clear()
     region.cloud_answers = False
