Names of fallen machines join the record that still waits to be written

Cause: calls to 430 machines come back over 5 s, and each look wrote its few as a record of its own: some 30 writes. Change: a part that is not on its way yet takes more names, up to its size; no part's number is used twice.

--- a/src/tideusher/core/recovery.py
+++ b/src/tideusher/core/recovery.py
@@ -46,6 +46,7 @@
     whole: int = 0  # jobs that have been whole again since, or are over
     whole_us: int = 0  # when the last of them was
     parts: dict[int, list[str]] = field(default_factory=dict)
+    newest: int = 0  # the highest part's number so far: none is used twice
 
     def value(self) -> dict[str, Any]:
         """The plain record, as persisted."""
@@ -130,18 +131,30 @@
         # Those first whose tasks are the most urgent to have back.
         machines.sort(key=lambda item: min((t.job.spec.rank for t in item[0].tasks.values()), default=99))
         size = max(1, int(self._c.config.settings.state.value_kb * 1024 * VALUE_PART / NAME_BYTES))
-        for first in range(0, len(machines), size):
-            some = [machine for machine, _ in machines[first : first + size]]
-            for machine, why in machines[first : first + size]:
+        while machines:
+            number = self._part_with_room(fall, size)
+            names = fall.parts.setdefault(number, [])
+            some, machines = machines[: size - len(names)], machines[size - len(names) :]
+            for machine, why in some:
                 self._c.set_returning(machine, f"{why} (fall {fall.name})")
                 machine.fall = fall.name
-            number = max(fall.parts, default=0) + 1
-            fall.parts[number] = [machine.name for machine in some]
-            self._c.keeper.touch(self._part_entry(fall, number), self._to_return(some))
+                names.append(machine.name)
+            self._c.keeper.touch(self._part_entry(fall, number), self._to_return([machine for machine, _ in some]))
         self._write(fall)
         self._c.metrics.count("falls", zone)
         self._c.metrics.count("fall_machines", zone, len(machines))
 
+    def _part_with_room(self, fall: Fall, size: int) -> int:
+        """The last part if it still waits to be written and holds more names, else a new one.
+
+        Calls come back over seconds: a part for each look would again be a write for every few machines.
+        """
+        last = max(fall.parts, default=0)
+        if last and self._part_entry(fall, last).dirty and len(fall.parts[last]) < size:
+            return last
+        fall.newest = max(fall.newest, last) + 1
+        return fall.newest
+
     def recent(self, zone: str) -> bool:
         """Has a fall of this zone become known just now? The rest of it is found one by one."""
         wall_us = self._c.wall_us()
