Falls: no list, an older list, no writes, no capacity of a kind

Cause: hard cases of the issue that had no test yet. Change: the tests' region can be without lists, writes or capacity.

--- a/tests/region.py
+++ b/tests/region.py
@@ -24,6 +24,7 @@
         self.rules = Rules(self.cluster.config, self.specs)
         self.calls, self.booting, self.rented, self.gone = {}, [], {}, {}
         self.cloud_answers, self.leads, self.list_lag_s = True, True, 2.0
+        self.lists, self.writes, self.none_left = True, True, set()  # (zone, spot) of which the cloud has none
         self.idle_s = idle_s
         self.write_rate, self.budget, self.written = None, 0.0, 0
         self.boot_s, self.steps, self.most_calls, self.asked_list = boot_s, 0, 0, 0
@@ -98,6 +99,9 @@
 
     def commit(self):
         """As the leader's actor does; with a rate, no more than it in any second."""
+        self.cluster.writable = self.writes
+        if not self.writes:
+            return
         if self.write_rate is None:
             super().commit()
             return
@@ -138,7 +142,7 @@
             self.calls[probe.machine.name] = now + round(wait_s * 1e6)
         self.most_calls = max(self.most_calls, len(self.calls))
         self.asked_list += look.list_due
-        if look.list_due or self.steps % 8 == 0:
+        if self.lists and (look.list_due or self.steps % 8 == 0):
             self._list(now)
         self.scheduler.schedule(now)
         self.commit()
@@ -156,6 +160,10 @@
 
     def _cloud(self, now):
         cluster = self.cluster
+        for rental in list(cluster.to_rent):
+            if (rental.zone, rental.spot) in self.none_left:
+                cluster.refused(rental, now)
+                cluster.to_rent.remove(rental)
         for rental in cluster.to_rent:
             if rental.name not in self.rented:
                 self.rented[rental.name] = [f"new-{rental.name}-{n:02d}" for n in range(rental.count)]
--- a/tests/test_falls.py
+++ b/tests/test_falls.py
@@ -244,6 +244,53 @@
     assert len(region.gone) == 20
 
 
+def test_without_any_list_of_the_clouds_a_controllers_word_is_needed(region):
+    region.lists = False
+    region.turn(region.of("a"), DEAD)
+    region.run(100)
+    assert not region.gone
+    region.cluster.falls.linked = {"a"}
+    region.run(6)
+    assert len(region.gone) == 20
+
+
+def test_a_list_that_is_older_than_the_one_before_takes_nothing_back(region):
+    region.turn(region.of("a"), DEAD)
+    region.run(34, lambda: bool(region.cluster.to_return or region.gone))
+    region.list_lag_s = 60.0  # the next list calls all of them running again
+    region.run(3)
+    assert len(region.gone) == 20
+
+
+def test_machines_that_die_while_the_state_service_is_out(region):
+    """They are known, and nobody hears of it before it is written."""
+    spec = service(8)
+    region.start(spec)
+    region.writes = False
+    dying = region.of("a")[:12]
+    region.turn(dying, DEAD)
+    region.run(15)
+    assert falls(region.cluster) and not region.gone and not region.cluster.to_return
+    region.writes = True
+    region.run(1)
+    assert set(region.gone) == set(dying)
+    region.run(40)
+    assert region.up_of(spec) == 8
+
+
+def test_where_capacity_of_a_zone_and_kind_is_gone_others_are_rented(region):
+    services = [service(4, spread=False) for _ in range(36)]
+    batch = [job("batch", 16, team="blue", spot=True, estimate_s=900.0) for _ in range(2)]
+    region.start(*services, *batch)
+    region.run(30)
+    region.none_left = {("a", False), ("b", True)}
+    region.turn(region.of("a")[:18], DEAD)
+    region.run(90)
+    assert all(region.up_of(spec) == spec.tasks for spec in services)
+    new = [worker for name, worker in region.workers.items() if name.startswith("new-") and name in region.is_]
+    assert {(worker.zone, worker.spot) for worker in new} & {("b", False)}
+
+
 def test_gangs_that_lose_one_of_their_members_each_start_again_whole(region):
     gangs = [job("gang", 16, estimate_s=600.0, priority="urgent", team=team) for team in ("red", "blue") * 2]
     region.start(*gangs)
