Room on machines that hang is still counted on when renting

Change: the plan leaves out silent machines that no connection can be made to, and counts on those that hang as it did.

--- a/src/tideusher/core/scheduler.py
+++ b/src/tideusher/core/scheduler.py
@@ -4,6 +4,7 @@
 
 from tideusher.clock import SECOND_US, to_us
 from tideusher.core.cluster import Cluster
+from tideusher.core.falls import TAKEN
 from tideusher.core.gather import Gathering, Request
 from tideusher.core.order import order_jobs, urgency_us
 from tideusher.core.placement import Demand, Room, Shelf
@@ -371,8 +372,9 @@
         room = max(2, int(self._c.config.settings.cloud.rps)) - len(asked)
         if room > 0:
             doubted = self._c.falls.doubted
-            # No room is soon to come of a machine that is silent.
-            machines = [m for m in self._not_held() if m.phase != UP or not doubted(m, now_us)]
+            # No room is soon to come of a machine that is silent, unless it hangs: those mostly go on before
+            # one rented in their place would be up.
+            machines = [m for m in self._not_held() if m.phase != UP or m.found == TAKEN or not doubted(m, now_us)]
             for wish in self._c.fleet.plan(now_us, requests, machines, asked)[:room]:
                 self._c.rent(wish)
 
