A call made before the way to a zone was known says nothing, though it ends after

Cause: found by rereading: the eight calls under way at the end of a cut end after a controller of the zone is heard, and would have counted as calls in vain; those eight machines were returned. A machine that hangs and was never heard by this leader counted as silent for ever. Change: calls carry when they were made, and count only from when the way was known; silence is counted from the election at most. Result: a test that fails without the guard.

--- a/src/tideusher/actors/leader.py
+++ b/src/tideusher/actors/leader.py
@@ -340,15 +340,16 @@
 
     def _probe(self, token: int, machine: Machine) -> None:
         """Call a machine directly, on a connection of its own: whether one can be made tells death from a hang."""
+        called_us = self._clock.now_us()
         try:
             if not machine.address:  # nobody has told us of it since our election
                 gevent.sleep(PROBE_S)
-                self.tell("unanswered", token, machine, False)
+                self.tell("unanswered", token, machine, False, called_us)
                 return
             try:
                 status, body = HttpClient(machine.address, PROBE_S, keep=0).call("GET", "/show")
             except CallFailed as error:
-                self.tell("unanswered", token, machine, error.refused or not error.unsent)
+                self.tell("unanswered", token, machine, error.refused or not error.unsent, called_us)
                 return
             self.tell("found", token, machine)
             if status == 200:
@@ -361,11 +362,11 @@
         if self._cluster is not None and self._cluster.token == token:
             self._cluster.falls.answered(machine, self._clock.now_us())
 
-    def on_unanswered(self, token: int, machine: Machine, taken: bool) -> None:
+    def on_unanswered(self, token: int, machine: Machine, taken: bool, called_us: int) -> None:
         """A call reached nobody, or somebody who did not answer. What that means the next look says."""
         cluster, now_us = self._cluster, self._clock.now_us()
         if cluster is not None and cluster.token == token and cluster.health.is_suspect(machine, now_us):
-            cluster.falls.unanswered(machine, taken, now_us)
+            cluster.falls.unanswered(machine, taken, called_us, now_us)
 
     # ---------------------------------------------------------------- persisting
 
--- a/src/tideusher/core/falls.py
+++ b/src/tideusher/core/falls.py
@@ -143,7 +143,7 @@
         self._first_us: dict[str, int] = {}  # of each zone with silent machines, since when there are some
         self._silent: set[str] = set()  # machines that are silent, as of the last look
         self._shaky: set[str] = set()  # zones of which many are
-        self._open: set[str] = set()  # zones that we know a way to
+        self._open: dict[str, int] = {}  # zones that we know a way to, and since when
         self._sampled: set[str] = set()  # of these, zones of which enough machines were called in vain since
         self._told: dict[str, str] = {}
         self.log = logging.getLogger("falls")
@@ -154,9 +154,14 @@
         """A call reached the machine. If it was one that is heard, our calls are known to go through."""
         self._control_us[machine.zone] = now_us
 
-    @staticmethod
-    def unanswered(machine: Machine, taken: bool, now_us: int) -> None:
-        """A call to a silent machine was not answered; `taken`: the connection was made, or refused by it."""
+    def unanswered(self, machine: Machine, taken: bool, called_us: int, now_us: int) -> None:
+        """A call to a silent machine was not answered; `taken`: the connection was made, or refused by it.
+
+        One that was made before there was a way to the zone says nothing, though it ends after: the sample that
+        was under way at the end of a cut would else be taken for fallen.
+        """
+        if called_us < self._open.get(machine.zone, 0):
+            return
         machine.probes_failed += 1
         machine.found = TAKEN if taken else NO_WAY
         machine.asked_us = now_us
@@ -182,13 +187,13 @@
         self._silent = {machine.name for silent in zones.values() for machine in silent}
         self._shaky = {zone for zone, silent in zones.items() if len(silent) >= MANY}
         if not zones:
-            self._first_us, self._open, self._sampled = {}, set(), set()
+            self._first_us, self._open, self._sampled = {}, {}, set()
             self._told.clear()
             return Look()
         heard = self._heard(now_us)
         self._first_us = {zone: self._first_us.get(zone, now_us) for zone in zones}
-        self._open &= zones.keys()
-        self._sampled &= self._open
+        self._open = {zone: since_us for zone, since_us in self._open.items() if zone in zones}
+        self._sampled &= self._open.keys()
         look = Look()
         free = self._at_once - len(probing)
         for zone, silent in sorted(zones.items()):
@@ -221,9 +226,9 @@
             # What was called in vain before there was a way is void: at the end of a cut, all of a zone was.
             for machine in silent:
                 machine.probes_failed, machine.found = 0, ""
-            self._open.add(zone)
+            self._open[zone] = now_us
         elif not way:
-            self._open.discard(zone)
+            self._open.pop(zone, None)
             self._sampled.discard(zone)
         asked = sum(machine.probes_failed > 0 for machine in silent)
         if zone in self._open and asked >= min(SAMPLE, len(silent)):
@@ -305,7 +310,7 @@
         fits = all(any(part.take(spec) for part in trial) for spec in specs)
         fetch_s = max((spec.image_gb for spec in specs), default=0.0) / max(kind.fetch_gb_per_s, 1e-6)
         replaced_us = to_us(fetch_s + (0.0 if fits and specs else kind.boot_s))
-        if now_us - machine.reported_us < replaced_us:
+        if self._health.silent_us(machine, now_us) < replaced_us:
             return False
         if fits:
             room[:] = trial
--- a/src/tideusher/core/health.py
+++ b/src/tideusher/core/health.py
@@ -54,6 +54,10 @@
             return machine.listed == cloud.UP
         return self._surveyed_us - self._began_us > to_us(2 * self._config.settings.cloud.list_lag_s)
 
+    def silent_us(self, machine: Machine, now_us: int) -> int:
+        """For how long we have heard nothing of it; at most since our election."""
+        return now_us - (machine.reported_us or self._began_us)
+
     def silence(self, machine: Machine, now_us: int) -> str:
         """How long it has been silent, in words; one inherited may never have reported to this leader."""
         if machine.reported_us:
--- a/tests/region.py
+++ b/tests/region.py
@@ -135,7 +135,7 @@
                     cluster.falls.answered(machine, now)
                     cluster.reports.look(self.workers[name].report(), now)
                 elif machine is not None and cluster.health.is_suspect(machine, now):
-                    cluster.falls.unanswered(machine, is_ == HANGS, now)
+                    cluster.falls.unanswered(machine, is_ == HANGS, due - 1_500_000, now)
         look = cluster.look_at_silence(now, set(self.calls))
         for probe in look.probes:
             wait_s = 0.0 if self.is_.get(probe.machine.name) in (UP, MUTE) else 1.5
--- a/tests/test_falls.py
+++ b/tests/test_falls.py
@@ -98,12 +98,12 @@
 def test_evidence_counted_after_it_was_void_would_return_a_zone(region, monkeypatch):
     """The planted fault: without the guard the check above fails."""
 
-    class Never(set):
+    class Never(dict):
         def __contains__(self, zone):
             return True  # as if the way had been known all along: nothing is ever void
 
-        def __iand__(self, other):
-            return self
+        def items(self):
+            return [("a", 0)]
 
     region.turn(region.of("a"), CUT)
     region.run(12)
@@ -113,6 +113,22 @@
     assert falls(region.cluster)
 
 
+def test_a_call_made_before_the_way_was_known_says_nothing_though_it_ends_after(region):
+    region.turn(region.of("a"), CUT)
+    region.run(6)
+    calls, names = region.cluster.falls, region.of("a")
+    called_us = region.clock.now_us()
+    region.cluster.falls.linked = {"a"}
+    region.run(0.25)
+    region.calls.clear()
+    for name in names[:10]:
+        calls.unanswered(region.cluster.machines[name], False, called_us - 1, region.clock.now_us())
+    assert not region.cluster.look_at_silence(region.clock.now_us(), set(names)).fallen
+    for name in names[:10]:
+        calls.unanswered(region.cluster.machines[name], False, region.clock.now_us(), region.clock.now_us())
+    assert region.cluster.look_at_silence(region.clock.now_us(), set(names)).fallen
+
+
 @pytest.mark.parametrize("seconds", [5, 12, 30])
 def test_most_of_a_zone_cut_off_keeps_the_rules_whatever_is_taken_for_dead(region, seconds):
     specs = [service(4) for _ in range(6)]
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -474,7 +474,10 @@
     machine = Machine("host-1", TYPE.name, "a", True, "r", 16.0, 4.0, 64.0, 0)
     leader._probing.add(machine.name)
     leader._probe(7, machine)
-    assert leader._inbox.get_nowait()[:2] == ("unanswered", (7, machine, False)) and not leader._probing
+    assert (
+        leader._inbox.get_nowait()[:2] == ("unanswered", (7, machine, False, bed.clock.now_us()))
+        and not leader._probing
+    )
 
 
 @pytest.mark.parametrize("seed", range(30))
