The record of a fall says when each job was whole again, and what still waits and why

Cause: the issue asks for what was rebuilt when, and for what still waits; the record told sums only.

--- a/src/tideusher/cli.py
+++ b/src/tideusher/cli.py
@@ -174,7 +174,9 @@
         state = f"all whole after {whole} s" if whole is not None else f"{row['jobs_whole']} whole again"
         click.echo(f"  {row['tasks_lost']} tasks of {row['jobs']} jobs lost; {state}")
         for job, count in row["most_lost"].items():
-            click.echo(f"  lost {count} of {job}")
+            after_s, why = row["whole_again_after_s"].get(job), row.get("still_waiting", {}).get(job)
+            more = f"whole again after {after_s} s" if after_s is not None else why or "not whole again"
+            click.echo(f"  {job}: {count} lost, {more}")
     if not rows:
         click.echo("none")
 
--- a/src/tideusher/core/explain.py
+++ b/src/tideusher/core/explain.py
@@ -129,8 +129,21 @@
 
 
 def falls(cluster: Cluster) -> list[dict[str, Any]]:
-    """The falls on record, the newest first."""
-    return [told_fall(fall.name, fall.value()) for fall in reversed(cluster.recovery.falls.values())]
+    """The falls on record, the newest first; with what still waits, and why."""
+    rows = []
+    for fall in reversed(cluster.recovery.falls.values()):
+        hurt = cluster.recovery.still_waiting(fall)
+        waits = {job.spec.id: _still(job) for job in hurt[:MAX_NAMED]}
+        rows.append(told_fall(fall.name, fall.value()) | {"still_waiting": waits})
+    return rows
+
+
+def _still(job: Job) -> str:
+    """Why a job that a fall hurt is not whole again."""
+    if job.pending > 0:
+        return f"{job.pending} tasks wait for {job.waits_for}"
+    images = sum(task.running_us is None for task in job.live.values())
+    return f"{images} tasks have a place and do not run yet"
 
 
 def teams(cluster: Cluster) -> list[dict[str, Any]]:
--- a/src/tideusher/core/recovery.py
+++ b/src/tideusher/core/recovery.py
@@ -43,6 +43,7 @@
     machines: int = 0
     tasks: int = 0
     jobs: dict[str, int] = field(default_factory=dict)  # tasks lost, by job
+    back: dict[str, int] = field(default_factory=dict)  # when each of these was whole again, or over
     whole: int = 0  # jobs that have been whole again since, or are over
     whole_us: int = 0  # when the last of them was
     parts: dict[int, list[str]] = field(default_factory=dict)
@@ -59,6 +60,7 @@
             "machines": self.machines,
             "tasks": self.tasks,
             "jobs": dict(most),
+            "back": {job: self.back[job] for job, _ in most if job in self.back},
             "of": len(self.jobs),
             "whole": self.whole,
             "whole_at": self.whole_us,
@@ -76,6 +78,7 @@
         value["machines"],
         value["tasks"],
         dict(value["jobs"]),
+        dict(value.get("back", {})),
         value["whole"],
         value["whole_at"],
     )
@@ -96,6 +99,9 @@
         "jobs_whole": value["whole"],
         "whole_after_s": round(to_s(whole_at - value["began"]), 1) if whole_at else None,
         "most_lost": value["jobs"],
+        "whole_again_after_s": {
+            job: round(to_s(at - value["began"]), 1) for job, at in value.get("back", {}).items()
+        },
     }
 
 
@@ -197,6 +203,8 @@
         hurt = self._hurt.setdefault(job.spec.id, _Hurt(fall))
         hurt.fall = fall
         hurt.owed += 1
+        if fall.back.pop(job.spec.id, None) is not None:
+            fall.whole -= 1  # it was whole, and lost more
         self._c.metrics.count("fall_tasks_lost", fall.zone)
 
     def returned(self, machine: Machine) -> None:
@@ -221,6 +229,7 @@
             if job is None or job.status != OPEN or (hurt.owed <= 0 and self._runs(job)):
                 del self._hurt[job_id]
                 hurt.fall.whole += 1
+                hurt.fall.back[job_id] = self._c.wall_us()
                 done[hurt.fall.name] = hurt.fall
         for fall in done.values():
             if not self._mends(fall):
@@ -251,6 +260,11 @@
         if hurt is not None:
             hurt.owed -= count
 
+    def still_waiting(self, fall: Fall) -> list[Job]:
+        """Open jobs that this fall hurt last and that are not whole again, those that lost most first."""
+        jobs = [self._c.jobs[name] for name, hurt in self._hurt.items() if hurt.fall is fall and name in self._c.jobs]
+        return sorted(jobs, key=lambda job: (-fall.jobs.get(job.spec.id, 0), job.spec.id))
+
     def waiting(self) -> int:
         """Tasks that a fall took and that wait for a new place, those of jobs that may have one now."""
         count = 0
@@ -300,7 +314,7 @@
         for fall in self.falls.values():
             for job_id in fall.jobs if not fall.whole_us else ():
                 job = self._c.jobs.get(job_id)
-                if job is not None and job.status == OPEN:
+                if job is not None and job.status == OPEN and job_id not in fall.back:
                     self._hurt[job_id] = _Hurt(fall, min(fall.jobs[job_id], job.pending))
 
     def _write(self, fall: Fall) -> None:
--- a/tests/test_falls.py
+++ b/tests/test_falls.py
@@ -425,9 +425,12 @@
     told = explain_job(region.cluster, spec.id, region.clock.now_us())
     name = falls(region.cluster)[0]["fall"]
     assert any(f"Fall {name}" in reason and "took 8 of its tasks" in reason for reason in told["reasons"])
+    waits = falls(region.cluster)[0]["still_waiting"][spec.id]
+    assert waits.startswith("8 tasks wait for")
     assert any(f"(fall {name})" in stop["reason"] for stop in told["stops"])
     region.run(60)
     region.next_leader()
     (fall,) = falls(region.cluster)
     assert fall["fall"] == name and fall["tasks_lost"] == 8 and fall["jobs"] == fall["jobs_whole"] == 1
-    assert 0 < fall["known_after_s"] < fall["whole_after_s"]
+    assert 0 < fall["known_after_s"] < fall["whole_after_s"] == fall["whole_again_after_s"][spec.id]
+    assert not fall["still_waiting"]
