--- a/tests/test_falls.py
+++ b/tests/test_falls.py
@@ -1,5 +1,6 @@
 """Many machines silent at once: what is returned, what is waited for, and what is rebuilt first."""
 
+import msgspec
 import pytest
 
 from region import CUT, DEAD, HANGS, MUTE, UP, Region
@@ -11,6 +12,7 @@
 from tideusher.core.falls import ASKING, FALLEN, SAMPLE, Evidence, judge
 from tideusher.core.falls import CUT as CUT_OFF
 from tideusher.core.gather import Request
+from tideusher.core.recovery import Fall, read_fall
 
 
 def service(tasks=4, team="red", **fields):
@@ -434,3 +436,13 @@
     assert fall["fall"] == name and fall["tasks_lost"] == 8 and fall["jobs"] == fall["jobs_whole"] == 1
     assert 0 < fall["known_after_s"] < fall["whole_after_s"] == fall["whole_again_after_s"][spec.id]
     assert not fall["still_waiting"]
+
+
+def test_the_largest_record_of_a_fall_stays_within_the_smallest_value_limit():
+    jobs = {f"req-{10**18 + n}": 100_000 for n in range(400)}
+    at_us = 1_800_000_000_000_000
+    fall = Fall("9" * 12 + "-99", "z" * 30, at_us, at_us, "w" * 200, 600, 40_000_000, jobs)
+    fall.back = dict.fromkeys(jobs, at_us)
+    fall.whole, fall.whole_us = 400, at_us
+    assert len(msgspec.json.encode(fall.value())) < 4096
+    assert read_fall(fall.name, fall.value()).back.keys() == set(list(jobs)[:40])
