Critical work on machines that hang has at once what makes way for it

Change: the room that a hang's tasks could have counts, for critical work, what it may stop, and free room even when other work waits.

--- a/src/tideusher/core/cluster.py
+++ b/src/tideusher/core/cluster.py
@@ -28,6 +28,7 @@
     ASSIGNED,
     CHUNK_TASKS,
     COMMITTING,
+    CRITICAL,
     JOB_CANCELLED,
     JOB_DONE,
     NO_ROOM,
@@ -119,7 +120,7 @@
         self.ledger = Ledger(settings.teams, policy, now_us)
         self.fleet = Fleet(policy, settings.objectives)
         self.health = Health(config, policy, self.machines, self.fleet, now_us)
-        self.falls = Falls(config, self.machines, lambda: self.fleet.types, self.health, self._crowded)
+        self.falls = Falls(config, self.machines, lambda: self.fleet.types, self.health, self._crowded, self._yields)
         self.recovery = Recovery(self)
         self.reports = Reports(self)
         self.conditions = Conditions(self, record_of)
@@ -635,6 +636,9 @@
     def _crowded(self) -> bool:
         return any(job.waits and job.waits_for == NO_ROOM for job in self.active.values())
 
+    def _yields(self, job: Job) -> bool:
+        return job.spec.rank > CRITICAL and not job.is_gang and not self.min_run_us(job)
+
     def look_at_silence(self, now_us: int, probing: Set[str]) -> Look:
         """Judge who has fallen silent and ask for the return of those that have fallen; returns whom to call."""
         look = self.falls.look(now_us, probing)
--- a/src/tideusher/core/falls.py
+++ b/src/tideusher/core/falls.py
@@ -21,7 +21,7 @@
 from tideusher.config import Config
 from tideusher.core.health import Health
 from tideusher.core.placement import slots_in
-from tideusher.core.records import RETURNING, UP, Machine
+from tideusher.core.records import CRITICAL, RETURNING, UP, Job, Machine
 from tideusher.wire.cloud import MachineType
 from tideusher.wire.jobs import JobSpec
 
@@ -95,16 +95,22 @@
 
 @dataclass(slots=True)
 class _Room:
-    """What is free on a machine, less what was counted on already."""
+    """What is free on a machine, less what was counted on already; for critical work also what makes way for it."""
 
     machine: Machine
     cpus: float
     gpus: float
     ram: float
+    more: tuple[float, float, float]  # cpus, gpus and ram that work without protected time holds
+    spoken_for: bool  # other work waits that will take what is free
 
     def take(self, spec: JobSpec) -> bool:
         """Count on room for one task of the job, if there is any that it may use."""
-        if not (self.machine.allows(spec) and slots_in(self.cpus, self.gpus, self.ram, spec)):
+        critical = spec.rank == CRITICAL
+        cpus, gpus, ram = self.more if critical else (0.0, 0.0, 0.0)
+        if self.spoken_for and not critical:
+            return False
+        if not (self.machine.allows(spec) and slots_in(self.cpus + cpus, self.gpus + gpus, self.ram + ram, spec)):
             return False
         self.cpus -= spec.cpus
         self.gpus -= spec.gpus
@@ -131,9 +137,11 @@
         types: Callable[[], dict[str, MachineType]],
         health: Health,
         crowded: Callable[[], bool],
+        yields: Callable[[Job], bool],
     ) -> None:
         self._machines, self._types, self._health = machines, types, health
         self._crowded = crowded  # does work wait for room on a machine? Then what is free is spoken for
+        self._yields = yields  # may work of the highest rank stop this job's tasks at any time?
         self._report_us = to_us(config.settings.workers.report_s)
         self._at_once = max(SAMPLE, min(AT_ONCE, config.settings.resources.max_sockets // SOCKETS_PART))
         #: Zones of which a controller that we hear hears none of its workers; told by whoever runs us.
@@ -299,8 +307,9 @@
     def _replace(self, machine: Machine, room: "list[_Room]", now_us: int) -> bool:
         """Has the machine hung for as long as having its tasks elsewhere would take?
 
-        With free room for all of them that is one fetch, else a boot on top. Room that was counted on for one
-        machine's tasks is not counted on for the next one's.
+        With room for all of them that is one fetch, else a boot on top. Room is what is free, unless other work
+        waits for it; for critical work also what work without protected time holds, as that is stopped for it.
+        Room that was counted on for one machine's tasks is not counted on for the next one's.
         """
         kind = self._types().get(machine.type)
         if kind is None:
@@ -317,11 +326,16 @@
         return True
 
     def _free_room(self, now_us: int) -> "list[_Room]":
-        """What is free on machines that are heard, unless work waits that will take it."""
-        if self._crowded():
-            return []
-        heard = [m for m in self._heard(now_us) if not m.draining and m.free_gpus > 0]
-        return [_Room(m, m.free_cpus, m.free_gpus, m.free_ram) for m in heard]
+        """What the tasks of machines that hang could have at once on machines that are heard."""
+        crowded, out = self._crowded(), []
+        for machine in self._heard(now_us):
+            if machine.draining:
+                continue
+            weak = [task.job.spec for task in machine.tasks.values() if self._yields(task.job)]
+            more = (sum(s.cpus for s in weak), sum(s.gpus for s in weak), sum(s.ram_gb for s in weak))
+            if machine.free_gpus > 0 or weak:
+                out.append(_Room(machine, machine.free_cpus, machine.free_gpus, machine.free_ram, more, crowded))
+        return out
 
     @staticmethod
     def _by_zone(machines: Iterable[Machine]) -> dict[str, list[Machine]]:
--- a/src/tideusher/core/records.py
+++ b/src/tideusher/core/records.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from tideusher.wire.jobs import GANG, SERVICE, JobSpec
+from tideusher.wire.jobs import GANG, PRIORITIES, SERVICE, JobSpec
 from tideusher.wire.workers import FETCHING, WAITING
 
 #: Tasks per chunk record: at most some 30 bytes a task, well inside the smallest value limit.
@@ -22,6 +22,7 @@
 ASSIGNED = "assigned"  # persisted; `run` goes out with answers to reports
 SEEN = "seen"  # the worker has listed it
 
+CRITICAL = PRIORITIES.index("critical")  # the highest rank
 #: What a job waits for that only a machine can give.
 NO_ROOM = "room on a machine"
 
--- a/src/tideusher/core/recovery.py
+++ b/src/tideusher/core/recovery.py
@@ -12,13 +12,11 @@
 from tideusher.clock import SECOND_US, to_s
 from tideusher.core import keys
 from tideusher.core.keeper import Entry
-from tideusher.core.records import OPEN, RETURNING, Job, Machine
-from tideusher.wire.jobs import PRIORITIES
+from tideusher.core.records import CRITICAL, OPEN, RETURNING, Job, Machine
 
 if TYPE_CHECKING:
     from tideusher.core.cluster import Cluster
 
-CRITICAL = PRIORITIES.index("critical")
 LOST_ALL, LOST_SOME, EVERYBODY = 0, 1, 2
 #: Machines of a zone that are found within this time of each other belong to one fall.
 SAME_US = 15 * SECOND_US
--- a/tests/test_falls.py
+++ b/tests/test_falls.py
@@ -175,6 +175,22 @@
     assert region.up_of(spec) == 8
 
 
+def test_critical_work_that_hangs_has_batchs_room_at_once_and_batch_waits(region):
+    spec = service(8, spread=False, zone="a")
+    region.start(spec)
+    region.start(*[job("batch", 76, team=team, estimate_s=900.0) for team in ("red", "blue")])
+    region.run(5)
+    held = {task.machine.name for task in region.cluster.jobs[spec.id].live.values()}
+    others = [name for name in region.of("a") if name not in held][:10]
+    region.turn([*held, *others], HANGS)
+    region.run(18)
+    assert held <= region.gone.keys() and not set(others) & region.gone.keys()
+    assert region.up_of(spec) == 8  # a boot takes 20 s
+    region.turn(others, UP)
+    region.run(10)
+    assert not set(others) & region.gone.keys()
+
+
 def test_a_leader_that_no_call_leaves_returns_nobody(region):
     # A leader that a packet filter cuts off from workers hears those of other gateways and reaches none itself.
     region.cluster.falls.answered = lambda machine, now_us: None
