Metrics of falls count a fall once, and its machines at all

Cause: found by rereading the change: tideusher_falls_total grew with each look that found machines of a fall, and tideusher_fall_machines_total counted none since the names are written in parts, which used up the list. Change: a fall is counted when its record is made, machines before they are written. Decisions are as before.

--- a/src/tideusher/core/recovery.py
+++ b/src/tideusher/core/recovery.py
@@ -131,6 +131,7 @@
         silent_us = max((now_us - machine.reported_us for machine, _ in machines if machine.reported_us), default=0)
         fall = self._fall_of(zone, silent_us, machines[0][1])
         fall.machines += len(machines)
+        self._c.metrics.count("fall_machines", zone, len(machines))
         self._c.log.info("fall %s: %d machines of %s, %s", fall.name, len(machines), zone, machines[0][1])
         # Those first whose tasks are the most urgent to have back.
         machines.sort(key=lambda item: min((t.job.spec.rank for t in item[0].tasks.values()), default=99))
@@ -145,8 +146,6 @@
                 names.append(machine.name)
             self._c.keeper.touch(self._part_entry(fall, number), self._to_return([machine for machine, _ in some]))
         self._write(fall)
-        self._c.metrics.count("falls", zone)
-        self._c.metrics.count("fall_machines", zone, len(machines))
 
     def _part_with_room(self, fall: Fall, size: int) -> int:
         """The last part if it still waits to be written and holds more names, else a new one.
@@ -179,6 +178,7 @@
         self._count += 1
         fall = Fall(f"{self._c.token}-{self._count}", zone, wall_us - silent_us, wall_us, why)
         self.falls[fall.name] = fall
+        self._c.metrics.count("falls", zone)
         self._c.metrics.detected(zone, to_s(silent_us))
         for old in list(self.falls.values())[:-FALLS_KEPT]:
             if not old.parts and not self._mends(old):
@@ -194,9 +194,7 @@
         if fall is None or job.status != OPEN:
             return
         fall.tasks += 1
-        if job.spec.id not in fall.jobs:
-            fall.jobs[job.spec.id] = 0
-        fall.jobs[job.spec.id] += 1
+        fall.jobs[job.spec.id] = fall.jobs.get(job.spec.id, 0) + 1
         fall.whole_us = 0
         hurt = self._hurt.setdefault(job.spec.id, _Hurt(fall))
         hurt.fall = fall
--- a/tests/test_falls.py
+++ b/tests/test_falls.py
@@ -59,6 +59,8 @@
     assert set(region.gone.values()) == {DEAD}
     (fall,) = falls(region.cluster)
     assert (fall["machines"], fall["zone"]) == (len(dying), "a")
+    counts = region.cluster.metrics.counts  # one fall, in however many looks its machines were found
+    assert (counts["falls", "a"], counts["fall_machines", "a"]) == (1, len(dying))
     assert "others of its zone are heard" in fall["evidence"]
 
 
