Core in three rooms: picture, decisions, what a leader runs; no circle of imports

Five files of the core formed a circle (cluster, conditions, limits, recovery, reports) and two of the actors another, in one flat folder of 4,900 lines; a standby is to follow the picture without the decisions. Files moved, imports rewritten; decisions name what they need of the picture as a protocol of their own; job and rental records have files; replies are apart from users.

--- a/src/tideusher/actors/election.py
+++ b/src/tideusher/actors/election.py
@@ -11,7 +11,7 @@
 from tideusher.actors.store import Conflict, NoLease, Store, Unavailable
 from tideusher.clock import Clock
 from tideusher.config import Config, Policy
-from tideusher.core import keys
+from tideusher.core.picture import keys
 from tideusher.wire import state
 
 
--- a/src/tideusher/actors/gateway.py
+++ b/src/tideusher/actors/gateway.py
@@ -19,10 +19,10 @@
 from tideusher.actors.store import Store
 from tideusher.clock import Clock, to_s
 from tideusher.config import Config
-from tideusher.core import keys
-from tideusher.core.bounds import may_answer
-from tideusher.core.records import JOB_CANCELLED
-from tideusher.core.routing import Directions, Door, Ear
+from tideusher.core.decide.bounds import may_answer
+from tideusher.core.decide.routing import Directions, Door, Ear
+from tideusher.core.picture import keys
+from tideusher.core.picture.records import JOB_CANCELLED
 from tideusher.wire import workers
 from tideusher.wire.peers import ForwardReport
 
--- a/src/tideusher/actors/leader.py
+++ b/src/tideusher/actors/leader.py
@@ -14,12 +14,14 @@
 from tideusher.actors.store import Conflict, NoLease, Store, Unavailable
 from tideusher.clock import Clock, to_us
 from tideusher.config import Config, Policy
-from tideusher.core import explain, keys
-from tideusher.core.bounds import may_answer
-from tideusher.core.cluster import Cluster, Rental
-from tideusher.core.engine import Engine
-from tideusher.core.keeper import Batch
-from tideusher.core.records import RETURNING, UP, Machine
+from tideusher.core.decide.bounds import may_answer
+from tideusher.core.lead import explain
+from tideusher.core.lead.cluster import Cluster
+from tideusher.core.lead.engine import Engine
+from tideusher.core.picture import keys
+from tideusher.core.picture.keeper import Batch
+from tideusher.core.picture.records import RETURNING, UP, Machine
+from tideusher.core.picture.rentals import Rental
 from tideusher.metrics import Metrics
 from tideusher.wire import cloud as cloud_wire
 from tideusher.wire import workers
@@ -185,7 +187,7 @@
         ):
             return [None] * len(reports)
         answers = [
-            workers.Commands(engine.token, engine.cluster.reports.answer(report, now_us))
+            workers.Commands(engine.token, engine.reports.answer(report, now_us))
             if report.token <= engine.token
             else None
             for report in reports
@@ -335,7 +337,7 @@
         except msgspec.DecodeError as error:
             self.log.error("bad answer of a worker: %s", error)
             return
-        engine.cluster.reports.look(report, self._clock.now_us())
+        engine.reports.look(report, self._clock.now_us())
         self._act(engine)
 
     def _probe(self, token: int, machine: Machine) -> None:
--- a/src/tideusher/actors/questions.py
+++ b/src/tideusher/actors/questions.py
@@ -8,13 +8,13 @@
 from tideusher.actors.election import Election
 from tideusher.actors.leader import Leader
 from tideusher.actors.peers import Peers
+from tideusher.actors.replies import Reply, refusal
 from tideusher.actors.store import Store
-from tideusher.actors.users import Reply, refusal
 from tideusher.config import Config
-from tideusher.core import keys
-from tideusher.core.explain import told_end, told_stops
-from tideusher.core.records import JOB_CANCELLED, JOB_DONE
-from tideusher.core.recovery import told_fall
+from tideusher.core.decide.recovery import told_fall
+from tideusher.core.lead.explain import told_end, told_stops
+from tideusher.core.picture import keys
+from tideusher.core.picture.records import JOB_CANCELLED, JOB_DONE
 from tideusher.wire.peers import Ask
 
 ASK_S = 1.5
--- a/src/tideusher/actors/scripts.py
+++ b/src/tideusher/actors/scripts.py
@@ -3,17 +3,18 @@
 Loaded when the first script comes; a node that takes none never loads it, nor what it rests on.
 """
 
-from collections.abc import Callable
+import logging
+from collections.abc import Callable, Sequence
 from datetime import UTC, datetime, timedelta, timezone
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 import msgspec
 
+from tideusher.actors.replies import Reply, refusal
 from tideusher.actors.store import BURST_WRITES, Store, Unavailable
-from tideusher.actors.users import Reply, Users, refusal
 from tideusher.clock import Clock, to_s
 from tideusher.config import Config
-from tideusher.core import keys
+from tideusher.core.picture import keys
 from tideusher.pbs import Refusal, read_script, translate
 from tideusher.pbs.ids import pbs_id
 from tideusher.pbs.keep import Damaged, TooLong, expand, pack
@@ -29,10 +30,25 @@
 _decode: Callable[[bytes], ScriptRequest] = msgspec.json.Decoder(ScriptRequest).decode
 
 
+class Acceptance(Protocol):
+    """What scripts need of the users' part."""
+
+    log: logging.Logger
+
+    def accept(self, spec: wire.JobSpec, more: Sequence[state.Write] = ()) -> Reply:
+        """Accept a job with what else is to be written together with it."""
+
+    def poll(self, job_id: str) -> Reply:
+        """The job's state."""
+
+    def known_ref(self, body: bytes) -> Reply | None:
+        """The state of the job that the body names, if it is known."""
+
+
 class Scripts:
     """Knows the profile; acceptance is the users' part's, so that scripts get no rule of their own."""
 
-    def __init__(self, config: Config, clock: Clock, store: Store, users: Users, profile: "Profile") -> None:
+    def __init__(self, config: Config, clock: Clock, store: Store, users: Acceptance, profile: "Profile") -> None:
         self._clock, self._store, self._users, self._profile = clock, store, users, profile
         self._value_bytes = int(config.settings.state.value_kb * 1024)
         # One write is the job's own record. A node must be able to write all of it within a user's patience,
--- a/src/tideusher/actors/store.py
+++ b/src/tideusher/actors/store.py
@@ -17,7 +17,7 @@
 from tideusher.actors.http import CallFailed, HttpClient
 from tideusher.clock import SECOND_US, Clock
 from tideusher.config import Config
-from tideusher.core import keys
+from tideusher.core.picture import keys
 from tideusher.metrics import Metrics
 from tideusher.wire import state
 
--- a/src/tideusher/actors/users.py
+++ b/src/tideusher/actors/users.py
@@ -2,18 +2,18 @@
 
 import logging
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Annotated, Any
 
 import msgspec
 
+from tideusher.actors.replies import Reply, refusal
 from tideusher.actors.store import Busy, Conflict, NoLease, Store, Unavailable
 from tideusher.clock import Clock
 from tideusher.config import Config
-from tideusher.core import keys
-from tideusher.core.cluster import held_value, holder, open_value, shrunk_value
-from tideusher.core.conditions import hopeless
-from tideusher.core.records import CHUNK_TASKS, JOB_CANCELLED, JOB_DONE, OPEN
+from tideusher.core.decide.conditions import hopeless
+from tideusher.core.picture import keys
+from tideusher.core.picture.records import CHUNK_TASKS, JOB_CANCELLED, JOB_DONE, OPEN
+from tideusher.core.picture.values import held_value, holder, open_value, shrunk_value
 from tideusher.wire import jobs as wire
 from tideusher.wire.cloud import MachineType
 from tideusher.wire.jobs import InvalidJob, JobSpec, JobStatus
@@ -27,20 +27,6 @@
 PATIENCE_S = 2.0
 
 
-@dataclass(frozen=True)
-class Reply:
-    """An HTTP answer to a user."""
-
-    status: int
-    body: Any
-    headers: list[tuple[str, str]] = field(default_factory=list)
-
-
-def refusal(status: int, reason: str) -> Reply:
-    """A refusal in one line, at once."""
-    return Reply(status, {"error": reason}, retry_later(status))
-
-
 class HoldRequest(msgspec.Struct):
     """The body of a hold; all of it may be missing."""
 
@@ -53,11 +39,6 @@
     tasks: Annotated[int, msgspec.Meta(ge=1)] = msgspec.field(name="pieces")
 
 
-def retry_later(status: int) -> list[tuple[str, str]]:
-    """What cannot be taken now is told when to come back, instead of being held."""
-    return [("Retry-After", "1")] if status in (429, 503) else []
-
-
 class Users:
     """Stateless beside the mirror: every acceptance and cancellation is a guarded transaction."""
 
--- a/src/tideusher/core/conditions.py
+++ b/src/tideusher/core/decide/conditions.py
@@ -7,18 +7,16 @@
 """
 
 import heapq
+import logging
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, Any
+from typing import Any, Protocol
 
 from tideusher.clock import to_us
-from tideusher.core.records import JOB_DONE, OPEN, Job
+from tideusher.core.picture.records import JOB_DONE, OPEN, Job
 from tideusher.wire.jobs import AFTER, AFTER_NOT_OK, AFTER_OK, CANCELLED, DONE, After
 
-if TYPE_CHECKING:
-    from tideusher.core.cluster import Cluster
-
 #: After so many judgements a pass lets others have their turn.
 PIECE = 500
 
@@ -76,10 +74,28 @@
     return never(after.on, news) if verdict(after.on, news) is False else ""
 
 
+class Jobs(Protocol):
+    """What this needs of the leader's picture: the jobs, and what becomes of them."""
+
+    jobs: dict[str, Job]
+    dirty: bool
+    wall_us: Callable[[], int]
+    log: logging.Logger
+
+    def park_or_wake(self, job: Job, now_us: int) -> None:
+        """Its conditions are others now."""
+
+    def take_back(self, job: Job) -> None:
+        """Give up what was not committed."""
+
+    def end(self, job: Job, why: str) -> None:
+        """It can never run."""
+
+
 class Conditions:
     """Owns who waits for whom. The jobs, and what becomes of them, are the cluster's."""
 
-    def __init__(self, cluster: "Cluster", record_of: RecordOf) -> None:
+    def __init__(self, cluster: Jobs, record_of: RecordOf) -> None:
         self._c = cluster
         self._record_of = record_of
         # Open jobs that name another as one that must begin, or must end; in order of arrival.
--- a/src/tideusher/core/falls.py
+++ b/src/tideusher/core/decide/falls.py
@@ -19,9 +19,9 @@
 
 from tideusher.clock import SECOND_US, to_s, to_us
 from tideusher.config import Config
-from tideusher.core.health import Health
-from tideusher.core.placement import slots_in
-from tideusher.core.records import CRITICAL, RETURNING, UP, Job, Machine
+from tideusher.core.decide.health import Health
+from tideusher.core.decide.placement import slots_in
+from tideusher.core.picture.records import CRITICAL, RETURNING, UP, Job, Machine
 from tideusher.wire.cloud import MachineType
 from tideusher.wire.jobs import JobSpec
 
--- a/src/tideusher/core/fleet.py
+++ b/src/tideusher/core/decide/fleet.py
@@ -9,9 +9,9 @@
 
 from tideusher.clock import SECOND_US, to_s, to_us
 from tideusher.config import Objective, Policy
-from tideusher.core.gather import BEST, NONE, OTHER, Request
-from tideusher.core.placement import Demand, slots_in
-from tideusher.core.records import BOOTING, UP, Machine, allowed_on
+from tideusher.core.decide.gather import BEST, NONE, OTHER, Request
+from tideusher.core.decide.placement import Demand, slots_in
+from tideusher.core.picture.records import BOOTING, UP, Machine, allowed_on
 from tideusher.wire.cloud import MachineType
 from tideusher.wire.jobs import SERVICE, JobSpec
 
--- a/src/tideusher/core/gather.py
+++ b/src/tideusher/core/decide/gather.py
@@ -10,8 +10,8 @@
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
 
-from tideusher.core.placement import slots, slots_in
-from tideusher.core.records import BOOTING, UP, Job, Machine
+from tideusher.core.decide.placement import slots, slots_in
+from tideusher.core.picture.records import BOOTING, UP, Job, Machine
 
 #: What a zone offers a job: the kind of machine that it is best rented on, another, or none now.
 BEST, OTHER, NONE = 0, 1, 2
--- a/src/tideusher/core/health.py
+++ b/src/tideusher/core/decide/health.py
@@ -2,8 +2,8 @@
 
 from tideusher.clock import to_s, to_us
 from tideusher.config import Config, Policy
-from tideusher.core.fleet import Fleet
-from tideusher.core.records import BOOTING, UP, Machine
+from tideusher.core.decide.fleet import Fleet
+from tideusher.core.picture.records import BOOTING, UP, Machine
 from tideusher.wire import cloud
 
 
--- a/src/tideusher/core/limits.py
+++ b/src/tideusher/core/decide/limits.py
@@ -9,19 +9,29 @@
 
 import heapq
 import itertools
-from typing import TYPE_CHECKING
+from collections.abc import Callable
+from typing import Protocol
 
 from tideusher.clock import SECOND_US, to_us
-from tideusher.core.records import Task
+from tideusher.core.picture.records import Job, Task
 
-if TYPE_CHECKING:
-    from tideusher.core.cluster import Cluster
+
+class Tasks(Protocol):
+    """What this needs of the leader's picture."""
+
+    wall_us: Callable[[], int]
+
+    def touch_chunk(self, job: Job, index: int, effect: None = None, urgent: bool = True) -> None:
+        """The record that holds this task is to be written."""
+
+    def over_limit(self, task: Task) -> None:
+        """Stop it for good."""
 
 
 class Limits:
     """Owns the ends of running tasks' limits, the next first."""
 
-    def __init__(self, cluster: "Cluster") -> None:
+    def __init__(self, cluster: Tasks) -> None:
         self._c = cluster
         self._numbers = itertools.count()
         self._ends: list[tuple[int, int, Task]] = []
--- a/src/tideusher/core/order.py
+++ b/src/tideusher/core/decide/order.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Iterable
 
 from tideusher.clock import to_us
-from tideusher.core.records import Job
+from tideusher.core.picture.records import Job
 
 
 def order_jobs(
--- a/src/tideusher/core/preempt.py
+++ b/src/tideusher/core/decide/preempt.py
@@ -11,8 +11,8 @@
 from zlib import crc32
 
 from tideusher.config import Policy
-from tideusher.core.placement import slots_in
-from tideusher.core.records import COMMITTING, Job, Machine, Task
+from tideusher.core.decide.placement import slots_in
+from tideusher.core.picture.records import COMMITTING, Job, Machine, Task
 
 
 @dataclass(frozen=True)
--- a/src/tideusher/core/recovery.py
+++ b/src/tideusher/core/decide/recovery.py
@@ -5,17 +5,17 @@
 could start again. A later leader that finds them asks for their return again and uses none of them (safety 5).
 """
 
+import logging
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, Any
+from typing import Any, Protocol
 
 from tideusher.clock import SECOND_US, to_s
-from tideusher.core import keys
-from tideusher.core.keeper import Entry
-from tideusher.core.records import CRITICAL, OPEN, RETURNING, Job, Machine
-
-if TYPE_CHECKING:
-    from tideusher.core.cluster import Cluster
+from tideusher.config import Config
+from tideusher.core.picture import keys
+from tideusher.core.picture.keeper import Entry, Keeper
+from tideusher.core.picture.records import CRITICAL, OPEN, RETURNING, Job, Machine
+from tideusher.metrics import Metrics
 
 LOST_ALL, LOST_SOME, EVERYBODY = 0, 1, 2
 #: Machines of a zone that are found within this time of each other belong to one fall.
@@ -111,10 +111,27 @@
     owed: int = 0
 
 
+class Machines(Protocol):
+    """What this needs of the leader's picture: machines, jobs, and the way to their records."""
+
+    token: int
+    config: Config
+    jobs: dict[str, Job]
+    machines: dict[str, Machine]
+    keeper: Keeper
+    to_return: list[Machine]
+    metrics: Metrics
+    wall_us: Callable[[], int]
+    log: logging.Logger
+
+    def set_returning(self, machine: Machine, reason: str) -> None:
+        """It is never used again."""
+
+
 class Recovery:
     """Falls under way and on record, and the jobs that are not whole again."""
 
-    def __init__(self, cluster: "Cluster") -> None:
+    def __init__(self, cluster: Machines) -> None:
         self._c = cluster
         self.falls: dict[str, Fall] = {}
         self._count = 0
--- a/src/tideusher/core/cluster.py
+++ b/src/tideusher/core/lead/cluster.py
@@ -7,7 +7,7 @@
 
 import logging
 from collections.abc import Callable, Iterable, Mapping, Set
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from functools import partial
 from typing import Any
 
@@ -15,16 +15,17 @@
 
 from tideusher.clock import to_s, to_us
 from tideusher.config import Config, Policy, Team
-from tideusher.core import keys
-from tideusher.core.conditions import Conditions, RecordOf
-from tideusher.core.falls import MANY, Falls, Look
-from tideusher.core.fleet import Fleet, Wish
-from tideusher.core.health import Health
-from tideusher.core.keeper import Effect, Entry, Keeper
-from tideusher.core.ledger import Ledger
-from tideusher.core.limits import Limits
-from tideusher.core.preempt import Standing
-from tideusher.core.records import (
+from tideusher.core.decide.conditions import Conditions, RecordOf
+from tideusher.core.decide.falls import MANY, Falls, Look
+from tideusher.core.decide.fleet import Fleet, Wish
+from tideusher.core.decide.health import Health
+from tideusher.core.decide.limits import Limits
+from tideusher.core.decide.preempt import Standing
+from tideusher.core.decide.recovery import Recovery
+from tideusher.core.picture import keys
+from tideusher.core.picture.keeper import Effect, Entry, Keeper
+from tideusher.core.picture.ledger import Ledger
+from tideusher.core.picture.records import (
     ASSIGNED,
     CHUNK_TASKS,
     COMMITTING,
@@ -42,8 +43,8 @@
     chunk_value,
     read_chunk,
 )
-from tideusher.core.recovery import Recovery
-from tideusher.core.reports import Reports
+from tideusher.core.picture.rentals import Rental
+from tideusher.core.picture.values import MAX_STOPS_KEPT, final_value, holder, over_limit_reason
 from tideusher.metrics import Metrics
 from tideusher.wire import workers
 from tideusher.wire.cloud import FAILED, Listed, MachineType
@@ -51,39 +52,9 @@
 from tideusher.wire.state import Guard
 from tideusher.wire.workers import Command, Report
 
-MAX_STOPS_KEPT = 6
 SHRUNK = "its user made the service smaller"
 
 
-@dataclass(slots=True, eq=False)
-class Rental:
-    """A rental request: persisted as an intent first, then with the machines it brought."""
-
-    name: str
-    type: str
-    zone: str
-    spot: bool
-    count: int
-    answered: bool = False
-    machines: list[str] = field(default_factory=list)
-    returning: list[str] = field(default_factory=list)
-    given_up: bool = False
-
-    def value(self) -> dict[str, Any] | None:
-        """As persisted; None once nothing of it is left."""
-        if self.given_up or (self.answered and not self.machines):
-            return None
-        return {
-            "type": self.type,
-            "zone": self.zone,
-            "spot": self.spot,
-            "count": self.count,
-            "answered": self.answered,
-            "machines": self.machines,
-            "returning": self.returning,
-        }
-
-
 @dataclass(slots=True)
 class Direct:
     """A command to send straight to a worker, beside the answers to its reports."""
@@ -122,7 +93,6 @@
         self.health = Health(config, policy, self.machines, self.fleet, now_us)
         self.falls = Falls(config, self.machines, lambda: self.fleet.types, self.health, self._crowded, self._yields)
         self.recovery = Recovery(self)
-        self.reports = Reports(self)
         self.conditions = Conditions(self, record_of)
         self.limits = Limits(self)
         self.keeper = Keeper(keys.LEADER, token, settings.state.txn_ops)
@@ -831,44 +801,3 @@
             ((t, self.min_run_us(t.job)) for m in self.machines.values() for t in m.tasks.values()), now_us
         )
         self.keeper.touch(self._entry(keys.RATIOS, lambda: self.ledger.to_value(now_us)), urgent=False)
-
-
-def open_value(spec: JobSpec, wall_us: int) -> dict[str, Any]:
-    """A job's own record as accepted; held from the start if it says so."""
-    value = {"st": OPEN, "at": wall_us, "spec": msgspec.to_builtins(spec)}
-    return held_value(value, spec.hold) if spec.hold else value
-
-
-def held_value(value: dict[str, Any], by: str) -> dict[str, Any]:
-    """An open job's record with a hold on it; without one if `by` is empty."""
-    rest = {name: part for name, part in value.items() if name != "hold"}
-    return {**rest, "hold": by} if by else rest
-
-
-def holder(value: dict[str, Any]) -> str:
-    """Who holds the job of this record; empty: nobody."""
-    return value.get("hold", "")
-
-
-def shrunk_value(value: dict[str, Any], tasks: int) -> dict[str, Any]:
-    """An open service's record with fewer tasks; as it is if it has no more than that."""
-    if value["spec"]["pieces"] <= tasks:
-        return value
-    return {**value, "spec": {**value["spec"], "pieces": tasks}}
-
-
-def over_limit_reason(spec: JobSpec) -> str:
-    """Why a task was stopped for good."""
-    return f"it ran longer than its job's limit of {spec.limit_s:g} s"
-
-
-def final_value(job: Job, status: str, why: str = "") -> dict[str, Any]:
-    """A job's own record once it is over: kept for ever, so kept small."""
-    value: dict[str, Any] = {"st": status, "at": job.submitted_us, "n": job.spec.tasks}
-    if why:
-        value["why"] = why
-        if job.begun:
-            value["b"] = 1
-    if job.stops:
-        value["w"] = job.stops[-MAX_STOPS_KEPT // 2 :]
-    return value
--- a/src/tideusher/core/engine.py
+++ b/src/tideusher/core/lead/engine.py
@@ -12,11 +12,13 @@
 from typing import Any
 
 from tideusher.config import Config, Policy
-from tideusher.core.cluster import Cluster, Rental
-from tideusher.core.conditions import RecordOf
-from tideusher.core.keeper import Batch
-from tideusher.core.records import Machine
-from tideusher.core.scheduler import Scheduler
+from tideusher.core.decide.conditions import RecordOf
+from tideusher.core.lead.cluster import Cluster
+from tideusher.core.lead.reports import Reports
+from tideusher.core.lead.scheduler import Scheduler
+from tideusher.core.picture.keeper import Batch
+from tideusher.core.picture.records import Machine
+from tideusher.core.picture.rentals import Rental
 from tideusher.metrics import Metrics
 from tideusher.wire.workers import Command
 
@@ -53,6 +55,7 @@
         self.token = token
         self.cluster = Cluster(config, policy, token, now_us, wall_us, metrics, record_of)
         self.cluster.load(items, now_us)
+        self.reports = Reports(self.cluster)
         self.scheduler = Scheduler(self.cluster, now_us)
         self._max_ops = config.settings.state.txn_ops
         self._pass: Iterator[None] | None = None
--- a/src/tideusher/core/reports.py
+++ b/src/tideusher/core/lead/reports.py
@@ -4,16 +4,12 @@
 from here (safety 4). What becomes of a task is the cluster's to do; this decides what a report says.
 """
 
-from typing import TYPE_CHECKING
-
 from tideusher.clock import SECOND_US, to_s, to_us
-from tideusher.core.records import ASSIGNED, BOOTING, COMMITTING, OPEN, SEEN, UP, Job, Machine, Task
+from tideusher.core.lead.cluster import Cluster
+from tideusher.core.picture.records import ASSIGNED, BOOTING, COMMITTING, OPEN, SEEN, UP, Job, Machine, Task
 from tideusher.wire import workers
 from tideusher.wire.workers import Command, Report, TaskReport
 
-if TYPE_CHECKING:
-    from tideusher.core.cluster import Cluster
-
 #: A fetch takes up to this many times what the type's rate says: rates differ by a third.
 SLOW_FETCH = 1.5
 #: How much of the time that gang members wait for one another a fetch may use up.
@@ -23,7 +19,7 @@
 class Reports:
     """Reads reports into a cluster's picture; the picture itself is the cluster's."""
 
-    def __init__(self, cluster: "Cluster") -> None:
+    def __init__(self, cluster: Cluster) -> None:
         self._c = cluster
         self.log = cluster.log
 
--- a/src/tideusher/core/scheduler.py
+++ b/src/tideusher/core/lead/scheduler.py
@@ -3,14 +3,14 @@
 from collections.abc import Callable, Iterator
 
 from tideusher.clock import SECOND_US, to_us
-from tideusher.core.cluster import Cluster
-from tideusher.core.falls import TAKEN
-from tideusher.core.gather import Gathering, Request
-from tideusher.core.order import order_jobs, urgency_us
-from tideusher.core.placement import Demand, Room, Shelf
-from tideusher.core.preempt import Offers, Stoppable, choose_room, room_of_halted
-from tideusher.core.records import BOOTING, NO_ROOM, OPEN, UP, Job, Machine, Task
-from tideusher.core.recovery import EVERYBODY
+from tideusher.core.decide.falls import TAKEN
+from tideusher.core.decide.gather import Gathering, Request
+from tideusher.core.decide.order import order_jobs, urgency_us
+from tideusher.core.decide.placement import Demand, Room, Shelf
+from tideusher.core.decide.preempt import Offers, Stoppable, choose_room, room_of_halted
+from tideusher.core.decide.recovery import EVERYBODY
+from tideusher.core.lead.cluster import Cluster
+from tideusher.core.picture.records import BOOTING, NO_ROOM, OPEN, UP, Job, Machine, Task
 
 RESERVE_S = 12.0
 MOVE_ONE_OF = 40
--- a/src/tideusher/embed/instance.py
+++ b/src/tideusher/embed/instance.py
@@ -19,10 +19,11 @@
 
 from tideusher.clock import Clock, to_us
 from tideusher.config import Policy
-from tideusher.core import explain, keys
-from tideusher.core.cluster import held_value, open_value
-from tideusher.core.engine import Engine
-from tideusher.core.records import JOB_CANCELLED, JOB_DONE, OPEN
+from tideusher.core.lead import explain
+from tideusher.core.lead.engine import Engine
+from tideusher.core.picture import keys
+from tideusher.core.picture.records import JOB_CANCELLED, JOB_DONE, OPEN
+from tideusher.core.picture.values import held_value, open_value
 from tideusher.embed.directory import Directory
 from tideusher.embed.disk import Disk
 from tideusher.embed.errors import Closed, Damaged, EmbedError, Forked, Refused, StorageError
@@ -533,7 +534,8 @@
             cluster.touched.update(cluster.machines)
         touched = [self._machines[name] for name in sorted(cluster.touched)]  # whatever order the program has
         cluster.touched.clear()
-        return [(machine, cluster.reports.answer(machine.report(self._engine.token), now_us)) for machine in touched]
+        answer, token = self._engine.reports.answer, self._engine.token
+        return [(machine, answer(machine.report(token), now_us)) for machine in touched]
 
     def _exited(self, task: Started, cause: str, kept: bool) -> None:
         """Called by the program, in any thread, with or without the lock."""
--- a/src/tideusher/web.py
+++ b/src/tideusher/web.py
@@ -10,7 +10,8 @@
 from tideusher.actors.handler import Handler
 from tideusher.actors.peers import Peers
 from tideusher.actors.questions import Questions
-from tideusher.actors.users import Reply, Users, refusal, retry_later
+from tideusher.actors.replies import Reply, refusal, retry_later
+from tideusher.actors.users import Users
 from tideusher.config import split_address
 from tideusher.wire.jobs import MAX_BODY
 
--- a/tests/region.py
+++ b/tests/region.py
@@ -4,7 +4,8 @@
 
 from standins import Bed, Rules, make_config
 from tideusher.config import Policy, WorkerSettings
-from tideusher.core.scheduler import Scheduler
+from tideusher.core.lead.reports import Reports
+from tideusher.core.lead.scheduler import Scheduler
 from tideusher.playground.standins import TYPE, WorkerStandIn
 from tideusher.wire.cloud import Listed
 from tideusher.wire.workers import Commands
@@ -89,7 +90,7 @@
         for number, (name, worker) in enumerate(sorted(self.workers.items())):
             if self.is_[name] == UP and self.leads and (self.steps + number) % 8 == 0:
                 report = worker.report()
-                commands = Commands(self.cluster.token, self.cluster.reports.answer(report, now))
+                commands = Commands(self.cluster.token, Reports(self.cluster).answer(report, now))
                 worker.answer(commands, now, report.session)
             if self.is_[name] in (UP, CUT, MUTE) and (self.steps + number) % 4 == 0:
                 began += [(worker, task) for task in worker.pass_time(now, 1.0, self._whole)]
@@ -133,7 +134,7 @@
                 machine, is_ = cluster.machines.get(name), self.is_.get(name, DEAD)
                 if machine is not None and is_ in (UP, MUTE):
                     cluster.falls.answered(machine, now)
-                    cluster.reports.look(self.workers[name].report(), now)
+                    Reports(cluster).look(self.workers[name].report(), now)
                 elif machine is not None and cluster.health.is_suspect(machine, now):
                     cluster.falls.unanswered(machine, is_ == HANGS, due - 1_500_000, now)
         look = cluster.look_at_silence(now, set(self.calls))
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -15,12 +15,13 @@
     Team,
     WorkerSettings,
 )
-from tideusher.core import keys
-from tideusher.core.cluster import Cluster
-from tideusher.core.engine import Engine
-from tideusher.core.keeper import Batch
-from tideusher.core.records import JOB_DONE, OPEN
-from tideusher.core.scheduler import Scheduler
+from tideusher.core.lead.cluster import Cluster
+from tideusher.core.lead.engine import Engine
+from tideusher.core.lead.reports import Reports
+from tideusher.core.lead.scheduler import Scheduler
+from tideusher.core.picture import keys
+from tideusher.core.picture.keeper import Batch
+from tideusher.core.picture.records import JOB_DONE, OPEN
 from tideusher.metrics import Metrics
 from tideusher.playground.standins import TYPE, OnMachine, StateStandIn, WorkerStandIn
 from tideusher.wire.jobs import JobSpec
@@ -267,7 +268,7 @@
     def _report(self, now: int) -> None:
         for due, report in [x for x in self.late_reports if x[0] <= now]:
             self.late_reports.remove((due, report))
-            self.rng.choice(self.leaders[-2:]).reports.answer(report, now)
+            Reports(self.rng.choice(self.leaders[-2:])).answer(report, now)
         for worker in list(self.workers.values()):
             if worker.dead or self.chance():
                 continue
@@ -278,7 +279,7 @@
             asked = self.leaders[-1] if self.rng.random() < 0.8 else self.rng.choice(self.leaders[-2:])
             if report.token > asked.token:
                 continue
-            commands = Commands(asked.token, asked.reports.answer(report, now))
+            commands = Commands(asked.token, Reports(asked).answer(report, now))
             if not self.chance():  # else the answer is lost
                 worker.answer(commands, now, report.session)
             asked.direct.clear()
@@ -349,7 +350,7 @@
         items = [TaskReport(name, attempt, state, cause) for name, attempt, state, cause in tasks]
         token = self.cluster.token if token is None else token
         report = Report(machine, "127.0.0.1:9", "m4", zone, spot, session, serial, token, None, items)
-        return self.cluster.reports.answer(report, self.clock.now_us())
+        return Reports(self.cluster).answer(report, self.clock.now_us())
 
     def place(self, spec, *hosts):
         """Submit, bring machines up (host-1 if none is named), assign and persist; returns the job."""
--- a/tests/test_conditions.py
+++ b/tests/test_conditions.py
@@ -9,9 +9,11 @@
 from test_edges import ScriptedStore, body, users  # noqa: F401  (a fixture)
 from tideusher.actors.users import Users
 from tideusher.clock import SECOND_US
-from tideusher.core import conditions, explain, keys
-from tideusher.core.cluster import held_value
-from tideusher.core.records import COMMITTING, JOB_CANCELLED, JOB_DONE, OPEN
+from tideusher.core.decide import conditions
+from tideusher.core.lead import explain
+from tideusher.core.picture import keys
+from tideusher.core.picture.records import COMMITTING, JOB_CANCELLED, JOB_DONE, OPEN
+from tideusher.core.picture.values import held_value
 from tideusher.wire.jobs import After, InvalidJob, parse_job
 from tideusher.wire.state import Put
 
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -5,13 +5,13 @@
 from standins import TYPE, job, make_config
 from tideusher.clock import SECOND_US
 from tideusher.config import Policy, Team
-from tideusher.core.fleet import Fleet
-from tideusher.core.gather import BEST, NONE, OTHER, Gathering, Request
-from tideusher.core.ledger import NO_GUARANTEE, Ledger
-from tideusher.core.order import order_jobs
-from tideusher.core.placement import Room, part_of
-from tideusher.core.preempt import Offers, Standing, Stoppable, choose_room, protected_until_us
-from tideusher.core.records import SEEN, UP, Job, Machine, Task
+from tideusher.core.decide.fleet import Fleet
+from tideusher.core.decide.gather import BEST, NONE, OTHER, Gathering, Request
+from tideusher.core.decide.order import order_jobs
+from tideusher.core.decide.placement import Room, part_of
+from tideusher.core.decide.preempt import Offers, Standing, Stoppable, choose_room, protected_until_us
+from tideusher.core.picture.ledger import NO_GUARANTEE, Ledger
+from tideusher.core.picture.records import SEEN, UP, Job, Machine, Task
 
 POLICY = Policy()
 
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -11,13 +11,15 @@
 from test_invariants import Bed
 from tideusher.actors.gateway import Gateway
 from tideusher.actors.leader import Leader
+from tideusher.actors.replies import Reply
 from tideusher.actors.store import Busy, Conflict, Stored, Unavailable
-from tideusher.actors.users import Reply, Users
+from tideusher.actors.users import Users
 from tideusher.cli import main
 from tideusher.config import ConfigError, Policy, load_config, load_policy
-from tideusher.core import explain, keys
-from tideusher.core.cluster import open_value
-from tideusher.core.records import JOB_CANCELLED, JOB_DONE
+from tideusher.core.lead import explain
+from tideusher.core.picture import keys
+from tideusher.core.picture.records import JOB_CANCELLED, JOB_DONE
+from tideusher.core.picture.values import open_value
 from tideusher.metrics import Metrics
 from tideusher.web import MAX_USER_REQUESTS, Web
 from tideusher.wire.peers import ReportAnswer
--- a/tests/test_embed.py
+++ b/tests/test_embed.py
@@ -15,7 +15,7 @@
 from test_journal import Crash, FaultyDisk
 from tideusher.clock import SECOND_US
 from tideusher.config import ConfigError, Policy
-from tideusher.core.engine import Engine
+from tideusher.core.lead.engine import Engine
 from tideusher.embed import (
     Card,
     Closed,
--- a/tests/test_falls.py
+++ b/tests/test_falls.py
@@ -6,13 +6,13 @@
 from region import CUT, DEAD, HANGS, MUTE, UP, Region
 from standins import job
 from tideusher.config import Team
-from tideusher.core import falls as falls_module
-from tideusher.core import keys
-from tideusher.core.explain import explain_job, falls
-from tideusher.core.falls import ASKING, FALLEN, SAMPLE, Evidence, judge
-from tideusher.core.falls import CUT as CUT_OFF
-from tideusher.core.gather import Request
-from tideusher.core.recovery import Fall, read_fall
+from tideusher.core.decide import falls as falls_module
+from tideusher.core.decide.falls import ASKING, FALLEN, SAMPLE, Evidence, judge
+from tideusher.core.decide.falls import CUT as CUT_OFF
+from tideusher.core.decide.gather import Request
+from tideusher.core.decide.recovery import Fall, read_fall
+from tideusher.core.lead.explain import explain_job, falls
+from tideusher.core.picture import keys
 
 
 def service(tasks=4, team="red", **fields):
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -3,8 +3,9 @@
 import pytest
 
 from standins import Bed, job
-from tideusher.core import keys
-from tideusher.core.records import ASSIGNED, COMMITTING, JOB_CANCELLED, JOB_DONE, RETURNING
+from tideusher.core.lead.reports import Reports
+from tideusher.core.picture import keys
+from tideusher.core.picture.records import ASSIGNED, COMMITTING, JOB_CANCELLED, JOB_DONE, RETURNING
 from tideusher.wire.workers import Report
 
 
@@ -272,7 +273,7 @@
     spec = job()
     placed = bed.place(spec)
     report = Report("host-1", "127.0.0.1:9", "m4", "a", False, 1, 2, bed.cluster.token)
-    bed.cluster.reports.look(report, bed.clock.now_us())
+    Reports(bed.cluster).look(report, bed.clock.now_us())
     assert placed.live[0].sent is None
     assert not [d for d in bed.cluster.direct if d.command.op == "run"]
 
--- a/tests/test_pbs.py
+++ b/tests/test_pbs.py
@@ -17,7 +17,7 @@
 from tideusher.cli import main
 from tideusher.client import Client, ServiceError
 from tideusher.config import ConfigError, load_settings
-from tideusher.core import keys
+from tideusher.core.picture import keys
 from tideusher.pbs import Refusal, read_script, translate
 from tideusher.pbs.ids import BadId, parse_id, pbs_id
 from tideusher.pbs.keep import Damaged, TooLong, expand, pack, squeeze, unpack
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -7,7 +7,7 @@
 from tideusher.actors.http import CallFailed, HttpClient
 from tideusher.clock import SECOND_US
 from tideusher.config import WorkerSettings
-from tideusher.core.routing import BACK_US, SHUT_US, Directions, Door, Ear
+from tideusher.core.decide.routing import BACK_US, SHUT_US, Directions, Door, Ear
 
 SETTINGS = WorkerSettings(2.0, 13.0, 50.0, 5.0, 38.0)
 NODES = ["n0", "n1", "n2"]  # of zones a, a and b; the one that is cut off from workers is the only one of b
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -10,13 +10,16 @@
 from tideusher.actors.leader import Leader
 from tideusher.clock import SECOND_US
 from tideusher.config import Policy
-from tideusher.core import gather, keys, preempt, scheduler
-from tideusher.core.cluster import MAX_STOPS_KEPT, Rental
-from tideusher.core.falls import SAMPLE
-from tideusher.core.fleet import Bin, Bins, Fleet
-from tideusher.core.placement import Demand, Room, Shelf, slots_in
-from tideusher.core.preempt import Offers, Standing, Stoppable, choose_room, protected_until_us
-from tideusher.core.records import CHUNK_TASKS, COMMITTING, SEEN, UP, Job, Machine, Task, chunk_value
+from tideusher.core.decide import gather, preempt
+from tideusher.core.decide.falls import SAMPLE
+from tideusher.core.decide.fleet import Bin, Bins, Fleet
+from tideusher.core.decide.placement import Demand, Room, Shelf, slots_in
+from tideusher.core.decide.preempt import Offers, Standing, Stoppable, choose_room, protected_until_us
+from tideusher.core.lead import scheduler
+from tideusher.core.picture import keys
+from tideusher.core.picture.records import CHUNK_TASKS, COMMITTING, SEEN, UP, Job, Machine, Task, chunk_value
+from tideusher.core.picture.rentals import Rental
+from tideusher.core.picture.values import MAX_STOPS_KEPT
 from tideusher.metrics import Metrics
 from tideusher.wire.cloud import MAX_RENT
 from tideusher.wire.state import Txn
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -5,8 +5,8 @@
 
 from standins import FakeClock, make_config
 from tideusher.actors.store import Bucket, Busy, Demand, Store
-from tideusher.core import keys
-from tideusher.core.keeper import Entry, Keeper
+from tideusher.core.picture import keys
+from tideusher.core.picture.keeper import Entry, Keeper
 from tideusher.metrics import Metrics
 from tideusher.wire import state
 
--- a/tools/measure_conditions.py
+++ b/tools/measure_conditions.py
@@ -15,9 +15,10 @@
 
 from standins import TYPE, Bed, job
 from tideusher.config import load_settings
-from tideusher.core import keys
-from tideusher.core.cluster import Rental, open_value
-from tideusher.core.records import UP, Machine
+from tideusher.core.picture import keys
+from tideusher.core.picture.records import UP, Machine
+from tideusher.core.picture.rentals import Rental
+from tideusher.core.picture.values import open_value
 from tideusher.pbs import read_script, translate
 from tideusher.pbs.keep import pack
 from tideusher.wire.jobs import After
