--- a/src/tideusher/actors/election.py
+++ b/src/tideusher/actors/election.py
@@ -5,12 +5,23 @@
 """
 
 import random
+from collections.abc import Callable
 
 import gevent
 
-from tideusher.actors.store import Conflict, NoLease, Store, Unavailable
+from tideusher.actors.store import Conflict, NoLease, Store, Stored, Unavailable
 from tideusher.clock import Clock
 from tideusher.config import Config, Policy
+from tideusher.core.decide.succession import (
+    RESTS_US,
+    Reign,
+    Standing,
+    deposes,
+    early_after,
+    gives_way,
+    line,
+    waits_us,
+)
 from tideusher.core.picture import keys
 from tideusher.wire import state
 
@@ -28,11 +39,48 @@
         self._nonce = f"{rng.getrandbits(64):x}"
         #: Our token while we lead, else None.
         self.token: int | None = None
+        #: When we were elected last (steady time).
+        self.elected_us = 0
+        self._reign: Reign | None = None  # of another
+        self._free_us: int | None = None  # since when nobody leads
+        self._rests_until_us = 0
+        self._size = config.settings.size
+        self._ours: Callable[[], Standing] = lambda: Standing(config.node, config.zone, True, behind=0)
+        self._others: Callable[[], list[Standing]] = list
+        self._elected: Callable[[int], None] = lambda token: None
 
     def start(self) -> None:
         """Begin to run for the leadership."""
         gevent.spawn(self._run)
 
+    def hear(
+        self, ours: Callable[[], Standing], others: Callable[[], list[Standing]], elected: Callable[[int], None]
+    ) -> None:
+        """Where to ask how this controller and the others stand, and whom to tell that we lead."""
+        self._ours, self._others, self._elected = ours, others, elected
+
+    def rests(self) -> bool:
+        """Did we give up the leadership just now?"""
+        return self._clock.now_us() < self._rests_until_us
+
+    def gives_way(self) -> str:
+        """Why we give up our leadership; empty: we do not."""
+        if self.token is None or self.rests():
+            return ""
+        return gives_way(self._ours(), self._others(), self._clock.now_us() - self.elected_us)
+
+    def give_up(self) -> None:
+        """Leave the leadership to another; whoever is next stands at once."""
+        token, self._rests_until_us = self.token, self._clock.now_us() + RESTS_US
+        if token is not None:
+            self._remove(token)
+
+    def successor(self) -> str:
+        """Who stands first if the leader ends now, as far as we know; empty: nobody that we hear."""
+        leader, token = self.leader() or ("", 0)
+        order = line([one for one in [self._ours(), *self._others()] if one.node != leader], token)
+        return order[0] if order else ""
+
     def leader(self) -> tuple[str, int] | None:
         """(node, token) of the leader as far as the mirror knows."""
         stored = self._store.mirror.get(keys.LEADER)
@@ -43,32 +91,70 @@
         gevent.spawn(self._renew)
         while True:
             stored = self._store.mirror.get(keys.LEADER)
-            if stored is not None:
-                mine = stored.value.get("nonce") == self._nonce
-                self.token = stored.stamp if mine else None
-                gevent.sleep(0.1)
-                continue
-            self.token = None
             try:
-                self._stand()
+                if stored is None:
+                    self._nobody_leads()
+                elif stored.value.get("nonce") == self._nonce:
+                    self._free_us, self._reign, self.token = None, None, stored.stamp
+                    gevent.sleep(0.1)
+                else:
+                    self._free_us = self.token = None
+                    self._another_leads(stored)
+                    gevent.sleep(0.1)
             except (Unavailable, NoLease) as error:
                 self.log.info("not elected: %s", error or "the lease ran out")
                 gevent.sleep(0.2 + 0.2 * self._rng.random())
                 self._store.sync()
 
-    def _stand(self) -> None:
+    def _nobody_leads(self) -> None:
+        self.token, now_us = None, self._clock.now_us()
+        if self._free_us is None:
+            self._free_us = now_us
+        token = self._reign.token if self._reign is not None else 0
+        if now_us - self._free_us < waits_us(self._ours(), self._others(), token):
+            gevent.sleep(0.05)  # whoever stands before us is let go first
+            return
+        self._stand(0, 0)
+
+    def _another_leads(self, stored: Stored) -> None:
+        now_us = self._clock.now_us()
+        if self._reign is None or self._reign.token != stored.stamp:
+            self._reign = Reign(stored.value["node"], stored.stamp, now_us, stored.value.get("early", 0))
+        if self._reign.node == self._node:
+            # An earlier life of this very controller: it ended, and its lease need not run out.
+            self.log.info("an earlier life of this controller leads; its leadership is ended")
+            self._remove(stored.stamp)
+            return
+        why = deposes(self._reign, self._ours(), self._others(), self._size, now_us)
+        if why:
+            self.log.info("take the leadership from %s: %s", self._reign.node, why)
+            self._stand(stored.stamp, early_after(self._reign, now_us))
+
+    def _remove(self, token: int) -> None:
+        """End a leadership, if it is still the one of this token."""
+        try:
+            self._store.txn([state.Guard(keys.LEADER, token)], [state.Delete(keys.LEADER)], budget=False)
+        except Conflict:
+            self._store.sync()
+        except (Unavailable, NoLease) as error:
+            self.log.info("leadership not ended: %s", error)
+
+    def _stand(self, instead_of: int, early: int) -> None:
+        """Run for the leadership: `instead_of` 0 if nobody has it, else the token of whom we take it from."""
         if self._lease is None:
             body = state.LeaseRequest(round(self._ttl_s * 1000))
             status, answer = self._store.call("POST", "/holds", body, budget=False)
             if status not in (200, 201):
                 raise Unavailable(f"POST /holds: {status}")
             self._lease = state.decode_lease(answer).id
-        value = {"node": self._node, "nonce": self._nonce}
+        value = {"node": self._node, "nonce": self._nonce, **({"early": early} if early else {})}
         try:
             token = self._store.txn(
-                [state.Guard(keys.LEADER, 0)], [state.Put(keys.LEADER, value, self._lease)], budget=False
+                [state.Guard(keys.LEADER, instead_of)], [state.Put(keys.LEADER, value, self._lease)], budget=False
             )
             self.log.info("%s leads with token %d", self._node, token)
+            self.elected_us, self.token = self._clock.now_us(), token
+            self._elected(token)
         except Conflict:
             self._store.sync()
         except NoLease:
--- a/src/tideusher/actors/gateway.py
+++ b/src/tideusher/actors/gateway.py
@@ -17,12 +17,13 @@
 from tideusher.actors.leader import REPORT_WAITS_US, Leader
 from tideusher.actors.peers import Peers
 from tideusher.actors.store import Store
-from tideusher.clock import Clock, to_s
+from tideusher.clock import Clock, to_s, to_us
 from tideusher.config import Config
 from tideusher.core.decide.bounds import may_answer
 from tideusher.core.decide.routing import Directions, Door, Ear
 from tideusher.core.picture import keys
 from tideusher.core.picture.records import JOB_CANCELLED
+from tideusher.core.picture.sightings import Own
 from tideusher.wire import workers
 from tideusher.wire.peers import ForwardReport
 
@@ -41,13 +42,21 @@
     """Decides per report who answers it."""
 
     def __init__(
-        self, config: Config, clock: Clock, store: Store, election: Election, leader: Leader, peers: Peers
+        self,
+        config: Config,
+        clock: Clock,
+        store: Store,
+        election: Election,
+        leader: Leader,
+        peers: Peers,
+        own: Own | None = None,
     ) -> None:
         self.log = logging.getLogger("gateway")
         self._config, self._clock = config, clock
         self._store, self._election, self._leader, self._peers = store, election, leader, peers
         self._directions = Directions()
         self._ear = Ear(config.settings.workers)
+        self._own = own or Own(to_us(config.settings.workers.report_s))
 
     def deaf(self) -> bool:
         """Have all workers that reported here fallen silent?"""
@@ -62,10 +71,12 @@
             return Answer(400, b'{"error":"malformed report"}')
 
     def _handle(self, report: workers.ReportHead, body: bytes) -> Answer:
-        self._ear.heard(self._clock.now_us())
+        now_us = self._clock.now_us()
+        self._ear.heard(now_us)
         other = self._better_node(report)
         if other is not None:
             return Answer(421, workers.encode(workers.Redirect(other)))
+        self._own.heard(report.machine, report.zone, report.address, now_us)
         known = self._known()
         if known is None or report.token > known[1]:
             self._store.sync(1.5)  # somebody leads whom we have not heard of
--- a/src/tideusher/actors/leader.py
+++ b/src/tideusher/actors/leader.py
@@ -12,25 +12,37 @@
 from tideusher.actors.election import Election
 from tideusher.actors.http import CallFailed, HttpClient
 from tideusher.actors.store import Conflict, NoLease, Store, Unavailable
-from tideusher.clock import Clock, to_us
+from tideusher.clock import Clock, to_s, to_us
 from tideusher.config import Config, Policy
 from tideusher.core.decide.bounds import may_answer
+from tideusher.core.decide.succession import Lag
 from tideusher.core.lead import explain
 from tideusher.core.lead.cluster import Cluster
 from tideusher.core.lead.engine import Engine
+from tideusher.core.lead.soft import Told, newer
+from tideusher.core.lead.soft import refusal as soft_refusal
+from tideusher.core.lead.soft import take as take_soft
+from tideusher.core.lead.soft import tell as tell_soft
 from tideusher.core.lead.standby import Standby
 from tideusher.core.picture import keys
 from tideusher.core.picture.keeper import Batch
+from tideusher.core.picture.picture import Picture
 from tideusher.core.picture.records import RETURNING, UP, Machine
 from tideusher.core.picture.rentals import Rental
+from tideusher.core.picture.sightings import Own, Sightings
 from tideusher.metrics import Metrics
 from tideusher.wire import cloud as cloud_wire
 from tideusher.wire import workers
+from tideusher.wire.peers import Soft
 
 PASS_US = 150_000
 #: The cloud's list is asked for this often while it may tell of a fall that nothing else tells of.
 LIST_AGAIN_US = 1_500_000
 PROBE_S = 1.5
+#: A leader makes anew what it tells its standbys this often at most.
+SOFT_US = 500_000
+#: The phases of a takeover, in their order; each is logged and measured from the election.
+PHASES = ("check read", "check records", "first decision", "first start")
 #: How often a controller that does not lead compares some of what it followed with the records.
 AUDIT_US = 1_000_000
 #: How long a gateway waits for the answer to a report before it answers alone.
@@ -57,6 +69,14 @@
         self._engine: Engine | None = None
         self._standby = Standby(config, policy, clock.wall_us, self._record_of, lambda: store.mirror)
         self._following = False  # is a piece of following under way?
+        self._sightings = Sightings(Own(to_us(config.settings.workers.report_s)))
+        self._told: Told | None = None  # what the last leader told that no record holds
+        self._soft: Soft | None = None  # what we tell as a leader, made anew twice a second
+        self._soft_us = 0
+        self._tokens: list[int] = []  # of the last two leaderships
+        self._phases: list[str] = []  # of our takeover, those still to come
+        #: How late our timers fire.
+        self.lag = Lag(PASS_US)
         self._loading = False
         self._probing: set[str] = set()
         self._listed_us = 0  # when the cloud's list was asked for
@@ -66,7 +86,7 @@
     def start(self) -> None:
         super().start()
         self._store.listen(self._on_change)
-        self.every(PASS_US, "tick")
+        self.every(PASS_US, "beat")
         self.every(AUDIT_US, "audit")
         self.every(to_us(self._policy.ledger__gather_s), "gather")
         self.every(to_us(max(2.0, self._config.settings.cloud.list_lag_s)), "survey")
@@ -79,7 +99,32 @@
         """Where to ask in which zones a controller that we hear hears none of its workers."""
         self._deaf_zones = deaf_zones
 
+    def hear_sightings(self, sightings: Sightings) -> None:
+        """Where to ask which workers each controller hears."""
+        self._sightings = sightings
+
+    def hear_soft(self, soft: Soft) -> None:
+        """A leader told what no record holds."""
+        self._told = newer(self._told, soft, self._clock.now_us())
+
+    def soft(self) -> Soft | None:
+        """What we tell our standbys; None: we do not lead."""
+        engine, now_us = self._engine, self._clock.now_us()
+        if engine is None:
+            return None
+        if self._soft is None or self._soft.token != engine.token or now_us - self._soft_us > SOFT_US:
+            self._soft, self._soft_us = tell_soft(engine, now_us), now_us
+        return self._soft
+
+    def behind(self) -> int | None:
+        """Changes that we have yet to apply to the picture that we follow; None: we follow none."""
+        if self._engine is not None:
+            return 0
+        return self._standby.behind if self._standby.follows else None
+
     def _on_change(self, key: str, value: object, stamp: int) -> None:
+        if key == keys.LEADER and value is not None:
+            self._tokens = [*self._tokens[-1:], stamp]
         if self._engine is None:
             if self._standby.changed(key, value, stamp):
                 self._follow()
@@ -110,6 +155,11 @@
             self._metrics.count("standby_rebuilds")
         if self._standby.behind:
             self._follow()
+        now_us = self._clock.now_us()
+        picture = self._standby.picture
+        if picture is not None:
+            for zone in self._sightings.heard_zones(lambda name: _zone_of(picture, name), now_us):
+                picture.zones.heard(zone, now_us)
 
     # ---------------------------------------------------------------- leadership
 
@@ -133,6 +183,20 @@
         self._look_after(engine.cluster, now_us)
         self._after_piece(engine, engine.tick(now_us))
 
+    def on_beat(self) -> None:
+        """A tick by the timer: how late it comes tells how slow we are."""
+        self.lag.fired(self._clock.now_us())
+        self._give_way(self._engine)
+        self.on_tick()
+
+    def _give_way(self, engine: Engine | None) -> None:
+        if engine is not None and self._election.token == engine.token:
+            why = self._election.gives_way()
+            if why:
+                self.log.info("give up the leadership: %s", why)
+                self._metrics.count("leaderships_given_up")
+                self.spawn(self._election.give_up)
+
     def on_go_on(self, engine: Engine) -> None:
         """One piece of a pass. The next comes when the loop has looked at what else there is to do.
 
@@ -144,8 +208,18 @@
     def _after_piece(self, engine: Engine, more: bool) -> None:
         if more:
             gevent.spawn_later(0, self.tell, "go_on", engine)
+        else:
+            self._phase("first decision")
         self._act(engine)
 
+    def _phase(self, name: str) -> None:
+        """A phase of our takeover is over, if it is the next one."""
+        if self._phases and self._phases[0] == name:
+            del self._phases[0]
+            since_s = to_s(self._clock.now_us() - self._election.elected_us)
+            self._metrics.checked(name.replace(" ", "_"), since_s)
+            self.log.info("%s %.2f s after the election", name, since_s)
+
     def _look_after(self, cluster: Cluster, now_us: int) -> None:
         """Machines taken back or silent. Done at ticks: after each report of a fleet it cost most of a core."""
         for machine in cluster.health.taken(now_us):
@@ -159,9 +233,14 @@
             self._ask_list(cluster.token)
 
     def _take_over(self, token: int) -> None:
-        """Load only after a read that is newer than our election: nothing older leaders wrote is missed."""
+        """Load only after a read that is newer than our election: nothing older leaders wrote is missed.
+
+        What they had under way then can never apply any more: each of their writes is guarded by their token.
+        """
         try:
             if self._store.sync() and self._election.token == token:
+                self._phases = list(PHASES)
+                self._phase("check read")
                 self.tell("take_over", token)
             else:
                 self.tell("not_loaded")
@@ -194,6 +273,12 @@
             self._record_of,
             picture=caught.picture,
         )
+        self._phase("check records")
+        for machine in self._engine.cluster.machines.values():
+            seen = self._sightings.last(machine.name, now_us)
+            if seen is not None:
+                machine.seen_us, machine.address = seen[0], machine.address or seen[1]
+        self._use_soft(self._engine, token, now_us)
         cluster = self._engine.cluster
         self._metrics.count("leaderships")
         self.log.info(
@@ -201,6 +286,17 @@
             token, len(cluster.jobs), len(cluster.machines), caught.late,
         )  # fmt: skip
         self.on_survey()
+        self.on_tick()
+
+    def _use_soft(self, engine: Engine, token: int, now_us: int) -> None:
+        before = [other for other in self._tokens if other != token]
+        why = soft_refusal(self._told, before[-1] if before else None, now_us)
+        if why:
+            self.log.info("check soft facts: not used, as %s", why)
+        elif self._told is not None:
+            used = take_soft(engine, self._told, now_us)
+            self.log.info("check soft facts: %d used, %.1f s old", used, to_s(now_us - self._told.at_us))
+        self._metrics.count("soft_facts", "refused" if why else "used")
 
     def _record_of(self, job_id: str) -> dict[str, Any] | None:
         stored = self._store.mirror.get(keys.job_key(job_id))
@@ -236,6 +332,8 @@
             else None
             for report in reports
         ]
+        if self._phases and any(c.op == "run" for answer in answers if answer is not None for c in answer.commands):
+            self._phase("first start")
         self._act(engine)
         return answers
 
@@ -456,3 +554,8 @@
     def _sync_again(self, engine: Engine) -> None:
         gevent.sleep(0.5)
         self.tell("not_saved", engine, self._store.sync(), False)
+
+
+def _zone_of(picture: Picture, machine: str) -> str | None:
+    known = picture.machines.get(machine)
+    return known.zone if known is not None else None
--- a/src/tideusher/actors/peers.py
+++ b/src/tideusher/actors/peers.py
@@ -15,6 +15,7 @@
 
 from tideusher.clock import Clock, to_us
 from tideusher.config import Config, Peer, split_address
+from tideusher.core.decide.succession import LOST_US, Standing
 from tideusher.wire import peers as wire
 
 HEARTBEAT_S = 0.5
@@ -25,6 +26,8 @@
 #: gateway alone, at once: behind a cut it would be too late anyway.
 MAX_WAITING = 512 * 1024
 
+#: What is said in answer to a heartbeat: the message, and up to which line it tells of workers.
+Answering = Callable[[int], tuple[wire.Hello, int]]
 Handler = Callable[[wire.Message], wire.Message | None]
 ReportsHandler = Callable[[list[wire.ForwardReport]], list[wire.ReportAnswer]]
 
@@ -41,6 +44,7 @@
         self._frames: list[bytes] = []
         self._waiting = 0
         self._writing = False
+        self.line = 0  # up to which the other side was told of our workers
 
     def put(self, frame: bytes) -> bool:
         """Send a frame soon; False, at once, if too much waits already."""
@@ -69,11 +73,22 @@
 class Link:
     """Our own connection to one peer."""
 
-    def __init__(self, peer: Peer, hello: Callable[[], wire.Hello], clock: Clock) -> None:
+    def __init__(
+        self,
+        peer: Peer,
+        hello: Callable[[], wire.Hello],
+        clock: Clock,
+        told: Callable[[str, wire.Hello | None], None] = lambda name, message: None,
+    ) -> None:
         self.peer = peer
         self.log = logging.getLogger("peers")
-        self._hello, self._clock = hello, clock
+        self._hello, self._clock, self._tell = hello, clock, told
         self._outbox: Outbox | None = None
+        self._was_up = False
+        #: Since when it refuses new connections, the last one having ended; None: it does not, or is only silent.
+        self.refused_us: int | None = None
+        #: Its last heartbeat.
+        self.said: wire.Hello | None = None
         self._heard_us: int | None = None
         self._numbers = itertools.count(1)
         self._open: dict[int, AsyncResult] = {}
@@ -117,7 +132,7 @@
                 with gevent.Timeout(1.0):
                     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
                     sock.connect(split_address(self.peer.address))
-                self._outbox = Outbox(sock)
+                self._outbox, self._was_up, self.refused_us = Outbox(sock), True, None
                 beat = gevent.spawn(self._beat, self._outbox)
                 try:
                     self._read(sock)
@@ -125,8 +140,14 @@
                     beat.kill(block=False)
             except (OSError, gevent.Timeout, wire.FrameError) as error:
                 self.log.debug("link to %s: %s", self.peer.name, error)
+                if not isinstance(error, ConnectionRefusedError):
+                    self.refused_us = None
+                elif self._was_up and self.refused_us is None:
+                    self.refused_us = self._clock.now_us()
             finally:
-                self._outbox = None
+                if self.said is not None:
+                    self._tell(self.peer.name, None)
+                self._outbox = self.said = None
                 self._heard_us = None
                 self.in_contact = False
                 sock.close()
@@ -152,6 +173,8 @@
                     self.in_contact, self.writes, self.deaf = message.in_contact, message.writes, message.deaf
                     if message.token > self.told[1]:
                         self.told = (message.leader, message.token)
+                    self.said = message
+                    self._tell(self.peer.name, message)
                 elif isinstance(message, wire.ReportAnswer):
                     result = self._open.get(message.id)
                     if result is not None:
@@ -161,10 +184,18 @@
 class Peers:
     """All links, and the server that answers the others' questions."""
 
-    def __init__(self, config: Config, clock: Clock, hello: Callable[[], wire.Hello]) -> None:
+    def __init__(
+        self,
+        config: Config,
+        clock: Clock,
+        hello: Callable[[], wire.Hello],
+        answering: Answering | None = None,
+        told: Callable[[str, wire.Hello | None], None] = lambda name, message: None,
+    ) -> None:
         self.log = logging.getLogger("peers")
-        self._hello = hello
-        self.links = {peer.name: Link(peer, self._hello, clock) for peer in config.peers}
+        self._clock = clock
+        self._answering: Answering = answering or (lambda line: (hello(), line))
+        self.links = {peer.name: Link(peer, hello, clock, told) for peer in config.peers}
         self._handler: Handler = lambda message: None
         self._reports: ReportsHandler = lambda reports: []
         self._server = StreamServer(split_address(config.peer_bind), self._serve)
@@ -197,6 +228,35 @@
         """Zones of which a controller that we hear hears none of the workers that it had."""
         return {link.peer.zone for link in self.links.values() if link.usable() and link.deaf}
 
+    def speaks(self, node: str) -> bool:
+        """Is this controller heard by us right now?"""
+        link = self.links.get(node)
+        return link is not None and link.usable()
+
+    def standings(self) -> list[Standing]:
+        """Every other controller that we hear, as a possible leader."""
+        return [
+            Standing(
+                name,
+                link.peer.zone,
+                said.in_contact,
+                said.deaf,
+                said.behind,
+                said.lag_ms * 1000,
+                said.lost,
+                said.rests,
+            )
+            for name, link in self.links.items()
+            if link.usable() and (said := link.said) is not None
+        ]
+
+    def refuses(self, node: str) -> bool:
+        """Did our connection to this controller end, and does it refuse a new one, for long enough to say so?"""
+        link = self.links.get(node)
+        return (
+            link is not None and link.refused_us is not None and self._clock.now_us() - link.refused_us >= LOST_US
+        )
+
     def any_in_contact(self) -> bool:
         """Does any peer that we hear reach the state service?"""
         return any(link.usable() and link.in_contact for link in self.links.values())
@@ -223,7 +283,9 @@
         reports = []
         for message in messages:
             if isinstance(message, wire.Hello):
-                outbox.put(wire.frame(self._hello()))
+                said, line = self._answering(outbox.line)
+                if outbox.put(wire.frame(said)):
+                    outbox.line = line
             elif isinstance(message, wire.ForwardReport):
                 reports.append(message)
             else:
--- a/src/tideusher/core/decide/fleet.py
+++ b/src/tideusher/core/decide/fleet.py
@@ -127,6 +127,15 @@
         pause = to_us(self._policy.fleet__capacity_backoff_s) * (1 << min(times, 2))
         self._refused[kind] = (now_us + pause, times + 1)
 
+    def refused_before(self, kind: tuple[str, str, bool], until_us: int, times: int) -> None:
+        """An earlier leader was refused; the back-off goes on where it was."""
+        self._refused.setdefault(kind, (until_us, times))
+
+    def refusals(self, now_us: int) -> list[tuple[tuple[str, str, bool], int, int]]:
+        """What is not asked for now: kind, for how long, after how many refusals; the longest first."""
+        left = [(kind, until_us - now_us, times) for kind, (until_us, times) in self._refused.items()]
+        return sorted((one for one in left if one[1] > 0), key=lambda one: (-one[1], one[0]))
+
     def granted(self, kind: tuple[str, str, bool]) -> None:
         """The cloud had capacity of this kind."""
         self._refused.pop(kind, None)
@@ -227,7 +236,9 @@
             if machine.draining:
                 continue
             if machine.phase == BOOTING:
-                bins.append(Bin(machine.type, machine.zone, machine.spot, machine.cpus, machine.gpus, machine.ram_gb))
+                # One inherited that has yet to be heard may hold tasks: only what is free of it is room.
+                room = (machine.free_cpus, machine.free_gpus, machine.free_ram)
+                bins.append(Bin(machine.type, machine.zone, machine.spot, *room))
             elif machine.phase == UP:
                 warm_room.append(machine)
                 if not machine.reserved:
--- a/src/tideusher/core/decide/health.py
+++ b/src/tideusher/core/decide/health.py
@@ -4,6 +4,7 @@
 from tideusher.config import Config, Policy
 from tideusher.core.decide.fleet import Fleet
 from tideusher.core.picture.records import BOOTING, UP, Machine
+from tideusher.core.picture.sightings import Zones
 from tideusher.wire import cloud
 
 
@@ -11,12 +12,18 @@
     """Judges silence. Nothing is freed for it: a machine found dead is returned, and that is the proof."""
 
     def __init__(
-        self, config: Config, policy: Policy, machines: dict[str, Machine], fleet: Fleet, now_us: int
+        self,
+        config: Config,
+        policy: Policy,
+        machines: dict[str, Machine],
+        fleet: Fleet,
+        now_us: int,
+        zones: Zones | None = None,
     ) -> None:
         self._config, self._policy, self._machines, self._fleet = config, policy, machines, fleet
         self._began_us = now_us
         self._surveyed_us = now_us  # when the cloud's list came last
-        self._zones_heard: dict[str, tuple[int, int]] = {}  # since when, and when last
+        self._zones = zones or Zones(to_us(config.settings.workers.report_s))
         self._silence_us = max(
             to_us(policy.fleet__silence_reports * config.settings.workers.report_s),
             to_us(policy.fleet__silence_floor_s),
@@ -26,14 +33,17 @@
     def is_suspect(self, machine: Machine, now_us: int) -> bool:
         """Has this machine been silent for so long that it should be probed?
 
-        After a change of leader a machine that the cloud lists as running counts from our election:
-        its silence before that says nothing. Right after a cut every machine of the zone has been
+        After a change of leader a machine that some controller told of counts from when it was heard there;
+        of others, one that the cloud lists as running counts from our election: its silence before that says
+        nothing. Right after a cut every machine of the zone has been
         silent for long, and the first to be heard again says nothing of the others: silence counts
         from when the zone was heard.
         """
-        heard_us = self._zones_heard.get(machine.zone, (now_us, 0))[0]
+        heard_us = self._zones.since_us(machine.zone, now_us)
         if machine.phase == UP:
             return now_us - max(machine.reported_us, heard_us) > self._silence_us
+        if machine.phase == BOOTING and machine.seen_us:
+            return now_us - max(machine.seen_us, heard_us) > self._silence_us
         if machine.phase == BOOTING and machine.inherited and self._should_be_up(machine):
             return now_us - max(self._began_us, heard_us) > self._settle_us
         return False
@@ -55,13 +65,18 @@
         return self._surveyed_us - self._began_us > to_us(2 * self._config.settings.cloud.list_lag_s)
 
     def silent_us(self, machine: Machine, now_us: int) -> int:
-        """For how long we have heard nothing of it; at most since our election."""
-        return now_us - (machine.reported_us or self._began_us)
+        """For how long nobody has heard it; of one that nobody told us of, since our election."""
+        return now_us - (self.last_us(machine) or self._began_us)
+
+    @staticmethod
+    def last_us(machine: Machine) -> int:
+        """When it was last heard by us or, before us, by any controller; 0: never, as far as was told."""
+        return machine.reported_us or machine.seen_us
 
     def silence(self, machine: Machine, now_us: int) -> str:
         """How long it has been silent, in words; one inherited may never have reported to this leader."""
-        if machine.reported_us:
-            return f"silent for {to_s(now_us - machine.reported_us):.0f} s"
+        if last_us := self.last_us(machine):
+            return f"silent for {to_s(now_us - last_us):.0f} s"
         return f"not heard in the {to_s(now_us - self._began_us):.0f} s of this leadership"
 
     def suspects(self, now_us: int) -> list[Machine]:
@@ -70,9 +85,7 @@
 
     def heard(self, zone: str, now_us: int) -> None:
         """A machine of the zone has reported."""
-        since_us, last_us = self._zones_heard.get(zone, (now_us, now_us))
-        gap_us = to_us(2 * self._config.settings.workers.report_s + 0.5)
-        self._zones_heard[zone] = (since_us if now_us - last_us < gap_us else now_us, now_us)
+        self._zones.heard(zone, now_us)
 
     def taken(self, now_us: int) -> list[Machine]:
         """Machines whose notice has run out and that are silent since: the cloud has them."""
--- a/src/tideusher/core/lead/cluster.py
+++ b/src/tideusher/core/lead/cluster.py
@@ -22,6 +22,7 @@
 from tideusher.core.decide.limits import Limits
 from tideusher.core.decide.preempt import Standing
 from tideusher.core.decide.recovery import Recovery
+from tideusher.core.decide.truth import Truth
 from tideusher.core.picture import keys
 from tideusher.core.picture.keeper import Effect, Entry, Keeper
 from tideusher.core.picture.picture import Picture, RecordOf
@@ -88,8 +89,10 @@
         self.machines, self.rentals, self.gone = self.picture.machines, self.picture.rentals, self.picture.gone
         self.ledger = self.picture.ledger
         self.fleet = Fleet(policy, settings.objectives, self.picture.types, self.picture.arrivals)
-        self.health = Health(config, policy, self.machines, self.fleet, now_us)
+        self.health = Health(config, policy, self.machines, self.fleet, now_us, self.picture.zones)
         self.falls = Falls(config, self.machines, lambda: self.fleet.types, self.health, self._crowded, self._yields)
+        workers_ = settings.workers
+        self.truth = Truth(self.machines, now_us, to_us(workers_.report_s), to_us(workers_.lease_s))
         self.recovery = Recovery(self)
         self.conditions = Conditions(self, record_of)
         self.limits = Limits(self)
@@ -134,6 +137,7 @@
             if task.job.live.get(task.index) is task:
                 self.ledger.charge_start(task, self.min_run_us(task.job), now_us, again=True)
         picture.uncharged.clear()
+        self.truth.begin()
 
     def _settle_job(self, job: Job) -> None:
         """What the last leader left half done."""
--- a/src/tideusher/core/lead/scheduler.py
+++ b/src/tideusher/core/lead/scheduler.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable, Iterator
 
-from tideusher.clock import SECOND_US, to_us
+from tideusher.clock import SECOND_US, to_s, to_us
 from tideusher.core.decide.falls import TAKEN
 from tideusher.core.decide.gather import Gathering, Request
 from tideusher.core.decide.order import order_jobs, urgency_us
@@ -54,6 +54,9 @@
         the next pass.
         """
         self._c.dirty = False
+        for zone, heard, of, waited_us in self._c.truth.step(now_us):
+            self._c.metrics.checked("heard", to_s(waited_us))
+            self._c.log.info("check heard: %d of %d machines of %s, after %.1f s", heard, of, zone, to_s(waited_us))
         self._c.limits.step(now_us)
         self._c.recovery.step()
         while self._c.conditions.step(now_us):
@@ -114,7 +117,9 @@
         unplaced = _still_wait(unplaced)
         short = [job.spec for job, _ in unplaced if not job.spec.spot]
         self._ordinary_short = Demand.least_of(short) if short else None
-        if self._c.writable:  # what is stopped while nothing can be started is stopped for nobody
+        # What is stopped while nothing can be started is stopped for nobody; what is stopped before the fleet
+        # is heard again makes room that is there already.
+        if self._c.writable and self._c.truth.whole():
             self._preempt(unplaced, now_us)
         yield
         unplaced = _still_wait(unplaced)
@@ -298,7 +303,7 @@
         and for one machine in MOVE_ONE_OF at a time: what a move costs is a share of all replicas,
         and one machine at a time would never empty a large fleet.
         """
-        if now_us < self._next_move_us or not self._c.settled(now_us):
+        if now_us < self._next_move_us or not self._c.settled(now_us) or not self._c.truth.whole():
             return
         if self._c.keeper.waiting > self._c.config.settings.state.txn_ops:
             return  # moves would wait for their write
@@ -385,7 +390,8 @@
             if machine.draining == MOVED and machine.phase == UP and not machine.tasks:
                 self._c.give_back(machine, MOVED)
         for machine, reason in self._c.fleet.surplus(now_us, self._not_held()):
-            self._c.give_back(machine, reason)
+            if self._c.truth.of(machine.zone):
+                self._c.give_back(machine, reason)
 
     def _not_held(self) -> list[Machine]:
         """All machines but those whose room is held for a gang."""
--- /dev/null
+++ b/src/tideusher/core/lead/soft.py
@@ -0,0 +1,91 @@
+"""What a leader tells its standbys that no record holds, and what of it the next one may use. Pure.
+
+Ages and times left travel, never times. What came from an older leader than the last one, or too long ago, is not
+used: each has a cautious value to fall back on (the cloud is asked again, a failing job is tried again, room that
+was being cleared is open to all).
+"""
+
+from dataclasses import dataclass
+
+from tideusher.clock import SECOND_US
+from tideusher.core.lead.engine import Engine
+from tideusher.wire.peers import Failing, Refused, Reserved, Soft
+
+#: Of each kind so many are told, the ones that weigh most.
+MOST = 48
+#: Older than this, a soft fact says nothing any more.
+MOST_AGE_US = 20 * SECOND_US
+
+
+def tell(engine: Engine, now_us: int) -> Soft:
+    """All that the next leader could not read anywhere."""
+    cluster = engine.cluster
+    reserved = [
+        Reserved(machine.name, machine.reserved, (machine.reserved_until_us - now_us) // 1000)
+        for machine in cluster.machines.values()
+        if machine.reserved and machine.reserved_until_us > now_us
+    ]
+    failing = [
+        Failing(job.spec.id, job.failures, max(0, job.not_before_us - now_us) // 1000, sorted(job.error_machines)[:8])
+        for job in cluster.active.values()
+        if job.error_machines
+    ]
+    failing.sort(key=lambda one: (-one.failures, one.job))
+    return Soft(
+        engine.token,
+        [Refused(*kind, left_us // 1000, times) for kind, left_us, times in cluster.fleet.refusals(now_us)][:MOST],
+        reserved[:MOST],
+        failing[:MOST],
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class Told:
+    """Soft facts as they came, and when."""
+
+    soft: Soft
+    at_us: int
+
+
+def newer(old: Told | None, soft: Soft, now_us: int) -> Told:
+    """Which to keep: never what an older leader tells after a newer one, whenever it wakes."""
+    return old if old is not None and soft.token < old.soft.token else Told(soft, now_us)
+
+
+def refusal(told: Told | None, predecessor: int | None, now_us: int) -> str:
+    """Why these soft facts may not be used; empty: they may."""
+    if told is None:
+        return "nobody told any"
+    if predecessor is not None and told.soft.token != predecessor:
+        return f"they are of token {told.soft.token}, not of the last leader's {predecessor}"
+    if now_us - told.at_us > MOST_AGE_US:
+        return f"they are {(now_us - told.at_us) / SECOND_US:.0f} s old"
+    return ""
+
+
+def take(engine: Engine, told: Told, now_us: int) -> int:
+    """Use them; returns how many. What has run out since it was told is left out."""
+    cluster, used = engine.cluster, 0
+    since_us = now_us - told.at_us
+    for one in told.soft.refused:
+        left_us = one.left_ms * 1000 - since_us
+        if left_us > 0:
+            cluster.fleet.refused_before((one.type, one.zone, one.spot), now_us + left_us, one.times)
+            used += 1
+    for held in told.soft.reserved:
+        machine, left_us = cluster.machines.get(held.machine), held.left_ms * 1000 - since_us
+        if machine is not None and held.job in cluster.jobs and left_us > 0 and not machine.reserved:
+            machine.reserved, machine.reserved_until_us = held.job, now_us + left_us
+            used += 1
+    for failing in told.soft.failing:
+        job = cluster.jobs.get(failing.job)
+        if job is None:
+            continue
+        job.failures = max(job.failures, failing.failures)
+        job.not_before_us = max(job.not_before_us, now_us + failing.pause_ms * 1000 - since_us)
+        for name in failing.machines:
+            job.failed_on(name)
+            if name in cluster.machines:
+                cluster.machines[name].error_jobs.add(failing.job)
+        used += 1
+    return used
--- a/src/tideusher/core/lead/standby.py
+++ b/src/tideusher/core/lead/standby.py
@@ -75,6 +75,11 @@
         self._changes.clear()
         self._to_audit.clear()
 
+    @property
+    def picture(self) -> Picture | None:
+        """What was followed so far; None: nothing yet, or we lead."""
+        return self._picture
+
     @property
     def follows(self) -> bool:
         """Is there a picture that changes are applied to?"""
--- a/src/tideusher/core/picture/picture.py
+++ b/src/tideusher/core/picture/picture.py
@@ -30,6 +30,7 @@
     read_chunk,
 )
 from tideusher.core.picture.rentals import Rental
+from tideusher.core.picture.sightings import Zones
 from tideusher.core.picture.values import holder
 from tideusher.wire.cloud import MachineType
 from tideusher.wire.jobs import JobSpec
@@ -65,6 +66,7 @@
             settings.teams, policy, now_us, wall_us(), int(settings.state.value_kb * 1024) if settings.state else None
         )
         self.arrivals = Arrivals()
+        self.zones = Zones(to_us(settings.workers.report_s) if settings.workers else 0)
         #: Machines whose return was confirmed: one that reports all the same is returned again.
         self.gone: set[str] = set()
         self.falls: dict[str, tuple[dict[str, Any], int]] = {}
--- a/src/tideusher/core/picture/records.py
+++ b/src/tideusher/core/picture/records.py
@@ -341,6 +341,7 @@
     pace: float = 1.0  # run times here over those of the same jobs elsewhere, smoothed
     listed: str = ""
     inherited: bool = False  # known from an earlier leader's record
+    seen_us: int = 0  # inherited: when some controller last heard it, at the latest; 0: nobody told us
     rented_here: bool = True  # did we see its rental answered? Else `rented_us` is no more than when we looked
     reserved: str = ""  # the job that stops were made for; nobody else may use the room
     reserved_until_us: int = 0
--- a/src/tideusher/metrics.py
+++ b/src/tideusher/metrics.py
@@ -20,6 +20,7 @@
         self._runs: deque[tuple[str, float]] = deque(maxlen=MAX_KEPT)
         self._detected: deque[tuple[str, float]] = deque(maxlen=MAX_KEPT)
         self._whole: deque[tuple[str, float]] = deque(maxlen=MAX_KEPT)
+        self._checks: deque[tuple[str, float]] = deque(maxlen=MAX_KEPT)
         self._registry: Any = None
         self._histograms: tuple[tuple[deque[tuple[str, float]], Any], ...] = ()
 
@@ -43,6 +44,10 @@
         """All that a fall took was whole again so long after it began."""
         self._whole.append((zone, seconds))
 
+    def checked(self, phase: str, seconds: float) -> None:
+        """A phase of a takeover was over so long after its election, or as `docs/standby.md` says."""
+        self._checks.append((phase, seconds))
+
     def text(self) -> bytes:
         """All metrics in the Prometheus text format."""
         from prometheus_client import CollectorRegistry, Histogram, generate_latest
@@ -50,15 +55,17 @@
 
         if self._registry is None:
             self._registry = CollectorRegistry()
+            fine = (0.05, 0.1, 0.25, 0.5, 1, 2, 3, 5, 8, 15, 30)
             buckets = (1, 2, 5, 8, 15, 30, 50, 60, 90, 120, 250, 600, 1800)
 
-            def seconds(name: str, text: str, label: str) -> Any:
-                return Histogram(f"tideusher_{name}_seconds", text, [label], registry=self._registry, buckets=buckets)
+            def seconds(name: str, text: str, label: str, bounds: tuple[float, ...] = buckets) -> Any:
+                return Histogram(f"tideusher_{name}_seconds", text, [label], registry=self._registry, buckets=bounds)
 
             self._histograms = (
                 (self._waits, seconds("wait", "From submission to running, per task", "job_class")),
                 (self._runs, seconds("run", "Run time of completed tasks", "job_class")),
                 (self._detected, seconds("fall_known", "From a fall's first silence until it is known", "zone")),
+                (self._checks, seconds("takeover", "Phases of a takeover", "phase", fine)),
                 (self._whole, seconds("fall_whole", "From a fall's begin until all it took is whole", "zone")),
             )
             self._registry.register(_Numbers(self, CounterMetricFamily, GaugeMetricFamily))
--- a/src/tideusher/node.py
+++ b/src/tideusher/node.py
@@ -20,6 +20,8 @@
 from tideusher.actors.users import Users
 from tideusher.clock import Clock, to_us
 from tideusher.config import Config, Policy
+from tideusher.core.decide.succession import Standing
+from tideusher.core.picture.sightings import Own, Sightings
 from tideusher.metrics import Metrics
 from tideusher.web import Web
 from tideusher.wire import peers as peer_wire
@@ -47,9 +49,13 @@
         self.election = Election(config, policy, self.store, self._clock, rng)
         self.cloud = Cloud(config, self._clock, self.metrics)
         self.leader = Leader(config, policy, self._clock, self.store, self.election, self.cloud, self.metrics)
-        self.peers = Peers(config, self._clock, self._hello)
+        self.own = Own(to_us(config.settings.workers.report_s))
+        self.peers = Peers(config, self._clock, self._hello, self._answer_hello, self._told)
+        self.sightings = Sightings(self.own, self.peers.speaks)
+        self.leader.hear_sightings(self.sightings)
+        self.election.hear(self._standing, self.peers.standings, lambda token: self.leader.tell("tick"))
         self.store.hear_demands(self.peers.demands)
-        self.gateway = Gateway(config, self._clock, self.store, self.election, self.leader, self.peers)
+        self.gateway = Gateway(config, self._clock, self.store, self.election, self.leader, self.peers, self.own)
         self.leader.hear_deaf(self._deaf_zones)
         self.users = Users(config, self._clock, self.store, policy.jobs__conditions, profile)
         questions = Questions(config, self.store, self.election, self.leader, self.peers)
@@ -75,10 +81,43 @@
         Event().wait()
 
     def _hello(self) -> peer_wire.Hello:
+        """What a heartbeat says; whoever answers one says more (`_answer_hello`)."""
         node, token = self.election.leader() or ("", 0)
         wanted = round(self.store.wanted(), 1)
         return peer_wire.Hello(self._config.node, self.in_contact(), node, token, wanted, self.gateway.deaf())
 
+    def _answer_hello(self, line: int) -> tuple[peer_wire.Hello, int]:
+        said, ours = self._hello(), self._standing()
+        said.seen, line = self.own.news(line, self._clock.now_us())
+        said.behind, said.lost, said.rests = ours.behind, ours.lost, ours.rests
+        said.lag_ms = ours.lag_us // 1000
+        said.soft = self.leader.soft()
+        return said, line
+
+    def _told(self, node: str, said: peer_wire.Hello | None) -> None:
+        """Another controller spoke; None: its connection ended."""
+        if said is None:
+            self.sightings.lost(node)
+            return
+        self.sightings.told(node, said.seen, self._clock.now_us())
+        if said.soft is not None:
+            self.leader.hear_soft(said.soft)
+
+    def _standing(self) -> Standing:
+        """This controller as a possible leader."""
+        node, token = self.election.leader() or ("", 0)
+        lost = token if token and self.peers.refuses(node) else 0
+        return Standing(
+            self._config.node,
+            self._config.zone,
+            self.in_contact(),
+            self.gateway.deaf(),
+            self.leader.behind(),
+            self.leader.lag.us,
+            lost,
+            self.election.rests(),
+        )
+
     def _deaf_zones(self) -> set[str]:
         return self.peers.deaf_zones() | ({self._config.zone} if self.gateway.deaf() else set())
 
--- a/src/tideusher/wire/peers.py
+++ b/src/tideusher/wire/peers.py
@@ -13,10 +13,59 @@
     """Base of all peer messages."""
 
 
+class Seen(msgspec.Struct, array_like=True):
+    """A worker that the sender hears (`silent_ms` 0), or that has been silent for so long there."""
+
+    machine: str
+    address: str = ""
+    silent_ms: int = 0
+
+
+class Refused(msgspec.Struct, array_like=True):
+    """Machines that the cloud had none of: for how long they are not asked for, and after how many refusals."""
+
+    type: str
+    zone: str
+    spot: bool
+    left_ms: int
+    times: int
+
+
+class Reserved(msgspec.Struct, array_like=True):
+    """A machine whose room is being cleared for a job."""
+
+    machine: str
+    job: str
+    left_ms: int
+
+
+class Failing(msgspec.Struct, array_like=True):
+    """A job whose tasks fail: how often, the pause before the next try, and where it failed."""
+
+    job: str
+    failures: int
+    pause_ms: int
+    machines: list[str] = []
+
+
+class Soft(msgspec.Struct, omit_defaults=True):
+    """What the leader with this token knows and no record holds."""
+
+    token: int
+    refused: list[Refused] = []
+    reserved: list[Reserved] = []
+    failing: list[Failing] = []
+
+
 class Hello(PeerMessage, tag="hello"):
     """First frame of a link and its heartbeat: who speaks, whether it reaches the state service, who
     leads as far as it knows, how many changes a second it wants to write, and whether all workers that
-    it had have fallen silent."""
+    it had have fallen silent.
+
+    For whoever leads next, and passed over by older nodes: which workers it hears (what changed since the last
+    heartbeat on this connection), how many changes it has yet to apply (None: it does not follow), the token of a
+    leader that refuses it since their connection ended, how late its timers fire, whether it gave way just now, and
+    from a leader what no record holds."""
 
     node: str
     in_contact: bool = False
@@ -24,6 +73,12 @@
     token: int = 0
     writes: float = 0.0
     deaf: bool = False
+    seen: list[Seen] = []
+    behind: int | None = None
+    lost: int = 0
+    lag_ms: int = 0
+    rests: bool = False
+    soft: Soft | None = None
 
 
 class ForwardReport(PeerMessage, tag="report"):
--- a/src/tideusher/wire/workers.py
+++ b/src/tideusher/wire/workers.py
@@ -41,6 +41,7 @@
     machine: str = msgspec.field(name="berth")
     zone: str = msgspec.field(name="harbor")
     token: int = msgspec.field(name="helm")
+    address: str = msgspec.field(name="addr", default="")
 
 
 class Command(msgspec.Struct, omit_defaults=True):
