--- a/src/tideusher/actors/election.py
+++ b/src/tideusher/actors/election.py
@@ -42,6 +42,7 @@
         #: When we were elected last (steady time).
         self.elected_us = 0
         self._reign: Reign | None = None  # of another
+        self._begun = False  # have we looked once who leads?
         self._free_us: int | None = None  # since when nobody leads
         self._rests_until_us = 0
         self._size = config.settings.size
@@ -107,7 +108,7 @@
                 self._store.sync()
 
     def _nobody_leads(self) -> None:
-        self.token, now_us = None, self._clock.now_us()
+        self.token, now_us, self._begun = None, self._clock.now_us(), True
         if self._free_us is None:
             self._free_us = now_us
         token = self._reign.token if self._reign is not None else 0
@@ -120,8 +121,10 @@
         now_us = self._clock.now_us()
         if self._reign is None or self._reign.token != stored.stamp:
             self._reign = Reign(stored.value["node"], stored.stamp, now_us, stored.value.get("early", 0))
-        if self._reign.node == self._node:
-            # An earlier life of this very controller: it ended, and its lease need not run out.
+        begun, self._begun = self._begun, True
+        if self._reign.node == self._node and not begun:
+            # An earlier life of this very controller: it ended, and its lease need not run out. Looked at once only:
+            # two that were given one name by mistake would else end each other's leadership for ever.
             self.log.info("an earlier life of this controller leads; its leadership is ended")
             self._remove(stored.stamp)
             return
--- a/src/tideusher/actors/leader.py
+++ b/src/tideusher/actors/leader.py
@@ -19,7 +19,7 @@
 from tideusher.core.lead import explain
 from tideusher.core.lead.cluster import Cluster
 from tideusher.core.lead.engine import Engine
-from tideusher.core.lead.soft import Told, newer
+from tideusher.core.lead.soft import Told, newer, take_sightings
 from tideusher.core.lead.soft import refusal as soft_refusal
 from tideusher.core.lead.soft import take as take_soft
 from tideusher.core.lead.soft import tell as tell_soft
@@ -274,10 +274,7 @@
             picture=caught.picture,
         )
         self._phase("check records")
-        for machine in self._engine.cluster.machines.values():
-            seen = self._sightings.last(machine.name, now_us)
-            if seen is not None:
-                machine.seen_us, machine.address = seen[0], machine.address or seen[1]
+        take_sightings(self._engine, self._sightings, now_us)
         self._use_soft(self._engine, token, now_us)
         cluster = self._engine.cluster
         self._metrics.count("leaderships")
--- a/src/tideusher/core/decide/succession.py
+++ b/src/tideusher/core/decide/succession.py
@@ -20,7 +20,7 @@
 #: A connection to the leader must be refused for so long.
 LOST_US = 3 * SECOND_US // 10
 #: After a change on evidence the next one waits so long, doubled with each that follows within CALM_US.
-DAMP_US, DAMP_MOST, CALM_US = 10 * SECOND_US, 4, 120 * SECOND_US
+DAMP_US, DAMP_MOST, CALM_US = 10 * SECOND_US, 4, 300 * SECOND_US
 #: A standby with more changes to apply than this is not warm.
 WARM = 200
 #: Timers that fire later than this, on average, are those of a node that computes too slowly for what it has to do.
--- a/src/tideusher/core/lead/cluster.py
+++ b/src/tideusher/core/lead/cluster.py
@@ -392,7 +392,12 @@
         """A report says for the first time that the task runs."""
         # One that was inherited runs since its image was there, not since we heard of it: its minimum runtime and its
         # charges would else begin anew with each leader.
-        task.running_us = now_us if task.ready_us is None else min(now_us, max(task.ready_us, task.placed_us))
+        # Of one that was there before we looked nobody knows: it counts as running since charges were last gathered.
+        # A job's limit is never counted from such a guess.
+        if task.ready_us is None or task.job.spec.limit_s is not None:
+            task.running_us = now_us
+        else:
+            task.running_us = min(now_us, task.ready_us or self.ledger.until_us)
         self.limits.began(task, now_us)
         self.conditions.began(task.job)
 
--- a/src/tideusher/core/lead/scheduler.py
+++ b/src/tideusher/core/lead/scheduler.py
@@ -247,7 +247,7 @@
         usable = [m for m in self._c.machines.values() if _usable(m) and not doubted(m, now_us)]
         coming_free = room_of_halted(usable)
         coming = sum(
-            m.gpus for m in self._c.machines.values() if m.phase == BOOTING and not m.draining and not m.spot
+            m.free_gpus for m in self._c.machines.values() if m.phase == BOOTING and not m.draining and not m.spot
         )
         stoppable = Stoppable(self._c.active.values(), self._c.standing, self._c.min_run_us, self._c.policy, now_us)
 
--- a/src/tideusher/core/lead/soft.py
+++ b/src/tideusher/core/lead/soft.py
@@ -9,6 +9,7 @@
 
 from tideusher.clock import SECOND_US
 from tideusher.core.lead.engine import Engine
+from tideusher.core.picture.sightings import Sightings
 from tideusher.wire.peers import Failing, Refused, Reserved, Soft
 
 #: Of each kind so many are told, the ones that weigh most.
@@ -63,6 +64,14 @@
     return ""
 
 
+def take_sightings(engine: Engine, sightings: Sightings, now_us: int) -> None:
+    """Since when each inherited machine is silent, and where it can be called, as far as any controller told."""
+    for machine in engine.cluster.machines.values():
+        seen = sightings.last(machine.name, now_us)
+        if seen is not None:
+            machine.seen_us, machine.address = seen[0], machine.address or seen[1]
+
+
 def take(engine: Engine, told: Told, now_us: int) -> int:
     """Use them; returns how many. What has run out since it was told is left out."""
     cluster, used = engine.cluster, 0
--- a/src/tideusher/core/picture/ledger.py
+++ b/src/tideusher/core/picture/ledger.py
@@ -21,8 +21,9 @@
 SLOTS, VALUE_PART, TEAM_BYTES, SLOT_BYTES = 60, 0.8, 64, 9
 #: The name in the written value that tells of the value itself.
 ABOUT = ""
-#: A new leader charges for at most so long without one: longer, and nobody knows what ran.
-GAP_MOST_US = 60 * SECOND_US
+#: A new leader charges what still runs for at most so long without a written charge: leaders may change sooner than
+#: they gather, many times in a row.
+GAP_MOST_US = 600 * SECOND_US
 
 
 def share(job: Job, machine: Machine) -> float:
@@ -61,6 +62,11 @@
         self._fleet_cpus = 0.0
         self._fleet_machines = 0.0
 
+    @property
+    def until_us(self) -> int:
+        """Until when (steady time) running tasks are charged."""
+        return self._gathered_us
+
     def set_fleet(self, machines: Iterable[Machine]) -> None:
         """The capacity that guarantees are a share of."""
         self._fleet_gpus = self._fleet_cpus = 0.0
--- a/src/tideusher/core/picture/picture.py
+++ b/src/tideusher/core/picture/picture.py
@@ -239,10 +239,9 @@
         if task is None:
             task = Task(job, index, attempt, machine, ASSIGNED, now_us, sent=(0, 0), inherited=True)
             first = job.charge_once(index)  # by the leader that placed it
-            if not self.building:
-                task.ready_us = now_us + self._fetch_us(task)
-                if first:
-                    self.uncharged.append(task)
+            task.ready_us = 0 if self.building else now_us + self._fetch_us(task)
+            if first and not self.building:
+                self.uncharged.append(task)
             self.place(task)
         task.began_s = began_s
         return True
--- a/src/tideusher/core/picture/records.py
+++ b/src/tideusher/core/picture/records.py
@@ -55,7 +55,8 @@
     halt_grace_s: float | None = None
     halt_reason: str = ""
     move_to: "Machine | None" = None  # where it goes on once it is proven gone from here
-    #: Inherited: when its image should have been there, if we saw it placed; None: it was there before we looked.
+    #: Inherited: when its image should have been there, if we saw it placed, and 0 if it was there before we looked;
+    #: None: placed by this leader.
     ready_us: int | None = None
     #: Of a job with a limit: seconds from the job's submission to the task's first run, persisted.
     began_s: int = 0
--- a/src/tideusher/node.py
+++ b/src/tideusher/node.py
@@ -18,7 +18,7 @@
 from tideusher.actors.questions import Questions
 from tideusher.actors.store import Store
 from tideusher.actors.users import Users
-from tideusher.clock import Clock, to_us
+from tideusher.clock import Clock, to_s, to_us
 from tideusher.config import Config, Policy
 from tideusher.core.decide.succession import Standing
 from tideusher.core.picture.sightings import Own, Sightings
@@ -137,6 +137,12 @@
     def _metrics_text(self) -> bytes:
         self.metrics.gauges["leads"] = float(self.election.token is not None)
         self.metrics.gauges["in_contact"] = float(self.in_contact())
+        ours = self._standing()
+        self.metrics.gauges["first_in_line"] = float(self.election.successor() == self._config.node)
+        self.metrics.gauges["standby_follows"] = float(ours.behind is not None)
+        self.metrics.gauges["standby_behind_records"] = float(ours.behind or 0)
+        self.metrics.gauges["timer_lag_seconds"] = to_s(ours.lag_us)
+        self.metrics.gauges["leader_lost"] = float(ours.lost != 0)
         self.metrics.gauges["mirrored_keys"] = float(len(self.store.mirror))
         return self.metrics.text()
 
