--- a/tests/test_standby.py
+++ b/tests/test_standby.py
@@ -16,6 +16,7 @@
 from tideusher.core.picture.ledger import Ledger
 from tideusher.core.picture.picture import Picture
 from tideusher.metrics import Metrics
+from tideusher.playground.standins import TYPE
 from tideusher.wire.workers import Report, TaskReport
 
 
@@ -291,3 +292,44 @@
     report = Report("host-1", "127.0.0.1:9", "m4", "a", False, 1, 9, 0, None, told)
     engine.reports.answer(report, bed.clock.now_us())
     assert task.running_us == begun + 2 * SECOND_US  # img-1 has 2 GB, the type fetches 1 GB a second
+
+
+class Followed(Harness):
+    """A storm in which each new leader leads on what its standby had followed, late and in pieces."""
+
+    standby = None
+
+    def new_leader(self):
+        token = self.state.elect(f"n{len(self.leaders)}")
+        engine, *_ = (self.standby or Node(self.state, self.clock)).lead(token)
+        cluster = engine.cluster
+        cluster.set_types([TYPE])
+        self.leaders.append(cluster)
+        self.scheduler = engine.scheduler
+        self.standby = Node(self.state, self.clock)
+        return cluster
+
+    def step(self):
+        super().step()
+        if self.rng.random() < 0.4:  # it is behind by seconds, and by more
+            self.standby.read()
+            self.standby.standby.piece(self.clock.now_us())
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_rules_hold_through_storms_under_leaders_that_followed(seed):
+    """Killed at any step of a write, between persisting and telling, with older leaders' writes arriving late."""
+    harness, rng = Followed(seed, faults=0.12), random.Random(seed)
+    open_jobs = []
+    for number in range(160):
+        if rng.random() < 0.25:
+            shape = rng.choice(["batch", "gang", "service"])
+            fields = {"spread": True} if shape == "service" else {"one_zone": shape == "gang"}
+            spec = job(shape, rng.choice([1, 2, 4]), team=rng.choice(["red", "blue"]), estimate_s=6.0, **fields)
+            open_jobs.append(harness.submit(spec))
+        if open_jobs and rng.random() < 0.1:
+            harness.cancel(open_jobs.pop(rng.randrange(len(open_jobs))))
+        if number % 9 == 8:
+            harness.new_leader()
+        harness.step()
+    assert len(harness.leaders) > 15 and any(status == "done" for status in harness.rules.final.values())
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -86,6 +86,20 @@
     assert who_deposes(seven(**lost), hears=hears) == []
 
 
+def test_the_leader_and_the_next_in_line_are_killed_together():
+    everybody = seven(**{f"n{n}": 41 for n in range(1, 7)})
+    rest = [one for one in everybody if one.node != line(everybody, 41)[0]]
+    assert who_deposes(rest) == [line(rest, 41)[0]]
+    alone = [Standing("n2", "b", True, behind=0, lost=41)]  # of three: one is left, and waits for the lease
+    assert who_deposes(alone, size=3) == [] and waits_us(alone[0], [], 41) == 0
+
+
+def test_one_that_is_cut_off_from_the_state_service_neither_takes_over_nor_counts():
+    two = [Standing("n1", "a", True, behind=0, lost=41), Standing("n2", "b", False, behind=0, lost=41)]
+    assert who_deposes(two, size=3) == [] and line(two, 41) == ["n1"]
+    assert waits_us(two[1], [two[0]], 41) > 0
+
+
 def test_evidence_comes_from_several_zones_where_there_are_several():
     nodes = [Standing(f"n{n}", zone, True, behind=0, lost=41 * (zone == "c")) for n, zone in enumerate("cccab", 1)]
     assert who_deposes(nodes, size=6) == []  # a zone that is cut off from the leader's
@@ -463,3 +477,25 @@
         once, often = calm.cluster.ledger.charged(team), controllers.cluster.ledger.charged(team)
         assert often == pytest.approx(once, rel=0.01), team
     assert not controllers.gone
+
+
+@pytest.mark.parametrize("outage_s", [0.0, 6.0])
+def test_killed_in_a_fall_and_in_an_outage(controllers, outage_s):
+    """Nothing that is up is returned, and what the fall took is whole again, whoever saw it begin."""
+    spec = job("service", 8, team="red", priority="critical", job_class="web")
+    controllers.start(spec)
+    controllers.run(15)
+    assert controllers.up_of(spec) == 8
+    controllers.writes = not outage_s
+    controllers.turn(controllers.of("b")[2:], DEAD)
+    controllers.run(1)
+    controllers.kill_leader()
+    controllers.run(max(1.5, outage_s))
+    controllers.writes = True
+    controllers.take_over("n2")
+    controllers.run(1)
+    controllers.kill_leader()  # and the next one, before it has found anything
+    controllers.run(1.5)
+    controllers.take_over("n1")
+    controllers.run(60, lambda: controllers.up_of(spec) == 8)
+    assert controllers.up_of(spec) == 8 and set(controllers.gone.values()) == {DEAD}
