When a machine was last heard has one home; a standby's two words for one thing are one

Health and the record of a fall each worked out the last time that a machine was heard from two fields; the machine tells it now. Whether a standby follows was a property beside the picture that says the same.

--- a/src/tideusher/actors/leader.py
+++ b/src/tideusher/actors/leader.py
@@ -120,7 +120,7 @@
         """Changes that we have yet to apply to the picture that we follow; None: we follow none."""
         if self._engine is not None:
             return 0
-        return self._standby.behind if self._standby.follows else None
+        return self._standby.behind if self._standby.picture is not None else None
 
     def _on_change(self, key: str, value: object, stamp: int) -> None:
         if key == keys.LEADER and value is not None:
@@ -149,7 +149,7 @@
         """Is what was followed still what the records say? A few of them each time."""
         if self._engine is not None or not self._store.loaded.is_set():
             return
-        if not self._standby.follows:
+        if self._standby.picture is None:
             self._standby.begin(self._clock.now_us())
         elif self._standby.audit(self._clock.now_us()):
             self._metrics.count("standby_rebuilds")
--- a/src/tideusher/core/decide/falls.py
+++ b/src/tideusher/core/decide/falls.py
@@ -223,7 +223,7 @@
 
     def _judge(self, zone: str, silent: list[Machine], heard: list[Machine], now_us: int) -> Verdict:
         # Evidence counts only from after the silence began: who was heard before it proves nothing of it.
-        last_us = max(self._health.last_us(machine) for machine in silent)
+        last_us = max(machine.last_us for machine in silent)
         witnesses = sum(m.zone == zone and m.reported_us > last_us for m in heard)
         linked = zone in self.linked
         others = () if witnesses else self._control_us.values()
@@ -246,7 +246,7 @@
         verdict = judge(Evidence(len(silent), asked, witnesses, linked, controls_ok, bool(heard)))
         if len(silent) >= MANY and self._told.get(zone) != verdict.kind:
             self._told[zone] = verdict.kind
-            silent_s = to_s(now_us - min(self._health.last_us(machine) or now_us for machine in silent))
+            silent_s = to_s(now_us - min(machine.last_us or now_us for machine in silent))
             self.log.info(
                 "%d machines of %s silent for up to %.0f s: %s, as %s",
                 len(silent), zone, silent_s, verdict.kind, verdict.why,
@@ -301,7 +301,7 @@
 
     def _list_due(self, silent: list[Machine], now_us: int) -> bool:
         """May the cloud's list soon tell what we cannot find out of these?"""
-        since_us = now_us - max(self._health.last_us(machine) for machine in silent)
+        since_us = now_us - max(machine.last_us for machine in silent)
         return len(silent) >= MANY and LIST_FROM_US <= since_us <= LIST_TO_US
 
     def _replace(self, machine: Machine, room: "list[_Room]", now_us: int) -> bool:
--- a/src/tideusher/core/decide/health.py
+++ b/src/tideusher/core/decide/health.py
@@ -66,16 +66,11 @@
 
     def silent_us(self, machine: Machine, now_us: int) -> int:
         """For how long nobody has heard it; of one that nobody told us of, since our election."""
-        return now_us - (self.last_us(machine) or self._began_us)
-
-    @staticmethod
-    def last_us(machine: Machine) -> int:
-        """When it was last heard by us or, before us, by any controller; 0: never, as far as was told."""
-        return machine.reported_us or machine.seen_us
+        return now_us - (machine.last_us or self._began_us)
 
     def silence(self, machine: Machine, now_us: int) -> str:
         """How long it has been silent, in words; one inherited may never have reported to this leader."""
-        if last_us := self.last_us(machine):
+        if last_us := machine.last_us:
             return f"silent for {to_s(now_us - last_us):.0f} s"
         return f"not heard in the {to_s(now_us - self._began_us):.0f} s of this leadership"
 
--- a/src/tideusher/core/decide/recovery.py
+++ b/src/tideusher/core/decide/recovery.py
@@ -145,8 +145,7 @@
         machines = [(machine, why) for machine, why in machines if machine.phase != RETURNING]
         if not machines:
             return
-        lasts = [machine.reported_us or machine.seen_us for machine, _ in machines]
-        silent_us = max((now_us - last_us for last_us in lasts if last_us), default=0)
+        silent_us = max((now_us - machine.last_us for machine, _ in machines if machine.last_us), default=0)
         fall = self._fall_of(zone, silent_us, machines[0][1])
         fall.machines += len(machines)
         self._c.metrics.count("fall_machines", zone, len(machines))
--- a/src/tideusher/core/lead/standby.py
+++ b/src/tideusher/core/lead/standby.py
@@ -80,11 +80,6 @@
         """What was followed so far; None: nothing yet, or we lead."""
         return self._picture
 
-    @property
-    def follows(self) -> bool:
-        """Is there a picture that changes are applied to?"""
-        return self._picture is not None
-
     @property
     def behind(self) -> int:
         """Changes that have yet to be applied."""
--- a/src/tideusher/core/picture/records.py
+++ b/src/tideusher/core/picture/records.py
@@ -373,6 +373,11 @@
         if len(others) >= 2:
             self.pace += PACE_WEIGHT * (run_us / max(1.0, median(others)) - self.pace)
 
+    @property
+    def last_us(self) -> int:
+        """When it was last heard by this leader or, before it, by any controller; 0: never, as far as was told."""
+        return self.reported_us or self.seen_us
+
     @property
     def slow(self) -> bool:
         """Clearly slower than others: work goes elsewhere while it can, and it is returned first."""
