A job whose last write is not a completion is called done

Cause: done waits until all chunks of a job are written, but only writes of completions looked whether they are. Change: each write of a chunk looks (Entry.settled), whoever asked for it.

--- a/src/tideusher/core/lead/cluster.py
+++ b/src/tideusher/core/lead/cluster.py
@@ -180,6 +180,10 @@
                 return chunk_value(job, chunk)
 
             entry = self._entry(key, value, also)
+            # What `done` waits for is that all chunks are written, whichever is the last. It once hung on the writes
+            # of completions alone: where one that is not urgent (a stop, a place that came free) was still waiting
+            # behind them, nobody looked again, and a job of 25,000 tasks that were all done was never called so.
+            entry.settled = partial(self._finish_if_done, job)
         return entry
 
     def _rental_entry(self, rental: Rental) -> Entry:
@@ -317,7 +321,7 @@
         # With the last task of a finished job gone, the write of that is what `done` waits for: the
         # members of a gang report their exits one by one, after the gang's completion was written.
         over = job.status == OPEN and job.over_count == job.spec.tasks
-        self.touch_chunk(job, task.index, (lambda: self._finish_if_done(job)) if over else None, urgent=over)
+        self.touch_chunk(job, task.index, urgent=over)
         self.dirty = True
         target = task.move_to
         if (
@@ -384,7 +388,7 @@
         indexes = range(job.spec.tasks) if job.is_gang else (index,)
         for one in indexes:
             if job.mark_done(one):
-                self.touch_chunk(job, one, lambda: self._finish_if_done(job))
+                self.touch_chunk(job, one)
                 self.dirty = True  # not for each report that lists it until it is forgotten
         job.failures = 0
 
@@ -418,7 +422,6 @@
         task = job.live.get(index)
         if task is not None:
             self.halt(task, self._grace_s(job), over_limit_reason(job.spec))
-        self._finish_if_done(job)
 
     @staticmethod
     def _grace_s(job: Job) -> float:
--- a/src/tideusher/core/picture/keeper.py
+++ b/src/tideusher/core/picture/keeper.py
@@ -28,6 +28,7 @@
     effects: list[Effect] = field(default_factory=list)
     dirty: bool = False
     valid: Callable[[], bool] = lambda: True  # false: the write has lost its point and is dropped
+    settled: Effect = lambda: None  # after each write of it, whoever asked for that
 
 
 @dataclass(slots=True)
@@ -92,7 +93,7 @@
         batch = Batch([], [], [], [])
         guards = {self._leader.key: self._leader}
         limit, size = min(room, self._max_ops), 0
-        nothing_to_write: list[Effect] = []
+        nothing_to_write: list[Effect] = []  # what waited for entries that are as stored
         for queue in (self._urgent, self._lazy):
             for key, entry in list(queue.items()):
                 if len(batch.entries) >= limit or size > 48 * 1024:
@@ -106,7 +107,7 @@
                 if value is None and not entry.stamp:
                     del queue[key]
                     entry.dirty = False
-                    nothing_to_write += entry.effects
+                    nothing_to_write += [*entry.effects, entry.settled]
                     entry.effects = []
                     continue
                 size += len(msgspec.json.encode(value))
@@ -137,6 +138,8 @@
         for effects in batch.effects:
             for effect in effects:
                 effect()
+        for entry in batch.entries:
+            entry.settled()
 
     def not_saved(self, stamp_of: Callable[[str], int]) -> None:
         """The batch failed or its fate is unknown: all of it waits again, with stamps as now read.
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -5,7 +5,7 @@
 from standins import Bed, job
 from tideusher.core.lead.reports import Reports
 from tideusher.core.picture import keys
-from tideusher.core.picture.records import ASSIGNED, COMMITTING, JOB_CANCELLED, JOB_DONE, RETURNING
+from tideusher.core.picture.records import ASSIGNED, CHUNK_TASKS, COMMITTING, JOB_CANCELLED, JOB_DONE, RETURNING
 from tideusher.wire.workers import Report
 
 
@@ -102,6 +102,22 @@
     assert bed.state.items[keys.job_key(spec.id)][0]["st"] == JOB_DONE
 
 
+def test_done_is_told_when_the_last_write_that_it_waits_for_is_not_a_completion(bed):
+    """A stop on record is urgent to nobody and may be written after the last completion: nobody looked again."""
+    spec = job(tasks=CHUNK_TASKS + 1, cpus=0.1, gpus=0.0, ram_gb=0.1)
+    placed = bed.place(spec)
+    names = [f"{spec.id}/{index}" for index in range(spec.tasks)]
+    bed.report("host-1", 2)
+    bed.report("host-1", 3, *[(name, 1, "exited", "done") for name in names[:-1]])
+    bed.commit()
+    bed.cluster.note_stop(placed, placed.live[CHUNK_TASKS], "it was moved")
+    bed.report("host-1", 4, (names[-1], 1, "exited", "done"))
+    keeper = bed.cluster.keeper
+    while (batch := keeper.next_batch(1)) is not None:
+        keeper.saved(bed.state.txn(batch.guards, batch.writes))
+    assert bed.state.items[keys.job_key(spec.id)][0]["st"] == JOB_DONE
+
+
 def test_a_gangs_done_is_told_when_its_exits_come_one_by_one(bed):
     # The exits of the other tasks once came after the only write that the telling hung on.
     spec = job("gang", 2, gpus=3.0)
