Guests' huge arrays take turns and rent nothing; jobs at fault told from machines

Change: the keeper writes one record of each job in turn, machines before places on them; the plan counts what an array's places will have done before a boot is over; core/decide/failures.py judges jobs and machines by who else fails: one task at a time for a job at fault, nothing rented or stopped for it, a machine under suspicion gets no new work until the jobs' next tries tell.

--- a/src/tideusher/core/decide/fleet.py
+++ b/src/tideusher/core/decide/fleet.py
@@ -12,9 +12,9 @@
 from tideusher.core.decide.placement import Demand, slots_in
 from tideusher.core.decide.repeats import Refusals, rights
 from tideusher.core.picture.arrivals import Arrivals
-from tideusher.core.picture.records import BOOTING, UP, Machine, allowed_on
+from tideusher.core.picture.records import BOOTING, UP, Job, Machine, allowed_on
 from tideusher.wire.cloud import MachineType
-from tideusher.wire.jobs import SERVICE, JobSpec
+from tideusher.wire.jobs import BATCH, SERVICE, JobSpec
 
 #: The load of the first moments is no rate yet.
 OPENING_US = 20 * SECOND_US
@@ -108,6 +108,7 @@
         objectives: Iterable[Objective],
         types: dict[str, MachineType] | None = None,
         arrivals: Arrivals | None = None,
+        report_us: int = SECOND_US,
     ) -> None:
         self._policy = policy
         self._waits = {
@@ -119,6 +120,7 @@
         self.arrivals = arrivals or Arrivals()
         self._refused: dict[tuple[str, str, bool], tuple[int, int]] = {}
         self.warm: list[tuple[JobSpec, int]] = []
+        self._report_us = max(1, report_us)
 
     # What is remembered
 
@@ -259,7 +261,9 @@
         nothing = Refusals()
         offered = Bins(bins, Demand.least_of(request.job.spec for request in requests))
         for request in requests:
-            job, count = request.job, request.count
+            job, count = request.job, request.count - self._turnover(request.job, boot_us)
+            if count <= 0:
+                continue
             # Who has waited for a whole boot already is not put off with room that opens soon: others
             # may have taken it each time.
             soon = now_us - job.seen_us < patience_us
@@ -287,6 +291,15 @@
             counted[key] = counted.get(key, 0) + 1
         return [Wish(t, z, s, n, why) for (t, z, s, why), n in counted.items()]
 
+    def _turnover(self, job: Job, boot_us: int) -> int:
+        """How many of an array's tasks its present places will have done before a machine rented now is up.
+
+        For 25,000 tasks of 4 s all that could be had was rented, and came up when the array was over.
+        """
+        if job.spec.shape != BATCH:
+            return 0
+        return len(job.live) * (boot_us // (to_us(job.spec.estimate_s) + self._report_us))
+
     def _soon_room(self, machine: Machine, now_us: int) -> list[Bin]:
         """The room that opens on a machine sooner than a new one could boot, if any does.
 
--- a/src/tideusher/core/lead/cluster.py
+++ b/src/tideusher/core/lead/cluster.py
@@ -15,6 +15,7 @@
 
 from tideusher.clock import to_s, to_us
 from tideusher.config import Config, Policy
+from tideusher.core.decide import failures
 from tideusher.core.decide.conditions import Conditions
 from tideusher.core.decide.falls import MANY, Falls, Look
 from tideusher.core.decide.fleet import Fleet, Wish
@@ -88,7 +89,8 @@
         self.jobs, self.active = self.picture.jobs, self.picture.active
         self.machines, self.rentals, self.gone = self.picture.machines, self.picture.rentals, self.picture.gone
         self.ledger = self.picture.ledger
-        self.fleet = Fleet(policy, settings.objectives, self.picture.types, self.picture.arrivals)
+        report_us = to_us(settings.workers.report_s)
+        self.fleet = Fleet(policy, settings.objectives, self.picture.types, self.picture.arrivals, report_us)
         self.health = Health(config, policy, self.machines, self.fleet, now_us, self.picture.zones)
         self.falls = Falls(config, self.machines, lambda: self.fleet.types, self.health, self._crowded, self._yields)
         workers_ = settings.workers
@@ -184,7 +186,7 @@
             # What `done` waits for is that all chunks are written, whichever is the last. It once hung on the writes
             # of completions alone: where one that is not urgent (a stop, a place that came free) was still waiting
             # behind them, nobody looked again, and a job of 25,000 tasks that were all done was never called so.
-            entry.settled = partial(self._finish_if_done, job)
+            entry.settled, entry.owner = partial(self._finish_if_done, job), job.spec.id
         return entry
 
     def _rental_entry(self, rental: Rental) -> Entry:
@@ -272,6 +274,7 @@
         key = keys.job_key(job.spec.id)
         # Dropped if a cancellation came first: `done` must not overwrite it.
         entry = Entry(key, lambda: final_value(job, status, why), job.stamp, valid=lambda: job.status == OPEN)
+        entry.owner = job.spec.id
 
         def told() -> None:
             if job.status == OPEN:
@@ -501,6 +504,19 @@
         machine.draining = reason
         self.give_back(machine, reason)
 
+    def look_at_failures(self, machine: Machine, now_us: int) -> None:
+        """Is the machine at fault for what failed on it? One that may be gets no new work until that is known."""
+        if machine.draining or not self.rents:
+            return
+        verdict = failures.judge(machine, self.jobs, now_us)
+        if verdict == failures.FAULTY:
+            self.drain(machine, "tasks of several jobs failed on it")
+        elif verdict != failures.SUSPECT:
+            machine.suspect_us = 0
+        elif not machine.suspect_us:
+            machine.suspect_us = now_us
+            self.log.info("%s gets no new work for now: tasks of several jobs failed on it", machine.name)
+
     def give_back(self, machine: Machine, reason: str) -> None:
         """Ask for a machine's return: persisted before the cloud hears of it, never used again."""
         if machine.phase == RETURNING:
@@ -717,6 +733,10 @@
         )
         self.keeper.touch(self._rental_entry(rental), lambda: self.to_rent.append(rental))
 
+    def rentals_asked(self) -> list[Rental]:
+        """Rentals whose answer has yet to come."""
+        return [rental for rental in self.rentals.values() if not rental.answered]
+
     def gather(self, now_us: int) -> None:
         """Charge what ran; the ratios go out as one value."""
         self.ledger.set_fleet(m for m in self.machines.values() if m.phase != RETURNING)
--- a/src/tideusher/core/lead/reports.py
+++ b/src/tideusher/core/lead/reports.py
@@ -5,6 +5,7 @@
 """
 
 from tideusher.clock import SECOND_US, to_s, to_us
+from tideusher.core.decide import failures
 from tideusher.core.lead.cluster import Cluster
 from tideusher.core.picture.records import ASSIGNED, BOOTING, COMMITTING, OPEN, SEEN, UP, Job, Machine, Task
 from tideusher.wire import workers
@@ -142,12 +143,11 @@
         """A failure is mostly the machine's fault; a job that fails everywhere backs off instead."""
         job.failed_on(machine.name)
         job.failures += 1
-        machine.error_jobs.add(job.spec.id)
-        if job.failures >= 3:
-            job.not_before_us = now_us + min(60, 2 ** min(job.failures, 6)) * SECOND_US
-        honest = [name for name in machine.error_jobs if (j := self._c.jobs.get(name)) is None or j.failures < 3]
-        if len(machine.error_jobs) >= 2 and honest and not machine.draining and self._c.rents:
-            self._c.drain(machine, "tasks of several jobs failed on it")
+        machine.error_jobs[job.spec.id] = machine.error_jobs.get(job.spec.id, 0) + 1
+        pause_us = failures.pause_us(job)
+        if pause_us:
+            job.not_before_us = max(job.not_before_us, now_us + pause_us)
+        self._c.look_at_failures(machine, now_us)
 
     def _recalled(self, machine: Machine, recall_s: float, now_us: int) -> None:
         machine.recall_us = now_us + to_us(recall_s)
--- a/src/tideusher/core/lead/scheduler.py
+++ b/src/tideusher/core/lead/scheduler.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Iterator
 
 from tideusher.clock import SECOND_US, to_s, to_us
+from tideusher.core.decide.failures import at_fault
 from tideusher.core.decide.falls import TAKEN
 from tideusher.core.decide.gather import Gathering, Request
 from tideusher.core.decide.order import order_jobs, urgency_us
@@ -79,7 +80,9 @@
             yield
         if not self._c.fleet.types:
             return
-        for machine in self._c.machines.values():
+        for machine in list(self._c.machines.values()):
+            if machine.suspect_us:
+                self._c.look_at_failures(machine, now_us)
             if machine.reserved:
                 job = self._c.jobs.get(machine.reserved)
                 if job is None or job.pending <= 0 or now_us > machine.reserved_until_us:
@@ -189,8 +192,9 @@
 
     def _place_job(self, job: Job, room: Room, now_us: int) -> tuple[int, bool]:
         """Place what can be placed of a job; returns how many more tasks wait for a machine, and if it looked."""
+        tries = at_fault(job)  # nothing is rented or stopped for it, and one task at a time shows if it still fails
         if now_us < job.not_before_us:
-            job.waits_for = "a pause after failed starts"
+            job.waits_for = told_failing(job) if tries else "a pause after failed starts"
             return 0, False
         if job.is_gang and job.live and not job.gathers:
             job.waits_for = "the end of its last attempt"
@@ -199,6 +203,11 @@
         if not count or (job.is_gang and count < job.pending):
             job.waits_for = _limit_of(job)
             return 0, False
+        if tries and not job.is_gang:
+            if job.live:
+                job.waits_for = told_failing(job)
+                return 0, False
+            count = 1
         limit = job.zone_limit
         failed = job.error_machines or ()
         # Of own machines there may be few: where each has failed once, none is avoided.
@@ -225,8 +234,8 @@
         kind = (rights(spec), spec.image, enough, short is None)
         whole = count if job.is_gang else 1
         if spec.id not in self._favoured and self._nothing.refuses(kind, spec, whole):
-            job.waits_for = NO_ROOM
-            return count, False
+            job.waits_for = told_failing(job) if tries else NO_ROOM
+            return (0 if tries else count), False
 
         def free_to_it(machine: Machine) -> bool:
             if short is not None and not machine.spot:
@@ -255,6 +264,9 @@
         elif not (job.live or avoid):
             self._nothing.refused(kind, spec, whole)
         left = count - len(machines)
+        if tries:
+            job.waits_for = told_failing(job)
+            return 0, True
         if left:
             job.waits_for = NO_ROOM
         elif job.pending > 0:
@@ -405,7 +417,7 @@
         return targets
 
     def _plan_fleet(self, requests: list[Request], now_us: int) -> None:
-        asked = [(r.type, r.zone, r.spot, r.count) for r in self._c.rentals.values() if not r.answered]
+        asked = [(r.type, r.zone, r.spot, r.count) for r in self._c.rentals_asked()]
         # What the cloud takes in a second is asked at a time. A queue of many small rentals reached it
         # half a minute late when a whole fleet was wanted; what has to wait is asked for in one.
         room = max(2, int(self._c.config.settings.cloud.rps)) - len(asked)
@@ -432,6 +444,11 @@
         return [m for m in self._c.machines.values() if m.name not in self._gathering.held]
 
 
+def told_failing(job: Job) -> str:
+    """What a job waits for that fails wherever it is tried."""
+    return f"its next try: it failed on {len(job.error_machines or ())} machines, and nothing of it was ever done"
+
+
 def _limit_of(job: Job) -> str:
     """Which limit keeps more of the job from starting."""
     at_once = job.spec.at_once
@@ -447,4 +464,4 @@
 
 def _usable(machine: Machine) -> bool:
     """May work be placed on the machine? One whose return was asked in a pause never again (safety 5)."""
-    return machine.phase == UP and not machine.draining
+    return machine.phase == UP and not machine.draining and not machine.suspect_us
--- a/src/tideusher/core/lead/soft.py
+++ b/src/tideusher/core/lead/soft.py
@@ -95,6 +95,6 @@
         for name in failing.machines:
             job.failed_on(name)
             if name in cluster.machines:
-                cluster.machines[name].error_jobs.add(failing.job)
+                cluster.machines[name].error_jobs.setdefault(failing.job, 1)
         used += 1
     return used
--- a/src/tideusher/core/picture/keeper.py
+++ b/src/tideusher/core/picture/keeper.py
@@ -29,6 +29,7 @@
     dirty: bool = False
     valid: Callable[[], bool] = lambda: True  # false: the write has lost its point and is dropped
     settled: Effect = lambda: None  # after each write of it, whoever asked for that
+    owner: str = ""  # the job whose record it is
 
 
 @dataclass(slots=True)
@@ -42,7 +43,12 @@
 
 
 class Keeper:
-    """Dirty entries in the order in which they became so; urgent ones first."""
+    """Dirty entries in the order in which they became so; urgent ones first, and of those one of each job in turn.
+
+    An array of 25,000 tasks has 400 records; starts and ends of all others waited behind them for half a minute. What
+    belongs to no job (machines that are rented or returned) goes before all jobs': no task may be on record on a
+    machine that is not.
+    """
 
     def __init__(self, leader_key: str, token: int, max_ops: int) -> None:
         self._leader = Guard(leader_key, token)
@@ -95,7 +101,7 @@
         limit, size = min(room, self._max_ops), 0
         nothing_to_write: list[Effect] = []  # what waited for entries that are as stored
         for queue in (self._urgent, self._lazy):
-            for key, entry in list(queue.items()):
+            for key, entry in self._in_turn() if queue is self._urgent else list(queue.items()):
                 if len(batch.entries) >= limit or size > 48 * 1024:
                     break
                 if queue is self._lazy and lazy is not None and batch.entries and lazy <= 0:
@@ -129,6 +135,17 @@
         self._in_flight = batch
         return batch
 
+    def _in_turn(self) -> list[tuple[str, Entry]]:
+        """The urgent entries: the first of each job, then the second of each."""
+        turns: dict[str, int] = {}
+        ranked = []
+        for key, entry in self._urgent.items():
+            turn = turns.get(entry.owner, 0) if entry.owner else -1
+            turns[entry.owner] = turn + 1
+            ranked.append((turn, key, entry))
+        ranked.sort(key=lambda one: one[0])
+        return [(key, entry) for _, key, entry in ranked]
+
     def saved(self, revision: int) -> None:
         """The batch in flight is through: take the new stamps, then let its effects be told."""
         batch, self._in_flight = self._in_flight, None
--- a/src/tideusher/core/picture/records.py
+++ b/src/tideusher/core/picture/records.py
@@ -334,7 +334,8 @@
     draining: str = ""  # why no new work goes here; empty: it may
     tasks: dict[tuple[str, int], Task] = field(default_factory=dict)
     images: dict[str, float] = field(default_factory=dict)
-    error_jobs: set[str] = field(default_factory=set)
+    error_jobs: dict[str, int] = field(default_factory=dict)  # failures here by job, since a task was last done
+    suspect_us: int = 0  # since when it may be at fault for what failed here; 0: it is not
     probes_failed: int = 0
     found: str = ""  # what the last call to it found, while it is silent
     asked_us: int = 0  # when it was last called
--- /dev/null
+++ b/tests/test_ops.py
@@ -0,0 +1,141 @@
+"""What on-call met: guests with huge arrays, jobs that fail everywhere, late boots, controllers that stand still."""
+
+from region import Region
+from standins import Bed, job
+from tideusher.clock import SECOND_US
+from tideusher.core.decide import failures
+from tideusher.core.lead import explain
+from tideusher.core.picture import keys
+from tideusher.core.picture.keeper import Entry, Keeper
+from tideusher.core.picture.records import RETURNING
+
+
+def entry(key, owner=""):
+    return Entry(key, lambda: {"v": 1}, 0, owner=owner)
+
+
+def test_a_huge_arrays_records_take_turns_with_those_of_others():
+    """391 records of a guest's array once went before each start of a gang: eleven writes a second, 35 s."""
+    keeper = Keeper("lead", 7, 4)
+    for number in range(40):
+        keeper.touch(entry(f"t/r/huge/{number}", "huge"))
+    for name in ("gang", "web"):
+        keeper.touch(entry(f"t/r/{name}/0", name))
+    keeper.touch(entry("t/m/7-1"))
+    first = [one.key for one in keeper.next_batch(4).entries]
+    assert first == ["t/m/7-1", "t/r/huge/0", "t/r/gang/0", "t/r/web/0"]
+    keeper.saved(9)
+    assert [one.key for one in keeper.next_batch(4).entries] == [f"t/r/huge/{number}" for number in range(1, 5)]
+
+
+def test_a_machine_is_on_record_before_a_place_on_it_whichever_waited_longer():
+    """A job's record that waits for its turn may get a place on a machine rented since: the machine goes first."""
+    keeper = Keeper("lead", 7, 1)
+    place, machine = entry("t/r/old/0", "old"), entry("t/m/7-9")
+    keeper.touch(place)
+    keeper.touch(machine)  # the assignment touches both, the machine's record first
+    keeper.touch(place)
+    assert keeper.next_batch(1).entries == [machine]
+
+
+def test_no_machine_is_rented_for_tasks_that_are_done_before_it_is_up():
+    """25,000 tasks of 4 s: all that the cloud had was rented, and came up when the array was over."""
+    region = Region(a=20, b=0, boot_s=25.0)
+    small = job(tasks=6000, cpus=0.25, gpus=0.0, ram_gb=0.9, estimate_s=4.0, team="poor", spot=True)
+    region.cluster.rents = True
+    region.submit(small)
+    for _ in range(3):
+        region.scheduler.schedule(region.clock.now_us())
+    placed = len(region.cluster.jobs[small.id].live)
+    assert 1000 < placed < 6000 and not region.cluster.rentals_asked()
+    long = job(tasks=60, cpus=8.0, gpus=2.0, ram_gb=30.0, estimate_s=70.0, team="poor", spot=True)
+    region.submit(long)
+    region.scheduler.schedule(region.clock.now_us())
+    assert region.cluster.rentals_asked()
+
+
+def failing(bed, spec, host, serial, session=1):
+    """Its task 0 has just failed there."""
+    task = bed.cluster.jobs[spec.id].live[0]
+    bed.report(host, serial, session=session)
+    bed.report(host, serial + 1, (task.name, task.attempt, "exited", "error"), session=session)
+    bed.commit()
+
+
+def test_a_job_that_fails_everywhere_costs_no_machine_and_is_tried_on():
+    """No healthy machine goes back for it; pauses grow and are bounded; it is never called over; explain says so."""
+    bed = Bed()
+    hosts = [f"host-{number}" for number in range(6)]
+    serials = dict.fromkeys(hosts, 1)
+    for host in hosts:
+        bed.report(host, 1)
+    bad, worse = (bed.submit(job("batch", 5, id=name, team="poor")) for name in ("req-800001", "req-800002"))
+    pauses = []
+    for _ in range(40):
+        bed.clock.pass_s(1.0)
+        for host in hosts:
+            serials[host] += 1
+            tasks = bed.cluster.machines[host].tasks.values() if host in bed.cluster.machines else ()
+            listed = [(t.name, t.attempt, "exited", "error") for t in tasks if t.sent]
+            bed.report(host, serials[host], *listed)
+        bed.scheduler.schedule(bed.clock.now_us())
+        bed.commit()
+        for one in (bad, worse):
+            if failures.at_fault(one):
+                pauses.append(one.not_before_us - bed.clock.now_us())
+                assert len(one.live) <= 1
+        for host in hosts:  # `run` goes out
+            serials[host] += 1
+            bed.report(host, serials[host])
+    assert failures.at_fault(bad) and failures.at_fault(worse) and bad.pending == 5 - len(bad.live)
+    why = {m.draining for m in bed.cluster.machines.values() if m.phase == RETURNING}
+    assert all("idle" in reason for reason in why) and not any(m.suspect_us for m in bed.cluster.machines.values())
+    assert max(pauses) <= failures.LAST_PAUSE_US and max(pauses) > 10 * SECOND_US
+    told = explain.explain_job(bed.cluster, bad.spec.id, bed.clock.now_us())["reasons"]
+    assert any("failed on" in reason and "tried" in reason or "next try" in reason for reason in told), told
+    assert bed.state.items[keys.job_key(bad.spec.id)][0]["st"] == "open"
+
+
+def test_a_faulty_machine_is_found_while_such_jobs_run_and_a_good_job_is_not_blamed():
+    bed = Bed()
+    for host in ("host-1", "host-2"):
+        bed.report(host, 1)
+    bad = bed.submit(job("batch", 1, id="req-810001"))
+    for name in ("host-1", "host-3", "host-4"):
+        bad.failed_on(name)
+    machine = bed.cluster.machines["host-1"]
+    machine.error_jobs = {bad.spec.id: 5, "req-999999": 3}  # one at fault, one that is cancelled: no proof
+    assert failures.at_fault(bad) and not failures.judge(machine, bed.cluster.jobs, 0)
+    good, other = (bed.submit(job("batch", 4, id=name)) for name in ("req-810002", "req-810003"))
+    machine.error_jobs[good.spec.id] = 1
+    assert not failures.judge(machine, bed.cluster.jobs, 0)
+    machine.error_jobs[other.spec.id] = 1
+    assert failures.judge(machine, bed.cluster.jobs, 0) == failures.SUSPECT
+    now_us = bed.clock.now_us()
+    bed.cluster.look_at_failures(machine, now_us)
+    bed.scheduler.schedule(now_us)
+    assert machine.suspect_us and not machine.tasks and bed.cluster.machines["host-2"].tasks  # others take the work
+    assert failures.judge(machine, bed.cluster.jobs, now_us + failures.SURE_US) == failures.FAULTY
+    # One that has succeeded elsewhere is honest for good, on however many machines it fails.
+    del machine.error_jobs[other.spec.id]
+    for name in ("host-5", "host-6", "host-7"):
+        good.failed_on(name)
+    assert not failures.judge(machine, bed.cluster.jobs, 0)
+    good.mark_done(0)
+    machine.error_jobs[good.spec.id] = 2
+    assert not failures.at_fault(good) and failures.judge(machine, bed.cluster.jobs, 0) == failures.FAULTY
+
+
+def test_nothing_is_rented_or_stopped_for_a_job_at_fault():
+    bed = Bed()
+    bed.report("host-1", 1)
+    other = bed.place(job("batch", 4, id="req-820001", team="blue", gpus=1.0), "host-1")
+    bad = bed.submit(job("gang", 1, id="req-820002", gpus=4.0, cpus=16.0, team="red", priority="urgent"))
+    for name in ("host-7", "host-8", "host-9"):
+        bad.failed_on(name)
+    before = len(bed.cluster.rentals)
+    bed.clock.pass_s(30)
+    bed.report("host-1", 9)
+    bed.scheduler.schedule(bed.clock.now_us())
+    assert len(bed.cluster.rentals) == before and all(task.halt_grace_s is None for task in other.live.values())
+    assert "failed on 3 machines" in bad.waits_for
