Back at once, standing still, late boots, who was served

Cause: an earlier life's request to lead that landed after its successor had looked kept the leadership vacant for a lease; a controller that stood still counted that time as silence of its workers and held a leadership whose lease might be over; a machine that boots was given up after a fixed time; operators could not see who is served. Change: a young controller ends any leadership in its name that is not its own; on waking silence counts anew and a leadership is doubted until a read; boots are judged by those of their type and zone (core/decide/boots.py), few given up at a time; per class and team asked, accepted, started, done and oldest wait in /metrics, a line when a job first runs whole.

--- a/src/tideusher/actors/election.py
+++ b/src/tideusher/actors/election.py
@@ -10,7 +10,7 @@
 import gevent
 
 from tideusher.actors.store import Conflict, NoLease, Store, Stored, Unavailable
-from tideusher.clock import Clock
+from tideusher.clock import SECOND_US, Clock, to_us
 from tideusher.config import Config, Policy
 from tideusher.core.decide.succession import (
     RESTS_US,
@@ -25,6 +25,9 @@
 from tideusher.core.picture import keys
 from tideusher.wire import state
 
+#: What an earlier life of this controller has sent may land so long after its lease would have ended.
+FORMER_US = SECOND_US
+
 
 class Election:
     """Runs for the leadership whenever the key is free; renews while it is ours."""
@@ -45,6 +48,8 @@
         self._begun = False  # have we looked once who leads?
         self._free_us: int | None = None  # since when nobody leads
         self._rests_until_us = 0
+        self._doubts_us: int | None = None  # since when what we know of the leadership is too old
+        self._born_us = clock.now_us()
         self._size = config.settings.size
         self._ours: Callable[[], Standing] = lambda: Standing(config.node, config.zone, True, behind=0)
         self._others: Callable[[], list[Standing]] = list
@@ -60,6 +65,17 @@
         """Where to ask how this controller and the others stand, and whom to tell that we lead."""
         self._ours, self._others, self._elected = ours, others, elected
 
+    def stood_still(self, for_us: int, now_us: int) -> None:
+        """The process did nothing for so long: if our lease may have ended, we lead only once a read says so."""
+        if for_us >= to_us(self._ttl_s):
+            self._doubts_us, self.token, self._lease = now_us, None, None
+
+    def _doubted(self) -> bool:
+        contact_us = self._store.contact_us
+        if self._doubts_us is not None and contact_us is not None and contact_us >= self._doubts_us:
+            self._doubts_us = None
+        return self._doubts_us is not None
+
     def rests(self) -> bool:
         """Did we give up the leadership just now?"""
         return self._clock.now_us() < self._rests_until_us
@@ -93,7 +109,9 @@
         while True:
             stored = self._store.mirror.get(keys.LEADER)
             try:
-                if stored is None:
+                if self._doubted():
+                    gevent.sleep(0.1)
+                elif stored is None:
                     self._nobody_leads()
                 elif stored.value.get("nonce") == self._nonce:
                     self._free_us, self._reign, self.token = None, None, stored.stamp
@@ -122,9 +140,11 @@
         if self._reign is None or self._reign.token != stored.stamp:
             self._reign = Reign(stored.value["node"], stored.stamp, now_us, stored.value.get("early", 0))
         begun, self._begun = self._begun, True
-        if self._reign.node == self._node and not begun:
-            # An earlier life of this very controller: it ended, and its lease need not run out. Looked at once only:
-            # two that were given one name by mistake would else end each other's leadership for ever.
+        if self._reign.node == self._node and (not begun or now_us - self._born_us < to_us(self._ttl_s) + FORMER_US):
+            # An earlier life of this very controller: it ended, and its lease need not run out. A request of it to
+            # lead may even land after we looked first, when we are back within a fraction of a second; its lease is
+            # not renewed, so not for long. Later than that it is left alone: two that were given one name by mistake
+            # would else end each other's leadership for ever.
             self.log.info("an earlier life of this controller leads; its leadership is ended")
             self._remove(stored.stamp)
             return
--- a/src/tideusher/actors/leader.py
+++ b/src/tideusher/actors/leader.py
@@ -45,6 +45,8 @@
 PHASES = ("check read", "check records", "first decision", "first start")
 #: How often a controller that does not lead compares some of what it followed with the records.
 AUDIT_US = 1_000_000
+#: A timer that fires so much later than it should tells that the whole process stood still, its clocks running on.
+STILL_US = 2_000_000
 #: How long a gateway waits for the answer to a report before it answers alone.
 REPORT_WAITS_US = 1_000_000
 
@@ -77,6 +79,7 @@
         self._phases: list[str] = []  # of our takeover, those still to come
         #: How late our timers fire.
         self.lag = Lag(PASS_US)
+        self._beat_us: int | None = None
         self._loading = False
         self._probing: set[str] = set()
         self._listed_us = 0  # when the cloud's list was asked for
@@ -185,10 +188,24 @@
 
     def on_beat(self) -> None:
         """A tick by the timer: how late it comes tells how slow we are."""
-        self.lag.fired(self._clock.now_us())
+        now_us = self._clock.now_us()
+        late_us, self._beat_us = now_us - (self._beat_us or now_us) - PASS_US, now_us
+        if late_us > STILL_US:
+            self._stood_still(late_us, now_us)
+        self.lag.fired(now_us)
         self._give_way(self._engine)
         self.on_tick()
 
+    def _stood_still(self, for_us: int, now_us: int) -> None:
+        """Nothing believed of the time before counts: no silence, and no leadership until a read shows it."""
+        self.log.info("stood still for %.1f s: silence counts from now", to_s(for_us))
+        self._metrics.count("stood_still")
+        self._sightings.own.stood_still(for_us)
+        picture = self._engine.cluster.picture if self._engine is not None else self._standby.picture
+        if picture is not None:
+            picture.zones.stood_still(now_us)
+        self._election.stood_still(for_us, now_us)
+
     def _give_way(self, engine: Engine | None) -> None:
         if engine is not None and self._election.token == engine.token:
             why = self._election.gives_way()
@@ -349,7 +366,7 @@
         self._ask_list(token)
         now_us = self._clock.now_us()
         for machine in cluster.health.overdue(now_us):
-            cluster.give_back(machine, "it did not come up in time")
+            cluster.give_back(machine, "it did not come up while others of its kind did, or in all patience")
 
     def _ask_list(self, token: int) -> None:
         self._listed_us = self._clock.now_us()
@@ -367,6 +384,10 @@
             engine.cluster.listed(listing, self._clock.now_us())
             self._act(engine)
 
+    def oldest_waits(self) -> dict[tuple[str, str], float]:
+        """For how long the oldest job that waits does so, by class and by team; empty if we do not lead."""
+        return explain.oldest_waits(self._cluster) if self._cluster is not None else {}
+
     def on_question(self, what: str, arg: str) -> Any:
         """A question of an operator or a user; None if we cannot answer it."""
         cluster, now_us = self._cluster, self._clock.now_us()
--- a/src/tideusher/actors/users.py
+++ b/src/tideusher/actors/users.py
@@ -14,6 +14,7 @@
 from tideusher.core.picture import keys
 from tideusher.core.picture.records import CHUNK_TASKS, JOB_CANCELLED, JOB_DONE, OPEN
 from tideusher.core.picture.values import held_value, holder, open_value, shrunk_value
+from tideusher.metrics import Metrics
 from tideusher.wire import jobs as wire
 from tideusher.wire.cloud import MachineType
 from tideusher.wire.jobs import InvalidJob, JobSpec, JobStatus
@@ -49,9 +50,10 @@
         store: Store,
         conditions: bool = False,
         profile: "Profile | None" = None,
+        metrics: Metrics | None = None,
     ) -> None:
         self.log = logging.getLogger("users")
-        self._config, self._profile = config, profile
+        self._config, self._profile, self._metrics = config, profile, metrics or Metrics()
         self._scripts: Scripts | None = None
         self._conditions = conditions  # are jobs with conditions taken (`jobs.conditions`)?
         self._clock, self._store = clock, store
@@ -120,6 +122,7 @@
         """Accept a job that is well-formed, with what else is to be written together with it."""
         if self._store.mirror.get(keys.job_key(spec.id)) is not None:
             return self._state(spec.id)
+        self._metrics.job("asked", spec.job_class, spec.team if spec.team in self._teams else "unknown")
         problem = self._cannot_run(spec) or self._cannot_wait(spec)
         if problem is not None:
             status, reason = problem
@@ -146,6 +149,7 @@
             self.log.info("could not accept %s now: %s", spec.id, error)
             return refusal(503, "the state service does not answer")
         self.log.info("accepted %s of %s: %s of %d", spec.id, spec.team, spec.shape, spec.tasks)
+        self._metrics.job("accepted", spec.job_class, spec.team)
         return Reply(201, JobStatus(spec.id, wire.PENDING))
 
     def known_ref(self, body: bytes) -> Reply | None:
--- a/src/tideusher/core/decide/health.py
+++ b/src/tideusher/core/decide/health.py
@@ -2,6 +2,7 @@
 
 from tideusher.clock import to_s, to_us
 from tideusher.config import Config, Policy
+from tideusher.core.decide.boots import Boots
 from tideusher.core.decide.fleet import Fleet
 from tideusher.core.picture.records import BOOTING, UP, Machine
 from tideusher.core.picture.sightings import Zones
@@ -22,6 +23,7 @@
     ) -> None:
         self._config, self._policy, self._machines, self._fleet = config, policy, machines, fleet
         self._began_us = now_us
+        self.boots = Boots(fleet.types, policy.fleet__boot_patience)
         self._surveyed_us = now_us  # when the cloud's list came last
         self._zones = zones or Zones(to_us(config.settings.workers.report_s))
         self._silence_us = max(
@@ -95,18 +97,5 @@
         ]
 
     def overdue(self, now_us: int) -> list[Machine]:
-        """Machines that never came up in all patience.
-
-        An inherited machine may have been up for long with nobody to tell us: its patience begins at
-        our election, and not at all while the cloud lists it as running (a new leader once returned
-        a whole fleet that had yet to report to it).
-        """
-        out = []
-        for machine in self._machines.values():
-            kind = self._fleet.types.get(machine.type)
-            if kind is None or machine.phase != BOOTING or (machine.inherited and machine.listed == cloud.UP):
-                continue
-            since_us = self._began_us if machine.inherited else machine.rented_us
-            if now_us - since_us > to_us(kind.boot_s * self._policy.fleet__boot_patience + 10):
-                out.append(machine)
-        return out
+        """Machines that will not come up any more, as far as boots of their kind tell."""
+        return self.boots.overdue(self._machines.values(), self._began_us, now_us)
--- a/src/tideusher/core/lead/cluster.py
+++ b/src/tideusher/core/lead/cluster.py
@@ -278,6 +278,8 @@
 
         def told() -> None:
             if job.status == OPEN:
+                if status == JOB_DONE:
+                    self.metrics.job("done", job.spec.job_class, job.spec.team)
                 job.status, job.stamp, job.why = status, entry.stamp, why
                 self._retire(job)
                 self.dirty = True  # as when a leader reads its own record first
@@ -409,6 +411,20 @@
             task.running_us = min(now_us, task.ready_us or self.ledger.until_us)
         self.limits.began(task, now_us)
         self.conditions.began(task.job)
+        self._began_whole(task.job)
+
+    def _began_whole(self, job: Job) -> None:
+        """Do all its tasks run, or are over? Said once. The last placed are looked at first: they begin last."""
+        if job.whole or job.pending > 0 or any(task.running_us is None for task in reversed(job.live.values())):
+            return
+        job.whole = True
+        if all(task.ready_us is not None for task in job.live.values()):
+            return  # it ran whole under an earlier leader, which said so
+        self.metrics.job("started", job.spec.job_class, job.spec.team)
+        waited_s = to_s(max(0, self.wall_us() - job.submitted_us))
+        spec = job.spec
+        told = "job %s of %s runs whole: %d tasks, %.1f s after it came"
+        self.log.info(told, spec.id, spec.team, spec.tasks, waited_s)
 
     def over_limit(self, task: Task) -> None:
         """Stop a task for good that ran longer than its job allows; a gang is stopped whole.
--- a/src/tideusher/core/lead/explain.py
+++ b/src/tideusher/core/lead/explain.py
@@ -51,6 +51,19 @@
     return answer | {name: value for name, value in more.items() if value is not None}
 
 
+def oldest_waits(cluster: Cluster) -> dict[tuple[str, str], float]:
+    """Seconds since the oldest waiting job was submitted, by (gauge, class or team)."""
+    waits: dict[tuple[str, str], float] = {}
+    wall_us = cluster.wall_us()
+    for job in cluster.active.values():
+        if job.waits:
+            waited_s = to_s(max(0, wall_us - job.submitted_us))
+            for by, label in (("class", job.spec.job_class), ("team", job.spec.team)):
+                key = (f"oldest_wait_seconds_by_{by}", label)
+                waits[key] = max(waited_s, waits.get(key, 0.0))
+    return waits
+
+
 def _task(job: Job, index: int) -> list[str]:
     task = job.live.get(index)
     if job.is_done(index):
@@ -82,6 +95,9 @@
         booting = sum(m.phase == BOOTING and not m.draining and m.allows(job.spec) for m in cluster.machines.values())
         if booting and job.waits_for == NO_ROOM:
             text += f" {booting} machines that it may use are booting."
+            late = sum(cluster.health.boots.late(m, now_us) and m.allows(job.spec) for m in cluster.machines.values())
+            if late:
+                text += f" {late} of them are late: machines rented after them are up, and others are rented instead."
         reasons.append(text)
         ratio = cluster.ledger.ratio(job.spec.team)
         ahead = {
--- a/src/tideusher/core/lead/reports.py
+++ b/src/tideusher/core/lead/reports.py
@@ -53,6 +53,7 @@
         if machine.phase == BOOTING:
             machine.phase = UP
             machine.idle_since_us = now_us
+            self._c.health.boots.came_up(machine, now_us)
             if machine.rented_here or machine.listed:
                 since_s = to_s(now_us - machine.rented_us)
                 self.log.info("machine %s is up %.0f s after its rental", machine.name, since_s)
--- a/src/tideusher/core/lead/scheduler.py
+++ b/src/tideusher/core/lead/scheduler.py
@@ -425,7 +425,13 @@
             doubted = self._c.falls.doubted
             # No room is soon to come of a machine that is silent, unless it hangs: those mostly go on before
             # one rented in their place would be up.
-            machines = [m for m in self._not_held() if m.phase != UP or m.found == TAKEN or not doubted(m, now_us)]
+            # Nor of one that others overtook while it boots.
+            late = self._c.health.boots.late
+            machines = [
+                m
+                for m in self._not_held()
+                if not late(m, now_us) and (m.phase != UP or m.found == TAKEN or not doubted(m, now_us))
+            ]
             for wish in self._c.fleet.plan(now_us, requests, machines, asked)[:room]:
                 self._c.rent(wish)
 
--- a/src/tideusher/core/picture/records.py
+++ b/src/tideusher/core/picture/records.py
@@ -108,6 +108,7 @@
     unmet: tuple[tuple[str, str], ...] = ()  # (kind, job) it still waits for
     woken: bool = False  # was it ever kept from passes?
     ran: bool = False  # has this leader been told of a task of it that runs?
+    whole: bool = False  # did all its tasks begin to run, as far as this leader was told?
     why: str = ""  # why the service ended it
 
     @property
--- a/src/tideusher/core/picture/sightings.py
+++ b/src/tideusher/core/picture/sightings.py
@@ -66,6 +66,11 @@
             lines.append(Seen(name, worker.address, silent_ms))
         return lines, since
 
+    def stood_still(self, for_us: int) -> None:
+        """We did not listen for so long: nobody was silent in that time as far as we can tell."""
+        for worker in self._workers.values():
+            worker.last_us += for_us
+
     def last(self, machine: str) -> tuple[int, str] | None:
         """When it was last heard here, and its address."""
         worker = self._workers.get(machine)
@@ -149,6 +154,10 @@
         since_us, last_us = self._heard.get(zone, (now_us, now_us))
         self._heard[zone] = (since_us if now_us - last_us < self._gap_us else now_us, now_us)
 
+    def stood_still(self, now_us: int) -> None:
+        """We did not listen until now: that nobody was heard says nothing, and silence counts from here."""
+        self._heard = dict.fromkeys(self._heard, (now_us, now_us))
+
     def since_us(self, zone: str, now_us: int) -> int:
         """Since when it is heard; now, if it never was."""
         return self._heard.get(zone, (now_us, 0))[0]
--- a/src/tideusher/metrics.py
+++ b/src/tideusher/metrics.py
@@ -8,6 +8,8 @@
 from typing import Any
 
 MAX_KEPT = 2000
+#: Classes are the users' own words: beyond so many they are counted together.
+MAX_LABELS = 200
 
 
 class Metrics:
@@ -16,6 +18,8 @@
     def __init__(self) -> None:
         self.counts: dict[tuple[str, str], float] = defaultdict(float)
         self.gauges: dict[str, float] = {}
+        #: Gauges with a label, made anew for each scrape.
+        self.labelled: dict[tuple[str, str], float] = {}
         self._waits: deque[tuple[str, float]] = deque(maxlen=MAX_KEPT)
         self._runs: deque[tuple[str, float]] = deque(maxlen=MAX_KEPT)
         self._detected: deque[tuple[str, float]] = deque(maxlen=MAX_KEPT)
@@ -28,6 +32,14 @@
         """Add to a counter."""
         self.counts[name, label] += amount
 
+    def job(self, what: str, job_class: str, team: str) -> None:
+        """A job was asked for, accepted, started whole or done: counted by its class and by its team."""
+        for by, label in (("class", job_class), ("team", team)):
+            name = f"jobs_{what}_by_{by}"
+            if (name, label) not in self.counts and sum(one == name for one, _ in self.counts) >= MAX_LABELS:
+                label = "others"
+            self.counts[name, label] += 1
+
     def waited(self, job_class: str, seconds: float) -> None:
         """A task began to run so long after its job was submitted."""
         self._waits.append((job_class, seconds))
@@ -92,3 +104,9 @@
         yield from families.values()
         for name, value in sorted(self._metrics.gauges.items()):
             yield self._gauge(f"tideusher_{name}", name.replace("_", " "), value=value)
+        labelled: dict[str, object] = {}
+        for (name, label), value in sorted(self._metrics.labelled.items()):
+            if name not in labelled:
+                labelled[name] = self._gauge(f"tideusher_{name}", name.replace("_", " "), labels=["kind"])
+            labelled[name].add_metric([label], value)  # type: ignore[attr-defined]
+        yield from labelled.values()
--- a/src/tideusher/node.py
+++ b/src/tideusher/node.py
@@ -57,7 +57,7 @@
         self.store.hear_demands(self.peers.demands)
         self.gateway = Gateway(config, self._clock, self.store, self.election, self.leader, self.peers, self.own)
         self.leader.hear_deaf(self._deaf_zones)
-        self.users = Users(config, self._clock, self.store, policy.jobs__conditions, profile)
+        self.users = Users(config, self._clock, self.store, policy.jobs__conditions, profile, self.metrics)
         questions = Questions(config, self.store, self.election, self.leader, self.peers)
         self.web = Web(
             config.bind,
@@ -144,6 +144,7 @@
         self.metrics.gauges["timer_lag_seconds"] = to_s(ours.lag_us)
         self.metrics.gauges["leader_lost"] = float(ours.lost != 0)
         self.metrics.gauges["mirrored_keys"] = float(len(self.store.mirror))
+        self.metrics.labelled = self.leader.oldest_waits()
         return self.metrics.text()
 
     def _answer(self, message: peer_wire.Message) -> peer_wire.Message | None:
--- /dev/null
+++ b/tests/test_back.py
@@ -0,0 +1,297 @@
+"""A controller that is back within a fraction of a second, with its name and an empty memory, or that stood still."""
+
+import random
+
+import pytest
+
+from region import HANGS, Region
+from standins import Bed, Harness, job, make_config
+from tideusher.actors.election import FORMER_US, Election
+from tideusher.actors.leader import PASS_US, STILL_US, Leader
+from tideusher.actors.store import Conflict, Stored
+from tideusher.clock import SECOND_US
+from tideusher.config import Policy
+from tideusher.core.decide.succession import Standing
+from tideusher.core.lead import soft
+from tideusher.core.lead.standby import Standby
+from tideusher.core.picture import keys
+from tideusher.core.picture.sightings import Own, Sightings, Zones
+from tideusher.metrics import Metrics
+from tideusher.playground.standins import StateStandIn
+from tideusher.wire.peers import Soft
+from tideusher.wire.state import Delete, Put
+
+DELETE = Delete(keys.LEADER)
+
+
+class Service:
+    """One state service with leases for several controllers; a request may be held back and land later."""
+
+    def __init__(self, clock):
+        self.clock, self.state, self.leases, self.held = clock, StateStandIn(), {}, []
+
+    def grant(self, ttl_us):
+        lease = len(self.leases) + 1
+        self.leases[lease] = [self.clock.now_us() + ttl_us, ttl_us]
+        return lease
+
+    def expire(self):
+        stored = self.state.items.get(keys.LEADER)
+        if stored is not None and self.leases[stored[0]["lease"]][0] <= self.clock.now_us():
+            assert self.state.txn([], [DELETE]) is not None
+
+
+class View:
+    """What one life of a controller sees: its own mirror, as fresh as its last sync."""
+
+    def __init__(self, service):
+        self.service, self.mirror, self.contact_us, self.slow = service, {}, None, False
+
+    def txn(self, guards, writes, budget=True):
+        writes = [self._with_lease(one) for one in writes]
+        if self.slow:  # sent, and under way when its sender ends
+            self.service.held.append((guards, writes))
+            raise Conflict(["under way"])
+        revision = self.service.state.txn(guards, writes)
+        self.sync()
+        if revision is None:
+            raise Conflict([one.key for one in guards])
+        return revision
+
+    @staticmethod
+    def _with_lease(write):
+        if isinstance(write, Put):
+            return Put(write.key, {**write.value, "lease": write.lease}, write.lease)
+        return write
+
+    def sync(self, timeout_s=2.0):
+        items = self.service.state.items
+        self.mirror = {key: Stored(*item) for key, item in items.items()}
+        self.contact_us = self.service.clock.now_us()
+        return True
+
+    def call(self, method, path, body=None, budget=True, timeout_s=None):
+        ttl_us = round(body.ttl_ms * 1000)
+        return 200, b'{"mooring":%d}' % self.service.grant(ttl_us)
+
+
+class Life:
+    """One incarnation of a controller: an election of its own, stepped by hand as its greenlet would."""
+
+    def __init__(self, service, node, seed, behind=0):
+        config = make_config(size=3)
+        config.node = node
+        self.view = View(service)
+        self.node, self.service = node, service
+        self.election = Election(config, Policy(), self.view, service.clock, random.Random(seed))
+        self.others = []
+        ours = lambda: Standing(node, "ab"[seed % 2], True, behind=behind)  # noqa: E731
+        self.election.hear(ours, lambda: list(self.others), lambda token: None)
+
+    def step(self):
+        self.view.sync()
+        one = self.election
+        stored = self.view.mirror.get(keys.LEADER)
+        if stored is None:
+            one._nobody_leads()
+        elif stored.value.get("nonce") == one._nonce:
+            one._free_us, one._reign, one.token = None, None, stored.stamp
+            self.service.leases[stored.value["lease"]][0] = self.service.clock.now_us() + 3 * SECOND_US
+        else:
+            one._free_us = one.token = None
+            one._another_leads(stored)
+
+    @property
+    def leads(self):
+        return self.election.token is not None
+
+
+@pytest.fixture(autouse=True)
+def no_sleep(monkeypatch):
+    monkeypatch.setattr("gevent.sleep", lambda seconds=0: None)
+
+
+def three(seed=0):
+    service = Service(Bed().clock)
+    lives = {f"n{number}": Life(service, f"n{number}", seed + number) for number in range(3)}
+    meet(lives)
+    return service, lives
+
+
+def meet(lives):
+    for name, life in lives.items():
+        life.others = [Standing(other, "a", True, behind=0) for other in lives if other != name]
+
+
+def run(service, lives, seconds, until=lambda: False):
+    for step in range(round(seconds * 20)):
+        service.clock.pass_s(0.05)
+        service.expire()
+        for life in lives.values():
+            life.step()
+        assert sum(life.leads for life in lives.values()) <= 1
+        if until():
+            return (step + 1) * 0.05
+    return seconds
+
+
+def leader_of(lives):
+    return next((name for name, life in lives.items() if life.leads), None)
+
+
+@pytest.mark.parametrize("back_s", [0.0, 0.05, 0.2, 0.9])
+@pytest.mark.parametrize("seed", range(4))
+def test_a_leader_that_is_back_at_once_costs_less_than_its_lease(back_s, seed):
+    """The new life ends the leadership that its former one left, and takes nothing of it for its own."""
+    service, lives = three(seed)
+    run(service, lives, 5, lambda: leader_of(lives) is not None)
+    gone = leader_of(lives)
+    token = lives[gone].election.token
+    del lives[gone]
+    run(service, lives, back_s)
+    lives[gone] = Life(service, gone, 100 + seed)
+    meet(lives)
+    assert lives[gone].election._lease is None and not lives[gone].leads
+    took_s = run(service, lives, 5, lambda: leader_of(lives) is not None)
+    assert took_s <= 1.0 and lives[leader_of(lives)].election.token > token
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_what_the_former_life_had_sent_lands_after_its_successors_first_look(seed):
+    """Its request to lead, under a lease that nobody renews, once meant three seconds without a leader."""
+    service, lives = three(seed)
+    run(service, lives, 5, lambda: leader_of(lives) is not None)
+    gone = leader_of(lives)
+    del lives[gone]
+    former = Life(service, gone, 50 + seed)
+    former.view.slow = True
+    service.state.txn([], [DELETE])
+    former.others = []
+    former.step()
+    assert service.held  # its key is on its way, and it ends
+    lives[gone] = Life(service, gone, 100 + seed, behind=None)
+    meet(lives)
+    lives[gone].step()  # it looks: nobody leads, and warmer ones go first
+    guards, writes = service.held.pop()
+    assert service.state.txn(guards, writes) is not None
+    assert service.state.items[keys.LEADER][0]["node"] == gone and not lives[gone].leads
+    assert run(service, lives, 5, lambda: leader_of(lives) is not None) <= 1.0
+    assert FORMER_US < 2 * SECOND_US
+
+
+def test_a_controller_that_ends_every_third_of_a_second_does_not_keep_the_others_from_leading():
+    service, lives = three()
+    run(service, lives, 5, lambda: leader_of(lives) is not None)
+    led_s, changes, last = 0.0, 0, None
+    for number in range(20):
+        lives.pop("n0")
+        run(service, lives, 0.15)
+        lives["n0"] = Life(service, "n0", 200 + number)
+        meet(lives)
+        lives["n0"].others = [Standing(n, "a", True, behind=0) for n in ("n1", "n2")]
+        for _ in range(3):
+            run(service, lives, 0.05)
+            led_s += 0.05 * (leader_of(lives) is not None)
+        if leader_of(lives) not in (None, last):
+            changes, last = changes + 1, leader_of(lives)
+    assert changes <= 6 and led_s > 1.0 and run(service, lives, 5, lambda: leader_of(lives) is not None) <= 1.0
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_storms_in_which_every_leader_is_back_at_once_break_no_rule(seed):
+    """Every few seconds a new life leads while the former one's writes, reports and orders still arrive."""
+    storm = Harness(seed, faults=0.15)
+    rng = random.Random(seed)
+    specs = [storm.submit(job(rng.choice(["batch", "gang", "service"]), rng.choice([1, 2, 3]))) for _ in range(12)]
+    for second in range(160):
+        if second % 4 == 0 and second < 120:
+            storm.new_leader()
+        if second == 60:
+            storm.cancel(specs[0])
+        storm.step()
+    assert any(spec.shape != "service" and storm.rules.final.get(spec.id) == "done" for spec in specs)
+
+
+def test_soft_facts_of_a_former_life_are_told_apart_by_their_token():
+    now_us = 50 * SECOND_US
+    told = soft.newer(None, Soft(41), now_us)
+    assert soft.newer(told, Soft(40), now_us) is told  # a former life's line that comes late
+    assert soft.refusal(told, 43, now_us) and not soft.refusal(told, 41, now_us)
+
+
+# ---------------------------------------------------------------- standing still
+
+
+class StillElection:
+    token = None
+
+    def __init__(self):
+        self.told = []
+
+    def gives_way(self):
+        return ""
+
+    def stood_still(self, for_us, now_us):
+        self.told.append(for_us)
+
+
+@pytest.mark.parametrize(("still_s", "counts"), [(1, False), (5, True), (8, True), (30, True)])
+def test_a_controller_that_wakes_takes_nobody_for_silent_in_the_time_it_did_not_listen(still_s, counts):
+    bed, election = Bed(), StillElection()
+    own = Own(SECOND_US)
+    own.heard("host-1", "a", "x", bed.clock.now_us())
+    store = type("Store", (), {"mirror": {}, "lead": lambda self, leading: None})()
+    leader = Leader(bed.cluster.config, Policy(), bed.clock, store, election, None, Metrics())
+    leader.hear_sightings(Sightings(own))
+    leader._standby = Standby(bed.config, Policy(), bed.clock.wall_us, lambda name: None, dict)
+    leader._standby.begin(bed.clock.now_us())
+    zones = leader._standby.picture.zones
+    zones.heard("a", bed.clock.now_us())
+    for _ in range(3):
+        bed.clock.pass_s(PASS_US / SECOND_US)
+        leader.on_beat()
+    bed.clock.pass_s(still_s)
+    leader.on_beat()
+    now_us = bed.clock.now_us()
+    assert bool(election.told) is counts and (still_s * SECOND_US > STILL_US) is counts
+    if counts:
+        assert zones.since_us("a", now_us) == now_us and own.heard_now(now_us) == ["a"]
+        assert own.news(0, now_us)[0][0].silent_ms == 0
+
+
+def test_a_leadership_whose_lease_may_have_ended_is_doubted_until_a_read():
+    service = Service(Bed().clock)
+    life = Life(service, "n0", 1)
+    run(service, {"n0": life}, 3, lambda: life.leads)
+    one = life.election
+    one.stood_still(2 * SECOND_US, service.clock.now_us())
+    assert one.token is not None  # its lease of 3 s holds
+    service.clock.pass_s(8)
+    one.stood_still(8 * SECOND_US, service.clock.now_us())
+    assert one.token is None and one._lease is None and one._doubted()
+    life.view.sync()
+    assert not one._doubted()
+
+
+def test_all_controllers_still_at_once_return_no_machine():
+    """Clocks ran on for thirty seconds in which nobody listened: every machine of the fleet looked silent."""
+    region = Region(a=12, b=12)
+    region.start(job("service", 6, spread=True))
+    zones = region.cluster.health._zones
+    for worker in region.workers.values():
+        worker.answered_us += 30 * SECOND_US  # the leases are given their time: what is asked here is silence
+    region.clock.pass_s(30)
+    zones.stood_still(region.clock.now_us())
+    region._step()
+    assert not region.calls and not region.cluster.to_return
+    region.run(6)
+    assert len(region.cluster.machines) == 24 and not [m for m in region.cluster.machines.values() if m.draining]
+    region.turn(region.of("a")[:5], HANGS)  # and who falls silent later is still looked for
+    region.run(12)
+    assert region.most_calls
+
+
+def test_zones_that_were_never_heard_stay_so():
+    zones = Zones(SECOND_US)
+    zones.stood_still(9 * SECOND_US)
+    assert zones.since_us("a", 10 * SECOND_US) == 10 * SECOND_US
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -1,13 +1,18 @@
 """What on-call met: guests with huge arrays, jobs that fail everywhere, late boots, controllers that stand still."""
 
+import msgspec
+
 from region import Region
 from standins import Bed, job
 from tideusher.clock import SECOND_US
 from tideusher.core.decide import failures
+from tideusher.core.decide.boots import Boots
 from tideusher.core.lead import explain
 from tideusher.core.picture import keys
 from tideusher.core.picture.keeper import Entry, Keeper
-from tideusher.core.picture.records import RETURNING
+from tideusher.core.picture.records import RETURNING, Machine
+from tideusher.core.picture.rentals import Rental
+from tideusher.playground.standins import TYPE
 
 
 def entry(key, owner=""):
@@ -139,3 +144,65 @@
     bed.scheduler.schedule(bed.clock.now_us())
     assert len(bed.cluster.rentals) == before and all(task.halt_grace_s is None for task in other.live.values())
     assert "failed on 3 machines" in bad.waits_for
+
+
+KIND = msgspec.structs.replace(TYPE, boot_s=30.0)
+
+
+def booting(number, rented_s, zone="a"):
+    machine = Machine(f"host-{number:03d}", KIND.name, zone, False, "r", 16.0, 4.0, 64.0, rented_s * SECOND_US)
+    return machine
+
+
+def boots_seen(*times_s, rented_s=0, zone="a"):
+    boots = Boots({KIND.name: KIND}, 3.0)
+    for number, took_s in enumerate(times_s):
+        boots.came_up(booting(number, rented_s, zone), (rented_s + took_s) * SECOND_US)
+    return boots
+
+
+def test_a_machine_is_given_up_by_what_boots_of_its_kind_take():
+    """It was returned after a fixed time: too early where boots are slow, and no sooner where others overtake it."""
+    one = booting(99, 0)
+    at = lambda boots, s: boots.given_up(one, 0, s * SECOND_US)  # noqa: E731
+    usual, slow = boots_seen(*[30] * 8, rented_s=5), boots_seen(*[90] * 8, rented_s=5)
+    assert at(usual, 101) and not at(usual, 99)  # three times 30 s and 10 s
+    assert not at(slow, 270) and at(slow, 281)
+    alone = boots_seen(30, 30)  # rented with it and no younger: nothing says that it is the machine
+    assert not at(alone, 150) and at(alone, 201)
+    fast = boots_seen(*[1] * 8, rented_s=5)  # up within a second at times: the others are not late for that
+    assert at(fast, 101) and not at(fast, 99)
+    assert not fast.late(one, 44 * SECOND_US) and fast.late(one, 46 * SECOND_US)
+    assert not boots_seen(*[30] * 8, rented_s=5, zone="b").late(one, 60 * SECOND_US)  # another zone's say nothing
+
+
+def test_a_burst_of_late_boots_is_no_burst_of_returns():
+    boots = boots_seen(*[30] * 8, rented_s=300)
+    machines = [booting(number, 0) for number in range(50)]
+    assert len(boots.overdue(machines, 0, 400 * SECOND_US)) == 5
+    inherited = booting(60, 0)
+    inherited.inherited, inherited.listed = True, "running"
+    assert boots.overdue([inherited], 0, 10_000 * SECOND_US) == []
+
+
+def test_a_late_machine_is_replaced_once_and_counted_on_no_more():
+    region = Region(a=2, b=0, boot_s=20.0)
+    wide = job("gang", 1, cpus=16.0, gpus=4.0, ram_gb=60.0, team="poor", priority="urgent")
+    cluster, clock = region.cluster, region.clock
+    rental = cluster.rentals["1-900"] = Rental("1-900", TYPE.name, "a", False, 1, True, ["host-900"])
+    late = cluster._add_machine("host-900", rental, clock.now_us())
+    for number in range(4):
+        young = Machine(f"host-95{number}", TYPE.name, "a", False, "r", 16, 4, 64, clock.now_us() + SECOND_US)
+        cluster.health.boots.came_up(young, clock.now_us() + 21 * SECOND_US)
+    for machine in ("host-000", "host-001"):
+        cluster.machines[machine].draining = "a test takes it"
+    region.submit(wide)
+    region.scheduler.schedule(clock.now_us())
+    assert not cluster.rentals_asked()  # it boots, and will hold the gang
+    clock.pass_s(31)
+    assert cluster.health.boots.late(late, clock.now_us())
+    region.scheduler.schedule(clock.now_us())
+    region.scheduler.schedule(clock.now_us())
+    assert sum(rental.count for rental in cluster.rentals_asked()) == 1
+    told = explain.explain_job(cluster, wide.id, clock.now_us())["reasons"]
+    assert any("1 of them are late" in reason for reason in told), told
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -192,6 +192,12 @@
     made = election(store, clock)
     made._another_leads(store.mirror[keys.LEADER])
     assert keys.LEADER not in store.state.items and made.token is None  # whoever is first in line stands
+    clock.pass_s(0.3)
+    store.state.elect("n1")  # what it had sent before it ended lands late: its lease of 3 s was not yet over
+    store.sync()
+    made._another_leads(store.mirror[keys.LEADER])
+    assert keys.LEADER not in store.state.items
+    clock.pass_s(4.1)
     store.state.elect("n1")  # another process of the same name, by mistake
     store.sync()
     made._another_leads(store.mirror[keys.LEADER])
