--- a/src/tideusher/core/decide/fleet.py
+++ b/src/tideusher/core/decide/fleet.py
@@ -16,6 +16,9 @@
 from tideusher.wire.cloud import MachineType
 from tideusher.wire.jobs import BATCH, SERVICE, JobSpec
 
+#: Beyond so many machines a plan looks no further: a few rentals of 50 go out at a time, and in a flood to plan for
+#: all that waits took a tenth of a second in each pass.
+MOST_PLANNED = 600
 #: The load of the first moments is no rate yet.
 OPENING_US = 20 * SECOND_US
 
@@ -264,6 +267,8 @@
             job, count = request.job, request.count - self._turnover(request.job, boot_us)
             if count <= 0:
                 continue
+            if len(rented) >= MOST_PLANNED:
+                break  # more is not asked for before these are answered
             # Who has waited for a whole boot already is not put off with room that opens soon: others
             # may have taken it each time.
             soon = now_us - job.seen_us < patience_us
--- a/src/tideusher/core/lead/scheduler.py
+++ b/src/tideusher/core/lead/scheduler.py
@@ -22,7 +22,7 @@
 AVOIDED = 4
 #: After a pass the next one rests so long for each piece beyond the first few, and for each job that waited: in a
 #: flood passes in a row would take all of a core, and find again and again what they found before.
-REST_FREE, REST_PIECE_US, REST_JOB_US = 50, 3_000, 200
+REST_FREE, REST_PIECE_US, REST_JOB_US = 50, 3_000, 400
 MOVED = "hardly used; its tasks moved to others"
 
 
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -7,6 +7,7 @@
 from tideusher.clock import SECOND_US
 from tideusher.core.decide import failures
 from tideusher.core.decide.boots import Boots
+from tideusher.core.decide.fleet import MOST_PLANNED, Fleet
 from tideusher.core.lead import explain
 from tideusher.core.picture import keys
 from tideusher.core.picture.keeper import Entry, Keeper
@@ -206,3 +207,16 @@
     assert sum(rental.count for rental in cluster.rentals_asked()) == 1
     told = explain.explain_job(cluster, wide.id, clock.now_us())["reasons"]
     assert any("1 of them are late" in reason for reason in told), told
+
+
+def test_a_plan_looks_no_further_than_what_can_be_asked_for(monkeypatch):
+    """In a flood of arrays each pass planned machines for all that waited, and a few rentals of 50 went out."""
+    bed = Bed()
+    for _ in range(40):
+        bed.submit(job("batch", 400, cpus=16.0, gpus=4.0, team="poor"))
+    made = []
+    new_bin = Fleet._new_bin
+    monkeypatch.setattr(Fleet, "_new_bin", lambda *words: made.append(1) or new_bin(*words))
+    bed.scheduler.schedule(bed.clock.now_us())
+    asked = bed.cluster.rentals_asked()
+    assert MOST_PLANNED <= len(made) < MOST_PLANNED + 401 and asked and max(rental.count for rental in asked) == 50
