Charges of any number of teams fit one value; connections to workers are bounded

Cause: the leader writes all teams' charges as one value; of 500 teams that was 21 KB where 4 are taken, each transaction that held it was refused and sent again, and nothing of the leader's was written any more. Direct connections to workers were one a machine, whatever the process's sockets. Change: teams without a charge are left out, then slots, then the least charged; an eighth of the sockets may be kept to workers. Result: tests at 1, 8, 100 and 500 teams.

--- a/src/tideusher/actors/leader.py
+++ b/src/tideusher/actors/leader.py
@@ -45,6 +45,8 @@
 PHASES = ("check read", "check records", "first decision", "first start")
 #: How often a controller that does not lead compares some of what it followed with the records.
 AUDIT_US = 1_000_000
+#: The part of the process's sockets that connections of ours to workers may keep.
+DIRECT_PART = 8
 #: A timer that fires so much later than it should tells that the whole process stood still, its clocks running on.
 STILL_US = 2_000_000
 #: How long a gateway waits for the answer to a report before it answers alone.
@@ -473,7 +475,11 @@
     def _client(self, machine: Machine) -> HttpClient:
         client = self._direct.get(machine.name)
         if client is None:
-            client = self._direct[machine.name] = HttpClient(machine.address, timeout_s=2.0, keep=1)
+            # Connections are kept to so many workers only: the process's sockets are for those that report.
+            kept = int(len(self._direct) < self._config.settings.resources.max_sockets // DIRECT_PART)
+            client = HttpClient(machine.address, timeout_s=2.0, keep=kept)
+            if kept:
+                self._direct[machine.name] = client
         return client
 
     def _send(self, machine: Machine, token: int, commands: list[workers.Command]) -> None:
--- a/src/tideusher/core/picture/ledger.py
+++ b/src/tideusher/core/picture/ledger.py
@@ -11,6 +11,8 @@
 from collections.abc import Iterable
 from typing import Any
 
+import msgspec
+
 from tideusher.clock import SECOND_US, to_us
 from tideusher.config import Policy, Team
 from tideusher.core.picture.records import Job, Machine, Task
@@ -51,6 +53,7 @@
         self._policy = policy
         self._window_us = to_us(policy.ledger__window_s)
         most = SLOTS
+        self._value_bytes = value_bytes
         if value_bytes is not None:
             most = int(value_bytes * VALUE_PART / max(1, len(self._teams)) - TEAM_BYTES) // SLOT_BYTES
         self._slot_us = max(1, self._window_us // max(1, min(SLOTS, most)))
@@ -151,15 +154,27 @@
     def to_value(self, now_us: int) -> dict[str, Any]:
         """All teams' windowed charges and ratios as the one value that the leader writes, with their slots.
 
-        Under a name that no team has: how long a slot is, and until when was charged, by the time of day.
+        Under a name that no team has: how long a slot is, and until when was charged, by the time of day. Teams
+        without a charge are left out. Where the value cannot hold the others, those with the least are written without slots,
+        then not at all: of 500 teams the whole was five times what a value may hold, and no write of the leader's got
+        through any more.
         """
-        value: dict[str, Any] = {}
-        for name, slots in self._slots.items():
-            pair = [round(self._totals[name], 1), round(min(self.ratio(name), 1e6), 4)]
-            first = min(slots, default=0)
-            row = [round(slots.get(number, 0.0), 1) for number in range(first, max(slots, default=-1) + 1)]
-            value[name] = [*pair, first, row]
-        value[ABOUT] = {"slot_us": self._slot_us, "until_us": self._gathered_us + self._wall_ahead_us}
+        value: dict[str, Any] = {
+            ABOUT: {"slot_us": self._slot_us, "until_us": self._gathered_us + self._wall_ahead_us}
+        }
+        room = (self._value_bytes or 1 << 62) - len(msgspec.json.encode(value))
+        for name in sorted(self._slots, key=lambda name: (-self._totals[name], name)):
+            slots = self._slots[name]
+            if not slots:
+                continue
+            plain: list[Any] = [round(self._totals[name], 1), round(min(self.ratio(name), 1e6), 4)]
+            first = min(slots)
+            slotted = [*plain, first, [round(slots.get(number, 0.0), 1) for number in range(first, max(slots) + 1)]]
+            for row in (slotted, plain):
+                size = len(msgspec.json.encode({name: row}))
+                if size < room:
+                    value[name], room = row, room - size
+                    break
         return value
 
     def restore(self, value: dict[str, Any], now_us: int, wall_us: int) -> None:
@@ -172,11 +187,12 @@
         width_us = about.get("slot_us", self._slot_us)
         until_us = about.get("until_us", wall_us) - self._wall_ahead_us
         self._gathered_us = min(now_us, max(until_us, now_us - GAP_MOST_US))
-        for name, row in value.items():
-            if name not in self._slots:
-                continue
+        for name in self._slots:
             slots = self._slots[name] = {}
             self._totals[name] = 0.0
+            row = value.get(name)
+            if row is None:
+                continue  # nothing is charged to it, or too little to be written
             if len(row) < 4:
                 self.charge(name, float(row[0]), now_us)
                 continue
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -6,10 +6,10 @@
 import msgspec
 import pytest
 
-from standins import TYPE, Bed, WorkerStandIn, job
+from standins import TYPE, Bed, WorkerStandIn, job, make_config
 from tideusher.actors.leader import Leader
 from tideusher.clock import SECOND_US
-from tideusher.config import Policy
+from tideusher.config import Policy, StateSettings, Team
 from tideusher.core.decide import gather, preempt
 from tideusher.core.decide.falls import SAMPLE
 from tideusher.core.decide.fleet import Bin, Bins, Fleet
@@ -558,3 +558,24 @@
             machine.add(task)
             shelf.changed([machine])
     assert plain > 20
+
+
+@pytest.mark.parametrize("count", [1, 8, 100, 500])
+def test_the_charges_of_any_number_of_teams_fit_one_value(count):
+    """Of 500 teams they were five times what a value may hold, and no write of the leader's got through any more."""
+    teams = [Team(f"team-with-a-long-name-{number:03d}", gpus=8.0, gpus_max=12.0) for number in range(count)]
+    bed = Bed(make_config(teams=teams, state=StateSettings(100.0, 50.0, 4.0, 8)))
+    ledger = bed.cluster.ledger
+    for _ in range(40):
+        bed.clock.pass_s(60)
+        for number, team in enumerate(teams):
+            ledger.charge(team.name, 1000.0 / (1 + number), bed.clock.now_us())
+    value = ledger.to_value(bed.clock.now_us())
+    assert len(msgspec.json.encode(value)) <= 4096
+    heir = Bed(make_config(teams=teams, state=StateSettings(100.0, 50.0, 4.0, 8))).cluster.ledger
+    heir.charge(teams[-1].name, 5.0, bed.clock.now_us())  # what is not in the value was not charged
+    heir.restore(value, bed.clock.now_us(), bed.clock.wall_us())
+    kept = sum(heir.charged(team.name) for team in teams) / sum(ledger.charged(team.name) for team in teams)
+    # 4 KiB hold some 90 names of this length; with charges that fall as 1/n these have three quarters of all.
+    assert kept > {1: 0.999, 8: 0.999, 100: 0.9, 500: 0.7}[count]
+    assert heir.charged(teams[0].name) == pytest.approx(ledger.charged(teams[0].name), rel=0.01)
