--- a/src/tideusher/core/decide/fleet.py
+++ b/src/tideusher/core/decide/fleet.py
@@ -19,6 +19,8 @@
 #: Beyond so many machines a plan looks no further: a few rentals of 50 go out at a time, and in a flood to plan for
 #: all that waits took a tenth of a second in each pass.
 MOST_PLANNED = 600
+#: For so many boots no ordinary machine is rented for what a team without a guarantee may run on cheap ones.
+GUEST_BOOTS = 4
 #: The load of the first moments is no rate yet.
 OPENING_US = 20 * SECOND_US
 
@@ -112,6 +114,7 @@
         types: dict[str, MachineType] | None = None,
         arrivals: Arrivals | None = None,
         report_us: int = SECOND_US,
+        is_guest: Callable[[str], bool] = lambda team: False,
     ) -> None:
         self._policy = policy
         self._waits = {
@@ -124,6 +127,7 @@
         self._refused: dict[tuple[str, str, bool], tuple[int, int]] = {}
         self.warm: list[tuple[JobSpec, int]] = []
         self._report_us = max(1, report_us)
+        self._is_guest = is_guest  # has this team no guarantee?
 
     # What is remembered
 
@@ -273,12 +277,15 @@
             # may have taken it each time.
             soon = now_us - job.seen_us < patience_us
             zone_use, limit = {request.zone: 0} if request.zone else job.zone_use(), job.zone_limit
-            asks = (rights(job.spec), request.zone, soon)
+            asks = (rights(job.spec), request.zone, soon, self._is_guest(job.spec.team))
             if nothing.refuses(asks, job.spec, 1):
                 continue
             before = len(rented)
+            # What a guest runs on cheap machines is not worth ordinary ones at four times the price, while others
+            # have it idle now and then: only when it has waited for several boots.
+            thrifty = self._is_guest(job.spec.team) and now_us - job.seen_us < GUEST_BOOTS * boot_us
             left = self._fit(
-                job.spec, count, offered, soon, zone_use, limit, population, now_us, "work waits", rented
+                job.spec, count, offered, soon, zone_use, limit, population, now_us, "work waits", rented, thrifty
             )
             if len(rented) > before:
                 nothing.clear()  # what was rented may have room left
@@ -343,6 +350,7 @@
         now_us: int,
         reason: str,
         rented: list[Bin],
+        thrifty: bool = False,
     ) -> int:
         """Find room for the tasks, rented where there is none; returns how many find none at all."""
         one_zone = next(iter(zone_use), None) if spec.one_zone else None
@@ -364,7 +372,7 @@
 
         left = bins.fill(count, usable, take)
         while left:
-            bin = self._new_bin(spec, one_zone, zone_use, limit, population, now_us)
+            bin = self._new_bin(spec, one_zone, zone_use, limit, population, now_us, thrifty)
             if bin is None:
                 return left
             bin.reason = reason
@@ -392,6 +400,7 @@
         limit: int | None,
         population: dict[str, int],
         now_us: int,
+        thrifty: bool,
     ) -> Bin | None:
         best: tuple[tuple[bool, float, int, str], Bin] | None = None
         for kind in self.types.values():
@@ -405,7 +414,7 @@
                     continue
                 if limit is not None and zone_use.get(zone, 0) >= limit:
                     continue
-                for spot in (True, False) if spec.spot else (False,):
+                for spot in ((True,) if thrifty else (True, False)) if spec.spot else (False,):
                     if not self.available((kind.name, zone, spot), now_us):
                         continue
                     price = (kind.spot_price if spot else kind.price) / held
--- a/src/tideusher/core/lead/cluster.py
+++ b/src/tideusher/core/lead/cluster.py
@@ -90,7 +90,8 @@
         self.machines, self.rentals, self.gone = self.picture.machines, self.picture.rentals, self.picture.gone
         self.ledger = self.picture.ledger
         report_us = to_us(settings.workers.report_s)
-        self.fleet = Fleet(policy, settings.objectives, self.picture.types, self.picture.arrivals, report_us)
+        types, arrivals = self.picture.types, self.picture.arrivals
+        self.fleet = Fleet(policy, settings.objectives, types, arrivals, report_us, self.is_guest)
         self.health = Health(config, policy, self.machines, self.fleet, now_us, self.picture.zones)
         self.falls = Falls(config, self.machines, lambda: self.fleet.types, self.health, self._crowded, self._yields)
         workers_ = settings.workers
@@ -711,6 +712,11 @@
             if self.rents and not self.keeper.clean(entry):
                 self.keeper.touch(entry)
 
+    def is_guest(self, team_name: str) -> bool:
+        """Has the team no guarantee, so that it runs on what others leave?"""
+        team = self.teams.get(team_name)
+        return team is None or not (team.cpus or team.gpus)
+
     def use(self, team_name: str) -> tuple[float, float]:
         """CPUs and GPUs of the team's tasks that are not proven gone."""
         usage = self.usage[team_name]
--- a/src/tideusher/core/lead/scheduler.py
+++ b/src/tideusher/core/lead/scheduler.py
@@ -231,13 +231,19 @@
         if self._opened != self._c.opened:
             self._opened = self._c.opened
             self._nothing.clear()
-        kind = (rights(spec), spec.image, enough, short is None)
+        kind = (rights(spec), spec.image, spec.gpus > 0, enough, short is None)
         whole = count if job.is_gang else 1
         if spec.id not in self._favoured and self._nothing.refuses(kind, spec, whole):
             job.waits_for = told_failing(job) if tries else NO_ROOM
             return (0 if tries else count), False
 
+        # Tasks without a card would take the CPUs beside free cards, and leave the warm room in name only: a guest's
+        # thousands of small ones did. Beside cards in use they find room enough.
+        beside = not spec.gpus and bool(self._c.fleet.warm) and not self._c.fleet.is_warm(spec.job_class)
+
         def free_to_it(machine: Machine) -> bool:
+            if beside and not machine.spot and machine.free_gpus > 0:
+                return False
             if short is not None and not machine.spot:
                 if short.fits(machine.free_cpus, machine.free_gpus, machine.free_ram):
                     return False
--- a/src/tideusher/core/picture/ledger.py
+++ b/src/tideusher/core/picture/ledger.py
@@ -155,9 +155,9 @@
         """All teams' windowed charges and ratios as the one value that the leader writes, with their slots.
 
         Under a name that no team has: how long a slot is, and until when was charged, by the time of day. Teams
-        without a charge are left out. Where the value cannot hold the others, those with the least are written without slots,
-        then not at all: of 500 teams the whole was five times what a value may hold, and no write of the leader's got
-        through any more.
+        without a charge are left out. Where the value cannot hold the others, those with the least are written
+        without slots, then not at all: of 500 teams the whole was five times what a value may hold, and no write of
+        the leader's got through any more.
         """
         value: dict[str, Any] = {
             ABOUT: {"slot_us": self._slot_us, "until_us": self._gathered_us + self._wall_ahead_us}
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -7,7 +7,7 @@
 from tideusher.clock import SECOND_US
 from tideusher.core.decide import failures
 from tideusher.core.decide.boots import Boots
-from tideusher.core.decide.fleet import MOST_PLANNED, Fleet
+from tideusher.core.decide.fleet import GUEST_BOOTS, MOST_PLANNED, Fleet
 from tideusher.core.lead import explain
 from tideusher.core.picture import keys
 from tideusher.core.picture.keeper import Entry, Keeper
@@ -220,3 +220,44 @@
     bed.scheduler.schedule(bed.clock.now_us())
     asked = bed.cluster.rentals_asked()
     assert MOST_PLANNED <= len(made) < MOST_PLANNED + 401 and asked and max(rental.count for rental in asked) == 50
+
+
+def test_for_a_guest_cheap_machines_are_rented_and_ordinary_ones_only_after_long():
+    """On a recorded day sweeps of a guest had ordinary machines rented at four times the price."""
+    bed = Bed()
+    for team, ordinary in (("poor", False), ("red", True)):
+        sweep = bed.submit(job("batch", 8, team=team, cpus=16.0, gpus=4.0, spot=True))
+        bed.scheduler.schedule(bed.clock.now_us())
+        for rental in bed.cluster.rentals_asked():
+            bed.cluster.refused(rental, bed.clock.now_us())
+        bed.scheduler.schedule(bed.clock.now_us())
+        bed.scheduler.schedule(bed.clock.now_us())
+        assert any(not rental.spot for rental in bed.cluster.rentals_asked()) is ordinary
+        if team == "poor":
+            bed.clock.pass_s(GUEST_BOOTS * TYPE.boot_s + 1)
+            for _ in range(3):
+                bed.scheduler.schedule(bed.clock.now_us())
+                for rental in bed.cluster.rentals_asked():
+                    if rental.spot:
+                        bed.cluster.refused(rental, bed.clock.now_us())
+            assert any(not rental.spot for rental in bed.cluster.rentals_asked())
+            assert bed.state.cancel(sweep.spec.id)
+            bed.see_jobs()
+            for rental in bed.cluster.rentals_asked():
+                bed.cluster.refused(rental, bed.clock.now_us())
+            bed.clock.pass_s(60)
+
+
+def test_small_tasks_without_cards_leave_the_cpus_beside_free_cards():
+    """The warm room had its cards free and no CPU left: live services waited for a boot beside free cards."""
+    bed = Bed()
+    bed.report("host-1", 1)
+    bed.report("host-2", 1)
+    bed.place(job("service", 4, priority="critical", cpus=3.0, gpus=1.0), "host-1", "host-2")
+    busy = {task.machine.name for one in bed.cluster.jobs.values() for task in one.live.values()}
+    assert len(busy) == 1  # the other one's cards are free
+    bed.scheduler._c.fleet.warm = [(job("service", 1, job_class="web"), 2)]
+    bed.cluster.fleet.refresh_warm = lambda now_us, used: None
+    small = bed.submit(job("batch", 500, team="poor", cpus=0.25, gpus=0.0, ram_gb=0.1, job_class="small"))
+    bed.scheduler.schedule(bed.clock.now_us())
+    assert {task.machine.name for task in small.live.values()} == busy and len(small.live) == 16
