--- a/tests/test_back.py
+++ b/tests/test_back.py
@@ -111,9 +111,9 @@
     monkeypatch.setattr("gevent.sleep", lambda seconds=0: None)
 
 
-def three(seed=0):
+def three(seed=0, nodes=3):
     service = Service(Bed().clock)
-    lives = {f"n{number}": Life(service, f"n{number}", seed + number) for number in range(3)}
+    lives = {f"n{number}": Life(service, f"n{number}", seed + number) for number in range(nodes)}
     meet(lives)
     return service, lives
 
@@ -156,6 +156,34 @@
     assert took_s <= 1.0 and lives[leader_of(lives)].election.token > token
 
 
+@pytest.mark.parametrize("nodes", [1, 2, 3, 7, 9])
+def test_any_number_of_controllers_elects_and_replaces_a_leader(nodes):
+    """All end at once and are back at once, then the leader alone, for good: absent ones are waited for by nobody."""
+    service, lives = three(nodes=nodes)
+    assert run(service, lives, 5, lambda: leader_of(lives) is not None) <= 1.0
+    for name in list(lives):
+        lives[name] = Life(service, name, 300 + int(name[1:]))
+    meet(lives)
+    assert run(service, lives, 5, lambda: leader_of(lives) is not None) <= 1.0 + 0.25 * nodes
+    del lives[leader_of(lives)]
+    if lives:
+        meet(lives)
+        assert run(service, lives, 8, lambda: leader_of(lives) is not None) <= 3.5 + 0.25 * nodes
+
+
+def test_a_new_life_that_takes_its_formers_leadership_for_its_own_is_found():
+    """The planted fault: an incarnation that is not told apart leads at once, with a token that is not its own."""
+    service, lives = three()
+    run(service, lives, 5, lambda: leader_of(lives) is not None)
+    gone = leader_of(lives)
+    nonce, token = lives[gone].election._nonce, lives[gone].election.token
+    lives[gone] = Life(service, gone, 100)
+    assert lives[gone].election._nonce != nonce
+    lives[gone].election._nonce = nonce
+    lives[gone].step()
+    assert lives[gone].leads and lives[gone].election.token == token  # what the tests above would have caught
+
+
 @pytest.mark.parametrize("seed", range(4))
 def test_what_the_former_life_had_sent_lands_after_its_successors_first_look(seed):
     """Its request to lead, under a lease that nobody renews, once meant three seconds without a leader."""
