Who was served: one test, one way for numbers with a label

Need: the counters and the line at info had no test, and labelled gauges repeated the loop of counters.

--- a/src/tideusher/metrics.py
+++ b/src/tideusher/metrics.py
@@ -5,6 +5,7 @@
 """
 
 from collections import defaultdict, deque
+from collections.abc import Iterable, Mapping
 from typing import Any
 
 MAX_KEPT = 2000
@@ -96,17 +97,17 @@
 
     def collect(self):  # type: ignore[no-untyped-def]
         """Called by the registry."""
-        families: dict[str, object] = {}
-        for (name, label), value in sorted(self._metrics.counts.items()):
-            if name not in families:
-                families[name] = self._counter(f"tideusher_{name}", name.replace("_", " "), labels=["kind"])
-            families[name].add_metric([label], value)  # type: ignore[attr-defined]
-        yield from families.values()
+        yield from self._families(self._counter, self._metrics.counts)
+        yield from self._families(self._gauge, self._metrics.labelled)
         for name, value in sorted(self._metrics.gauges.items()):
             yield self._gauge(f"tideusher_{name}", name.replace("_", " "), value=value)
-        labelled: dict[str, object] = {}
-        for (name, label), value in sorted(self._metrics.labelled.items()):
-            if name not in labelled:
-                labelled[name] = self._gauge(f"tideusher_{name}", name.replace("_", " "), labels=["kind"])
-            labelled[name].add_metric([label], value)  # type: ignore[attr-defined]
-        yield from labelled.values()
+
+    @staticmethod
+    def _families(make: type, numbers: Mapping[tuple[str, str], float]) -> Iterable[Any]:
+        """One family a name, with the label that each number has."""
+        families: dict[str, Any] = {}
+        for (name, label), value in sorted(numbers.items()):
+            if name not in families:
+                families[name] = make(f"tideusher_{name}", name.replace("_", " "), labels=["kind"])
+            families[name].add_metric([label], value)
+        return families.values()
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -13,6 +13,7 @@
 from tideusher.core.picture.keeper import Entry, Keeper
 from tideusher.core.picture.records import RETURNING, Machine
 from tideusher.core.picture.rentals import Rental
+from tideusher.metrics import MAX_LABELS
 from tideusher.playground.standins import TYPE
 
 
@@ -261,3 +262,25 @@
     small = bed.submit(job("batch", 500, team="poor", cpus=0.25, gpus=0.0, ram_gb=0.1, job_class="small"))
     bed.scheduler.schedule(bed.clock.now_us())
     assert {task.machine.name for task in small.live.values()} == busy and len(small.live) == 16
+
+
+def test_who_was_served_is_told_by_class_and_team_and_when_a_job_first_runs_whole(caplog):
+    caplog.set_level("INFO", "cluster")
+    bed = Bed()
+    pair = bed.place(job("batch", 2, id="req-850001", job_class="fit"))
+    late = bed.submit(job("batch", 1, id="req-850002", job_class="sim", cpus=16.0, gpus=4.0, team="blue"))
+    bed.report("host-1", 2)
+    bed.report("host-1", 3, ("req-850001/0", 1, "running", None))
+    assert "runs whole" not in caplog.text
+    bed.report("host-1", 4, *((f"req-850001/{index}", 1, "running", None) for index in (0, 1)))
+    bed.report("host-1", 5, *((f"req-850001/{index}", 1, "running", None) for index in (0, 1)))
+    assert caplog.text.count("req-850001 of red runs whole: 2 tasks") == 1 and not pair.pending and late.waits
+    metrics = bed.cluster.metrics
+    for number in range(MAX_LABELS + 5):  # users choose the names of classes
+        metrics.job("asked", f"class-{number}", "red")
+    bed.clock.pass_s(70)
+    metrics.labelled = explain.oldest_waits(bed.cluster)
+    text = metrics.text().decode()
+    assert 'tideusher_jobs_started_by_class_total{kind="fit"} 1.0' in text
+    assert 'tideusher_oldest_wait_seconds_by_team{kind="blue"} 70.0' in text
+    assert 'jobs_asked_by_class_total{kind="others"} 5.0' in text and 'kind="class-203"' not in text
