Late for good goes after what can still be in time, the smallest first

Change: a job late by more than its own run and a minute sorts behind those that can be in time, and by what is left of it, a task counting as four seconds of waiting.

--- a/src/tideusher/core/lead/scheduler.py
+++ b/src/tideusher/core/lead/scheduler.py
@@ -92,12 +92,13 @@
         if not waiting and not self._c.rents:
             return  # and nothing to rent or to give back for others
         within = self._within_guarantee()
+        wall_us = self._c.wall_us()
         queue = order_jobs(
             waiting,
             self._c.ledger.ratio,
             lambda job: job.spec.id in within,
             self._c.policy.margin,
-            lambda job: urgency_us(job, self._objectives.get(job.spec.job_class)),
+            lambda job: urgency_us(job, self._objectives.get(job.spec.job_class), wall_us),
             self._c.recovery.place,
         )
         recovering = self._c.recovery.waiting() > 0
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -8,10 +8,11 @@
 from tideusher.core.decide import failures
 from tideusher.core.decide.boots import Boots
 from tideusher.core.decide.fleet import GUEST_BOOTS, MOST_PLANNED, Fleet
+from tideusher.core.decide.order import TASK_US, urgency_us
 from tideusher.core.lead import explain
 from tideusher.core.picture import keys
 from tideusher.core.picture.keeper import Entry, Keeper
-from tideusher.core.picture.records import RETURNING, Machine
+from tideusher.core.picture.records import RETURNING, Job, Machine
 from tideusher.core.picture.rentals import Rental
 from tideusher.metrics import MAX_LABELS
 from tideusher.playground.standins import TYPE
@@ -284,3 +285,23 @@
     assert 'tideusher_jobs_started_by_class_total{kind="fit"} 1.0' in text
     assert 'tideusher_oldest_wait_seconds_by_team{kind="blue"} 70.0' in text
     assert 'jobs_asked_by_class_total{kind="others"} 5.0' in text and 'kind="class-203"' not in text
+
+
+def test_in_a_flood_jobs_that_can_be_in_time_go_first_and_of_the_late_ones_the_smallest():
+    """The oldest went first: all were late, and of 1,600 arrays a third was whole when the day ended."""
+
+    def arrived(tasks, at_s, due_s=300.0):
+        spec = job("batch", tasks, deadline_s=due_s, estimate_s=70.0)
+        return Job(spec, 1, at_s * SECOND_US, at_s * SECOND_US)
+
+    now_us = 1000 * SECOND_US
+    late_large, late_small, fresh, old = arrived(50, 100), arrived(3, 110), arrived(20, 900), arrived(50, 0, 200.0)
+    queue = sorted([late_large, late_small, fresh, old], key=lambda one: urgency_us(one, None, now_us))
+    assert queue == [fresh, late_small, old, late_large]
+    # None is passed for ever: after some minutes the large one goes before small ones that came later.
+    newcomer = arrived(3, 400)
+    assert urgency_us(late_large, None, now_us) < urgency_us(newcomer, None, now_us) + 50 * TASK_US
+    waits = [urgency_us(late_large, None, (1000 + s) * SECOND_US) for s in (0, 60, 120)]
+    assert waits == sorted(waits, reverse=True)
+    service = Job(job("service", 2, estimate_s=0.0), 1, 0, 0)
+    assert urgency_us(service, 50.0, now_us) == 50 * SECOND_US  # live work is never late for good
