A refusal counts only for who has no more rights; nobody is heard in the future

Cause, found on reading the change again: a guest's request that had not waited long, and found nothing among cheap machines, kept one of a guest that had waited long from ordinary ones in the same plan; among tasks without a card one that must leave the warm room did the same to one of a warm class; a leader that was late, its gateway listening meanwhile, moved its workers' last words beyond now. Change: the rights that differ are in the key; last words end at now; one predicate for teams without a guarantee.

--- a/src/tideusher/actors/leader.py
+++ b/src/tideusher/actors/leader.py
@@ -202,7 +202,7 @@
         """Nothing believed of the time before counts: no silence, and no leadership until a read shows it."""
         self.log.info("stood still for %.1f s: silence counts from now", to_s(for_us))
         self._metrics.count("stood_still")
-        self._sightings.own.stood_still(for_us)
+        self._sightings.own.stood_still(for_us, now_us)
         picture = self._engine.cluster.picture if self._engine is not None else self._standby.picture
         if picture is not None:
             picture.zones.stood_still(now_us)
--- a/src/tideusher/core/decide/fleet.py
+++ b/src/tideusher/core/decide/fleet.py
@@ -277,13 +277,13 @@
             # may have taken it each time.
             soon = now_us - job.seen_us < patience_us
             zone_use, limit = {request.zone: 0} if request.zone else job.zone_use(), job.zone_limit
-            asks = (rights(job.spec), request.zone, soon, self._is_guest(job.spec.team))
-            if nothing.refuses(asks, job.spec, 1):
-                continue
-            before = len(rented)
             # What a guest runs on cheap machines is not worth ordinary ones at four times the price, while others
             # have it idle now and then: only when it has waited for several boots.
             thrifty = self._is_guest(job.spec.team) and now_us - job.seen_us < GUEST_BOOTS * boot_us
+            asks = (rights(job.spec), request.zone, soon, thrifty)
+            if nothing.refuses(asks, job.spec, 1):
+                continue
+            before = len(rented)
             left = self._fit(
                 job.spec, count, offered, soon, zone_use, limit, population, now_us, "work waits", rented, thrifty
             )
--- a/src/tideusher/core/lead/scheduler.py
+++ b/src/tideusher/core/lead/scheduler.py
@@ -165,9 +165,9 @@
         for job in sorted(self._c.active.values(), key=lambda j: (j.submitted_us, j.spec.id)):
             if job.status != OPEN:
                 continue
-            team = self._c.teams.get(job.spec.team)
-            if team is None or not (team.cpus or team.gpus):
+            if self._c.is_guest(job.spec.team):
                 continue
+            team = self._c.teams[job.spec.team]
             total = sums.setdefault(team.name, [0.0, 0.0])
             tasks = min(job.spec.tasks, job.spec.at_once or job.spec.tasks)
             total[0] += job.spec.cpus * tasks
@@ -232,16 +232,15 @@
         if self._opened != self._c.opened:
             self._opened = self._c.opened
             self._nothing.clear()
-        kind = (rights(spec), spec.image, spec.gpus > 0, enough, short is None)
+        # Tasks without a card would take the CPUs beside free cards, and leave the warm room in name only: a guest's
+        # thousands of small ones did. Beside cards in use they find room enough.
+        beside = not spec.gpus and bool(self._c.fleet.warm) and not self._c.fleet.is_warm(spec.job_class)
+        kind = (rights(spec), spec.image, beside, enough, short is None)
         whole = count if job.is_gang else 1
         if spec.id not in self._favoured and self._nothing.refuses(kind, spec, whole):
             job.waits_for = told_failing(job) if tries else NO_ROOM
             return (0 if tries else count), False
 
-        # Tasks without a card would take the CPUs beside free cards, and leave the warm room in name only: a guest's
-        # thousands of small ones did. Beside cards in use they find room enough.
-        beside = not spec.gpus and bool(self._c.fleet.warm) and not self._c.fleet.is_warm(spec.job_class)
-
         def free_to_it(machine: Machine) -> bool:
             if beside and not machine.spot and machine.free_gpus > 0:
                 return False
--- a/src/tideusher/core/picture/sightings.py
+++ b/src/tideusher/core/picture/sightings.py
@@ -66,10 +66,10 @@
             lines.append(Seen(name, worker.address, silent_ms))
         return lines, since
 
-    def stood_still(self, for_us: int) -> None:
-        """We did not listen for so long: nobody was silent in that time as far as we can tell."""
+    def stood_still(self, for_us: int, now_us: int) -> None:
+        """We did not listen for so long until now: nobody was silent in that time as far as we can tell."""
         for worker in self._workers.values():
-            worker.last_us += for_us
+            worker.last_us = min(now_us, worker.last_us + for_us)
 
     def last(self, machine: str) -> tuple[int, str] | None:
         """When it was last heard here, and its address."""
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -8,12 +8,14 @@
 from tideusher.core.decide import failures
 from tideusher.core.decide.boots import Boots
 from tideusher.core.decide.fleet import GUEST_BOOTS, MOST_PLANNED, Fleet
+from tideusher.core.decide.gather import Request
 from tideusher.core.decide.order import TASK_US, urgency_us
 from tideusher.core.lead import explain
 from tideusher.core.picture import keys
 from tideusher.core.picture.keeper import Entry, Keeper
 from tideusher.core.picture.records import RETURNING, Job, Machine
 from tideusher.core.picture.rentals import Rental
+from tideusher.core.picture.sightings import Own
 from tideusher.metrics import MAX_LABELS
 from tideusher.playground.standins import TYPE
 
@@ -305,3 +307,22 @@
     assert waits == sorted(waits, reverse=True)
     service = Job(job("service", 2, estimate_s=0.0), 1, 0, 0)
     assert urgency_us(service, 50.0, now_us) == 50 * SECOND_US  # live work is never late for good
+
+
+def test_a_guest_that_came_just_now_does_not_keep_one_that_waited_long_from_ordinary_machines():
+    """What found nothing under fewer rights says nothing of one that may use more."""
+    bed = Bed()
+    fresh, patient = (Job(job("batch", 1, team="poor", spot=True), 1, 0, seen_us=0) for _ in range(2))
+    now_us = fresh.seen_us = 1000 * SECOND_US
+    fleet = bed.cluster.fleet
+    for zone in TYPE.zones:
+        fleet.refused((TYPE.name, zone, True), now_us)
+    wishes = fleet.plan(now_us, [Request(fresh, 1), Request(patient, 1)], [], [])
+    assert [(wish.spot, wish.count) for wish in wishes] == [(False, 1)]
+
+
+def test_a_worker_heard_while_the_leader_was_late_is_not_heard_in_the_future():
+    own = Own(SECOND_US)
+    own.heard("host-1", "a", "x", 9 * SECOND_US)
+    own.stood_still(5 * SECOND_US, 10 * SECOND_US)
+    assert own.last("host-1") == (10 * SECOND_US, "x")
