A place is freed only by proof that no order on its way can undo; lost creations are fenced

Cause, found by walking through the code for the meetings: the answer to a direct call was taken as proof of absence while the answer to the worker's own report, with the run, was still on its way: the place was freed and the task started there. A higher session was proof also of an older leader's orders, though after a copied report of an earlier session the old leader might still give them. A lost creation, guarded by 0, could apply after its key was written and removed again, or after its entry was dropped unwritten. A return hung on the record of an adoption that might never be written. Change: absence counts from the worker's own next report; a session proves it of our own orders alone; every transaction of a leader guards a fence that the next one after a lost one writes; returns wait for the record that names the machine.

--- a/src/tideusher/actors/leader.py
+++ b/src/tideusher/actors/leader.py
@@ -11,7 +11,7 @@
 from tideusher.actors.cloud import Cloud
 from tideusher.actors.election import Election
 from tideusher.actors.http import CallFailed, HttpClient
-from tideusher.actors.store import Conflict, NoLease, Store, Unavailable
+from tideusher.actors.store import Busy, Conflict, NoLease, Store, Unavailable
 from tideusher.clock import Clock, to_s, to_us
 from tideusher.config import Config, Policy
 from tideusher.core.decide.bounds import may_answer
@@ -546,12 +546,12 @@
             self.log.info("transaction refused: %s changed", ", ".join(conflict.failed))
             synced = self._store.sync()
             lost = keys.LEADER in conflict.failed
-            self.tell("not_saved", engine, synced, lost)
+            self.tell("not_saved", engine, synced, lost, False)
         except (Unavailable, NoLease) as error:
             self.log.info("transaction not confirmed: %s", error)
             self.tell("unwritable", engine)
             gevent.sleep(0.3)
-            self.tell("not_saved", engine, self._store.sync(), False)
+            self.tell("not_saved", engine, self._store.sync(), False, not isinstance(error, Busy))
         else:
             self.tell("saved", engine, revision)
 
@@ -565,19 +565,19 @@
         """The state service did not take a write."""
         engine.unwritable()
 
-    def on_not_saved(self, engine: Engine, synced: bool, lost: bool) -> None:
-        """A batch failed: read first, then write again what still holds."""
+    def on_not_saved(self, engine: Engine, synced: bool, lost: bool, unknown: bool) -> None:
+        """A batch failed: read first, then write again what still holds. `unknown`: it may yet be carried out."""
         if engine is not self._engine or lost:
             return
         if not synced:
-            self.spawn(self._sync_again, engine)
+            self.spawn(self._sync_again, engine, unknown)
             return
-        engine.not_saved(self._store.stamp_of)
+        engine.not_saved(self._store.stamp_of, unknown)
         self._act(engine)
 
-    def _sync_again(self, engine: Engine) -> None:
+    def _sync_again(self, engine: Engine, unknown: bool) -> None:
         gevent.sleep(0.5)
-        self.tell("not_saved", engine, self._store.sync(), False)
+        self.tell("not_saved", engine, self._store.sync(), False, unknown)
 
 
 def _zone_of(picture: Picture, machine: str) -> str | None:
--- a/src/tideusher/core/lead/cluster.py
+++ b/src/tideusher/core/lead/cluster.py
@@ -99,7 +99,8 @@
         self.recovery = Recovery(self)
         self.conditions = Conditions(self, record_of)
         self.limits = Limits(self)
-        self.keeper = Keeper(keys.LEADER, token, settings.state.txn_ops)
+        self._fence = Entry(keys.FENCE, lambda: {"by": token}, 0)
+        self.keeper = Keeper(keys.LEADER, token, settings.state.txn_ops, self._fence)
         self._entries: dict[str, Entry] = {}
         self.direct: list[Direct] = []
         self.to_rent: list[Rental] = []
@@ -124,6 +125,7 @@
     def begin(self, now_us: int) -> None:
         """What a leader does first with a picture that is up to date. Costs what is left to settle."""
         picture = self.picture
+        self._fence.stamp = picture.stamps.get(keys.FENCE, 0)
         for rental in self.rentals.values():
             if not rental.answered:
                 self.to_rent.append(rental)  # same name: the cloud answers what it answered before
@@ -611,12 +613,17 @@
             if known is not None:  # it reported before the answer came
                 self.rentals.pop(known.rental, None)
                 entry = self._entries.pop(keys.rental_key(known.rental), None)
-                if entry is not None:
-                    entry.value = lambda: None
-                    self.keeper.touch(entry, urgent=False)
                 known.rental = rental.name
                 if known.phase == RETURNING:
                     rental.returning.append(name)
+                if entry is not None:
+                    # A return that has yet to be persisted waits for the record that names the machine from now on:
+                    # the record of the adoption may never be written.
+                    effects, entry.effects = entry.effects, []
+                    for effect in effects:
+                        self.keeper.touch(self._rental_entry(rental), effect)
+                    entry.value = lambda: None
+                    self.keeper.touch(entry, urgent=False)
             else:
                 self._add_machine(name, rental, now_us)
         self._settle(rental)
--- a/src/tideusher/core/lead/engine.py
+++ b/src/tideusher/core/lead/engine.py
@@ -108,9 +108,12 @@
         """What is stored did not take a write: nothing more is stopped until it does."""
         self.cluster.writable = False
 
-    def not_saved(self, stamp_of: Callable[[str], int]) -> None:
-        """A batch failed: what still holds of it is written again, with stamps from a newer read."""
-        self.cluster.keeper.not_saved(stamp_of)
+    def not_saved(self, stamp_of: Callable[[str], int], unknown: bool = True) -> None:
+        """A batch failed: what still holds of it is written again, with stamps from a newer read.
+
+        `unknown`: it may still be carried out.
+        """
+        self.cluster.keeper.not_saved(stamp_of, unknown)
 
     def orders(self) -> Orders:
         """Take what may be done now; each is given once."""
--- a/src/tideusher/core/lead/reports.py
+++ b/src/tideusher/core/lead/reports.py
@@ -29,24 +29,30 @@
         machine = self._c.machines.get(report.machine)
         if machine is None:
             machine = self._c.adopt(report, now_us)
-        strays = self._digest(machine, report, now_us)
+        strays = self._digest(machine, report, now_us, asked=True)
         return [] if strays is None else strays + self._commands(machine)
 
     def look(self, report: Report, now_us: int) -> None:
         """Learn from a report that came as the answer to a direct call.
 
-        Its answer is not ours to give, so no `run` may be counted as sent with it.
+        Its answer is not ours to give, so no `run` may be counted as sent with it. Nor does it close the answer to
+        the worker's own last report, which may still be on its way.
         """
         machine = self._c.machines.get(report.machine)
         if machine is not None:
-            self._digest(machine, report, now_us)
+            self._digest(machine, report, now_us, asked=False)
 
-    def _digest(self, machine: Machine, report: Report, now_us: int) -> list[Command] | None:
-        """Take in what a report says; returns commands for attempts that hold no place, None if stale."""
+    def _digest(self, machine: Machine, report: Report, now_us: int, asked: bool) -> list[Command] | None:
+        """Take in what a report says; returns commands for attempts that hold no place, None if stale.
+
+        `asked`: the worker sent it by itself, so its earlier reports are answered or given up.
+        """
         if (report.session, report.serial) <= (machine.session, machine.serial):
             return None  # late or repeated: what it says is older than what we know
         new_session = machine.reported_us > 0 and report.session > machine.session
         machine.session, machine.serial = report.session, report.serial
+        if asked:
+            machine.closed = (report.session, report.serial)
         machine.reported_us, machine.probes_failed, machine.found = now_us, 0, ""
         self._c.health.heard(machine.zone, now_us)
         machine.address = report.address
@@ -105,12 +111,16 @@
     def _absent(self, task: Task, report: Report, new_session: bool, now_us: int) -> None:
         """The report does not list a task that may have been started: is that proof of absence?
 
-        Yes, if the worker has moved on to a new session; or if it has seen our token (no older
-        leader's order can start anything any more) and the report is newer than our order (its
-        answer was executed before this report was sent, or never will be).
+        Yes, if the worker has seen our token (no older leader's order can start anything any more) and has sent a
+        report since our order (one is in flight at a time, so the answer with the order was executed before, or
+        never will be). The answer to a direct call proves nothing of an order that is still on its way: it once
+        freed a place on which the task started a moment later. A new session alone proves it of our own orders, as
+        their answers are dropped in it. Of an order that an older leader may have yet to give it proves nothing.
         """
         assert task.sent is not None
-        if not new_session and (report.token < self._c.token or (report.session, report.serial) <= task.sent):
+        ours = task.sent > (0, 0)
+        dropped = new_session and ours and report.session > task.sent[0]
+        if not dropped and (report.token < self._c.token or task.machine.closed <= task.sent):
             return
         if task.phase == ASSIGNED and not task.inherited and not new_session and task.halt_grace_s is None:
             task.sent = None  # the answer was lost; this attempt never was on the machine: send it again
--- a/src/tideusher/core/picture/keeper.py
+++ b/src/tideusher/core/picture/keeper.py
@@ -4,6 +4,10 @@
 Every write is guarded by the leader's key and by the stamp of the key itself. The second guard is
 what makes a transaction that was given up on harmless: once a later one on the same key is through,
 the late one can never apply (docs/safety.md, 1 and 2).
+
+It is not enough for a key that is not there: 0 guards its creation again once it was removed, or if its entry was
+dropped unwritten. So all transactions of a leader guard one more key, the fence, which the next one after a lost
+transaction writes: from then on the lost one is refused whatever it holds.
 """
 
 from collections.abc import Callable
@@ -50,9 +54,9 @@
     machine that is not.
     """
 
-    def __init__(self, leader_key: str, token: int, max_ops: int) -> None:
+    def __init__(self, leader_key: str, token: int, max_ops: int, fence: Entry | None = None) -> None:
         self._leader = Guard(leader_key, token)
-        self._max_ops = max_ops
+        self._max_ops, self._fence = max_ops, fence
         self._urgent: dict[str, Entry] = {}
         self._lazy: dict[str, Entry] = {}
         self._in_flight: Batch | None = None
@@ -98,6 +102,8 @@
             return None
         batch = Batch([], [], [], [])
         guards = {self._leader.key: self._leader}
+        if self._fence is not None:
+            guards[self._fence.key] = Guard(self._fence.key, self._fence.stamp)
         limit, size = min(room, self._max_ops), 0
         nothing_to_write: list[Effect] = []  # what waited for entries that are as stored
         for queue in (self._urgent, self._lazy):
@@ -158,15 +164,19 @@
         for entry in batch.entries:
             entry.settled()
 
-    def not_saved(self, stamp_of: Callable[[str], int]) -> None:
-        """The batch failed or its fate is unknown: all of it waits again, with stamps as now read.
+    def not_saved(self, stamp_of: Callable[[str], int], unknown: bool = True) -> None:
+        """The batch failed, or its fate is `unknown`: all of it waits again, with stamps as now read.
 
         `stamp_of` must come from a read newer than the transaction. If the lost transaction applied
         after all, its content is ours and the new stamp says so; if it did not, it never will once
-        the next write of the same key is through.
+        the next transaction is through, which writes the fence.
         """
         batch, self._in_flight = self._in_flight, None
         assert batch is not None
+        if self._fence is not None:
+            self._fence.stamp = stamp_of(self._fence.key)
+            if unknown:
+                self.touch(self._fence)
         for entry, effects in zip(reversed(batch.entries), reversed(batch.effects), strict=True):
             entry.stamp = stamp_of(entry.key)
             entry.dirty = True
--- a/src/tideusher/core/picture/keys.py
+++ b/src/tideusher/core/picture/keys.py
@@ -2,6 +2,7 @@
 
 PREFIX = "t/"
 LEADER = "t/leader"
+FENCE = "t/fence"
 RATIOS = "t/ratios"
 TYPES = "t/types"
 JOB_PREFIX = "t/j/"
--- a/src/tideusher/core/picture/records.py
+++ b/src/tideusher/core/picture/records.py
@@ -329,6 +329,8 @@
     address: str = ""
     session: int = 0
     serial: int = 0
+    #: (session, serial) of the newest report that it sent by itself: answers to earlier ones do nothing any more.
+    closed: tuple[int, int] = (0, 0)
     reported_us: int = 0
     idle_since_us: int = 0
     recall_us: int | None = None
--- a/src/tideusher/embed/instance.py
+++ b/src/tideusher/embed/instance.py
@@ -515,7 +515,7 @@
         while (batch := engine.batch()) is not None:
             revision = self._state.write(batch.guards, batch.writes)
             if revision is None:  # a job's record changed since: write what still holds
-                engine.not_saved(self._state.stamp_of)
+                engine.not_saved(self._state.stamp_of, unknown=False)
                 continue
             told = told or any(batch.effects)
             engine.saved(revision, now_us)
--- /dev/null
+++ b/tests/test_meetings.py
@@ -0,0 +1,192 @@
+"""Two troubles that meet (docs/meetings.md): each is brought about here, and judged by the rules."""
+
+import pytest
+
+from standins import Bed, job
+from tideusher.core.decide.fleet import Wish
+from tideusher.core.lead.reports import Reports
+from tideusher.core.picture import keys
+from tideusher.core.picture.keeper import Entry, Keeper
+from tideusher.playground.standins import StateStandIn
+from tideusher.wire.workers import Report, TaskReport
+
+
+@pytest.fixture
+def bed():
+    return Bed()
+
+
+def ops(commands):
+    return [(one.op, one.task, one.attempt) for one in commands]
+
+
+def told(bed, serial, *tasks, session=1, token=None, machine="host-1"):
+    """What the worker says in answer to a direct call."""
+    items = [TaskReport(name, attempt, state, cause) for name, attempt, state, cause in tasks]
+    token = bed.cluster.token if token is None else token
+    report = Report(machine, "127.0.0.1:9", "m4", "a", False, session, serial, token, None, items)
+    Reports(bed.cluster).look(report, bed.clock.now_us())
+
+
+# An order on its way, and a direct call that overtakes it
+
+
+@pytest.mark.parametrize("halted", [False, True])
+def test_the_answer_to_a_direct_call_proves_nothing_of_an_order_that_is_still_on_its_way(bed, halted):
+    """A `/do` overtakes the answer to the worker's report: the place was freed, and then the task started there."""
+    spec = job()
+    placed = bed.place(spec)
+    assert ops(bed.report("host-1", 2)) == [("run", f"{spec.id}/0", 1)]  # held up on its way
+    if halted:
+        bed.cluster.halt(placed.live[0], 0.0, "something else needs the room")
+    told(bed, 3)  # newer than the order, and without the task
+    task = placed.live[0]
+    assert task.sent == (1, 2)
+    if not halted:
+        bed.cluster.halt(task, 0.0, "something else needs the room")
+    assert placed.live[0] is task  # not freed: it may start at any moment
+    assert ops(bed.report("host-1", 4, (f"{spec.id}/0", 1, "pulling", None))) == [("halt", f"{spec.id}/0", 1)]
+    bed.report("host-1", 5, (f"{spec.id}/0", 1, "exited", "stopped"))
+    assert not placed.live
+
+
+def test_a_report_of_the_workers_own_after_the_order_is_proof(bed):
+    spec = job()
+    placed = bed.place(spec)
+    bed.report("host-1", 2)
+    bed.cluster.halt(placed.live[0], 0.0, "something else needs the room")
+    told(bed, 3)
+    bed.report("host-1", 4)  # one report is in flight at a time: the answer to the one before was lost
+    assert not placed.live
+
+
+# A copy of an old report is the first that a new leader hears
+
+
+def test_a_new_session_proves_nothing_of_what_an_older_leader_may_yet_order(bed):
+    """A copy from an earlier session came first; the worker's next report, of a session that the old leader may still
+    be answering, was then taken for proof that its tasks were gone."""
+    spec = job()
+    bed.place(spec)
+    old = bed.cluster.token
+    bed.report("host-1", 2)
+    bed.elect()  # the old leader does not know yet, and has the place on record as we do
+    placed = bed.cluster.jobs[spec.id]
+    bed.report("host-1", 1, session=1, token=0)  # the copy
+    bed.report("host-1", 7, session=2, token=old)  # our answer to this is lost; the old leader's next is not
+    assert 0 in placed.live
+    bed.report("host-1", 9, session=2, token=old)
+    assert 0 in placed.live
+    bed.report("host-1", 10, session=2)  # it has seen our token: nothing of an older leader is carried out any more
+    assert 0 not in placed.live
+
+
+def test_copies_of_reports_from_before_change_nothing(bed):
+    spec = job("batch", 2)
+    placed = bed.place(spec)
+    names = [f"{spec.id}/{index}" for index in (0, 1)]
+    bed.report("host-1", 2)
+    bed.report("host-1", 3, (names[0], 1, "running", None), (names[1], 1, "running", None))
+    bed.commit()
+    before = dict(bed.state.items)
+    assert ops(bed.report("host-1", 1)) == []
+    assert ops(bed.report("host-1", 2)) == []
+    assert ops(bed.report("host-1", 2, (names[0], 1, "exited", "stopped"))) == []
+    bed.commit()
+    assert set(placed.live) == {0, 1} and bed.state.items == before
+
+
+# Transactions that are carried out late
+
+
+def fenced(state):
+    fence = Entry("t/fence", lambda: {"by": 1}, state.stamp_of("t/fence"))
+    return Keeper(keys.LEADER, state.elect("n0"), 8, fence)
+
+
+def commit(keeper, state):
+    batch = keeper.next_batch(8)
+    revision = state.txn(batch.guards, batch.writes)
+    assert revision is not None
+    keeper.saved(revision)
+    return batch
+
+
+def test_a_lost_creation_never_applies_once_its_key_was_written_and_removed():
+    """0 guards a creation again when the key is gone: a rental that was over stood in the records once more."""
+    state = StateStandIn()
+    keeper, value = fenced(state), [{"v": 1}]
+    entry = Entry("t/m/a", lambda: value[0], 0)
+    keeper.touch(entry)
+    lost = keeper.next_batch(8)
+    keeper.not_saved(state.stamp_of)
+    commit(keeper, state)
+    value[0] = None
+    keeper.touch(entry)
+    commit(keeper, state)
+    assert "t/m/a" not in state.items
+    assert state.txn(lost.guards, lost.writes) is None and "t/m/a" not in state.items
+
+
+def test_a_lost_creation_never_applies_once_its_entry_was_dropped_unwritten():
+    state = StateStandIn()
+    keeper, value = fenced(state), [{"v": 1}]
+    entry = Entry("t/m/a", lambda: value[0], 0)
+    keeper.touch(entry)
+    lost = keeper.next_batch(8)
+    keeper.not_saved(state.stamp_of)
+    value[0] = None  # it has lost its point, and as far as was read it was never there
+    batch = commit(keeper, state)
+    assert [write.key for write in batch.writes] == ["t/fence"]
+    assert state.txn(lost.guards, lost.writes) is None and "t/m/a" not in state.items
+
+
+def test_a_lost_transaction_that_applies_before_the_next_one_is_found_and_written_over():
+    state = StateStandIn()
+    keeper, effects = fenced(state), []
+    entry = Entry("t/m/a", lambda: {"v": 1}, 0)
+    keeper.touch(entry, lambda: effects.append("told"))
+    lost = keeper.next_batch(8)
+    keeper.not_saved(state.stamp_of)
+    assert state.txn(lost.guards, lost.writes) is not None
+    batch = keeper.next_batch(8)
+    assert state.txn(batch.guards, batch.writes) is None and effects == []
+    keeper.not_saved(state.stamp_of, unknown=False)
+    commit(keeper, state)
+    assert effects == ["told"]
+    assert state.txn(lost.guards, lost.writes) is None
+
+
+def test_what_a_leader_lost_can_apply_no_more_under_the_next_one(bed):
+    spec = job()
+    bed.submit(spec)
+    bed.report("host-1", 1)
+    bed.commit()
+    bed.scheduler.schedule(bed.clock.now_us())
+    lost = bed.cluster.keeper.next_batch(8)
+    bed.cluster.keeper.not_saved(bed.state.stamp_of)
+    bed.elect()
+    assert bed.state.txn(lost.guards, lost.writes) is None
+    bed.report("host-1", 2)
+    bed.scheduler.schedule(bed.clock.now_us())
+    bed.commit()
+    assert bed.cluster.jobs[spec.id].live[0].attempt == 1
+
+
+def test_a_return_of_an_adopted_machine_is_persisted_before_the_cloud_hears_of_it(bed):
+    """It reported before its rental was answered, and its adoption was dropped unwritten: the return was asked for
+    with nothing on record."""
+    cluster = bed.cluster
+    cluster.rent(Wish("m4", "a", False, 1, "a test"))
+    bed.commit()
+    (rental,) = cluster.to_rent
+    cluster.to_rent.clear()
+    bed.report("host-9", 1)
+    cluster.give_back(cluster.machines["host-9"], "it is idle")
+    cluster.rented(rental, ["host-9"], bed.clock.now_us())
+    batch = cluster.keeper.next_batch(8)
+    assert not cluster.to_return
+    assert bed.state.txn(batch.guards, batch.writes) is not None
+    cluster.keeper.saved(bed.state.tide)
+    assert [machine.name for machine in cluster.to_return] == ["host-9"]
+    assert bed.state.items[keys.rental_key(rental.name)][0]["returning"] == ["host-9"]
