Whoever knows of a cancellation stops its tasks; machines deaf to answers are told apart

Need: a leader that the state service refuses alone learns of no cancellation until its rights end; its tasks lived to the end of the bound, though its peers knew. A user's cancellation now reaches them at once: peers tell a controller without contact in heartbeats, gateways drop starts and add halts of cancelled jobs in any leader's answer, the controller that confirmed calls the workers itself if the leader cannot read, and a leader calls machines that report to another (a 409 tells the session). A machine whose answers are lost was told the same start for ever, and what an older leader placed on it was never proven gone: after three answers in vain work moves on and it rests for 10 s; after a lease unheard it is returned. A controller that reaches neither the state service nor any peer is no longer healthy: users were kept at it for nothing but 503.

--- a/src/tideusher/actors/gateway.py
+++ b/src/tideusher/actors/gateway.py
@@ -21,6 +21,7 @@
 from tideusher.config import Config
 from tideusher.core.decide.bounds import may_answer
 from tideusher.core.decide.routing import Directions, Door, Ear
+from tideusher.core.decide.withdrawn import Withdrawn, halts, rectified
 from tideusher.core.picture import keys
 from tideusher.core.picture.records import JOB_CANCELLED
 from tideusher.core.picture.sightings import Own
@@ -50,6 +51,7 @@
         leader: Leader,
         peers: Peers,
         own: Own | None = None,
+        withdrawn: Withdrawn | None = None,
     ) -> None:
         self.log = logging.getLogger("gateway")
         self._config, self._clock = config, clock
@@ -57,6 +59,7 @@
         self._directions = Directions()
         self._ear = Ear(config.settings.workers)
         self._own = own or Own(to_us(config.settings.workers.report_s))
+        self._withdrawn = withdrawn or Withdrawn(0)
 
     def deaf(self) -> bool:
         """Have all workers that reported here fallen silent?"""
@@ -84,7 +87,7 @@
         if known is not None and report.token <= known[1]:
             answer = self._from_leader(known[0], body)
             if answer is not None:
-                return Answer(200, answer)
+                return Answer(200, self._rectified(answer, body))
         return self._alone(workers.decode_report(body))
 
     def _known(self) -> tuple[str, int] | None:
@@ -122,9 +125,16 @@
         token = known[1] if known is not None else report.token
         if report.token > token:
             return Answer(503, b'{"error":"a newer leader is not known here yet"}')
-        halts = []
-        for item in report.tasks:
-            job = self._store.mirror.get(keys.job_key(item.task.rpartition("/")[0]))
-            if item.state != workers.EXITED and job is not None and job.value["st"] == JOB_CANCELLED:
-                halts.append(workers.halt(item.task, item.attempt, 0.0))
-        return Answer(200, workers.encode(workers.Commands(token, halts)))
+        return Answer(200, workers.encode(workers.Commands(token, halts(report, self._cancelled))))
+
+    def _cancelled(self, job_id: str) -> bool:
+        """Does the state service, or a controller that reads it, say that the job is cancelled?"""
+        stored = self._store.mirror.get(keys.job_key(job_id))
+        return job_id in self._withdrawn or (stored is not None and stored.value["st"] == JOB_CANCELLED)
+
+    def _rectified(self, answer: bytes, body: bytes) -> bytes:
+        """A leader may not know yet what we do: above all one that the state service refuses alone."""
+        if not self._withdrawn.any(self._clock.now_us()):
+            return answer
+        commands, report = workers.decode_commands(answer), workers.decode_report(body)
+        return workers.encode(rectified(commands, report, self._cancelled))
--- a/src/tideusher/actors/leader.py
+++ b/src/tideusher/actors/leader.py
@@ -14,6 +14,7 @@
 from tideusher.actors.store import Busy, Conflict, NoLease, Store, Unavailable
 from tideusher.clock import Clock, to_s, to_us
 from tideusher.config import Config, Policy
+from tideusher.core.decide import hearing
 from tideusher.core.decide.bounds import may_answer
 from tideusher.core.decide.succession import Lag
 from tideusher.core.lead import explain
@@ -27,7 +28,7 @@
 from tideusher.core.picture import keys
 from tideusher.core.picture.keeper import Batch
 from tideusher.core.picture.picture import Picture
-from tideusher.core.picture.records import RETURNING, UP, Machine
+from tideusher.core.picture.records import RETURNING, Machine
 from tideusher.core.picture.rentals import Rental
 from tideusher.core.picture.sightings import Own, Sightings
 from tideusher.metrics import Metrics
@@ -86,6 +87,7 @@
         self._probing: set[str] = set()
         self._listed_us = 0  # when the cloud's list was asked for
         self._deaf_zones: Callable[[], set[str]] = set
+        self._reads: Callable[[str], bool] = lambda node: True
         self._direct: dict[str, HttpClient] = {}
 
     def start(self) -> None:
@@ -104,6 +106,10 @@
         """Where to ask in which zones a controller that we hear hears none of its workers."""
         self._deaf_zones = deaf_zones
 
+    def hear_readers(self, reads: Callable[[str], bool]) -> None:
+        """Where to ask whether another controller is heard, and reaches the state service."""
+        self._reads = reads
+
     def hear_sightings(self, sightings: Sightings) -> None:
         """Where to ask which workers each controller hears."""
         self._sightings = sightings
@@ -243,6 +249,10 @@
         """Machines taken back or silent. Done at ticks: after each report of a fleet it cost most of a core."""
         for machine in cluster.health.taken(now_us):
             cluster.give_back(machine, "the cloud has taken it back")
+        workers_ = self._config.settings.workers
+        lease_us, report_us = to_us(workers_.lease_s), to_us(workers_.report_s)
+        for machine, why in hearing.unheard(list(cluster.machines.values()), lease_us, report_us, now_us):
+            cluster.give_back(machine, why)
         cluster.falls.linked = self._deaf_zones()
         look = cluster.look_at_silence(now_us, self._probing)
         for probe in look.probes:
@@ -326,6 +336,40 @@
             self._engine.cluster.job_changed(job_id, value, stamp, self._clock.now_us())
             self._act(self._engine)
 
+    def on_withdrawn(self, job_id: str) -> None:
+        """Another controller tells that a job is cancelled, which we may not be able to read."""
+        if self._engine is not None:
+            self._engine.cluster.told_withdrawn(job_id, self._clock.now_us())
+            self._act(self._engine)
+
+    def on_cancelled_here(self, job_id: str) -> None:
+        """We told a user that a job is cancelled. If its leader cannot hear of that now, its workers do from us.
+
+        Halts of what is cancelled are right under any token, and the bound of safety 6 does not rest on them.
+        """
+        known, picture = self._election.leader(), self._standby.picture
+        if self._engine is not None or picture is None or known is None or self._reads(known[0]):
+            return
+        job, now_us = picture.jobs.get(job_id), self._clock.now_us()
+        stops: dict[str, list[workers.Command]] = {}
+        for task in job.live.values() if job is not None else ():
+            seen = self._sightings.last(task.machine.name, now_us)
+            if seen is not None and seen[1]:
+                stops.setdefault(seen[1], []).append(workers.halt(task.name, task.attempt, 0.0))
+        if stops:
+            self.log.info("stop %s on %d machines for its leader, which cannot be told", job_id, len(stops))
+        for address, commands in stops.items():
+            self.spawn(self._stop_there, address, known[1], commands)
+
+    def _stop_there(self, address: str, token: int, commands: list[workers.Command]) -> None:
+        client = HttpClient(address, PROBE_S, keep=0)
+        try:
+            _, answer = client.call("GET", "/show")
+            session = workers.decode_report(answer).session
+            client.call("POST", "/do", workers.encode(workers.DirectCommands(token, session, commands)))
+        except (CallFailed, msgspec.DecodeError) as error:
+            self.log.debug("%s: %s", address, error)
+
     def answer_reports(self, reports: list[workers.Report]) -> AsyncResult:
         """Ask for the commands to reports that came together, while their gateway waits."""
         return self.ask("reports", reports, self._clock.now_us())
@@ -424,7 +468,8 @@
                 lambda r, machines=machines: self.tell("returned", token, machines, r),
             )
         for machine, commands in orders.direct.items():
-            if machine.address and machine.phase == UP:
+            # One that has yet to report to us has an address if another controller hears it, or the cloud lists it.
+            if machine.address and machine.phase != RETURNING:
                 self.spawn(self._send, machine, token, commands)
 
     def _rent(self, token: int, rental: Rental) -> None:
@@ -483,15 +528,26 @@
         return client
 
     def _send(self, machine: Machine, token: int, commands: list[workers.Command]) -> None:
-        """Send halts ahead of the next report; they are repeated in its answer, so a loss is harmless."""
-        body = workers.encode(workers.DirectCommands(token, machine.session, commands))
-        try:
-            status, answer = self._client(machine).call("POST", "/do", body)
-        except CallFailed as error:
-            self.log.debug("%s: %s", machine.name, error)
-            return
-        if status == 200:
+        """Send halts ahead of the next report; they are repeated in its answer, so a loss is harmless.
+
+        A worker that reports to another controller, such as an old leader, may be in a session that we have not heard
+        of: its refusal tells which, and it is asked once more.
+        """
+        session = machine.session
+        for _ in range(2):
+            body = workers.encode(workers.DirectCommands(token, session, commands))
+            try:
+                status, answer = self._client(machine).call("POST", "/do", body)
+                report = workers.decode_report(answer) if status in (200, 409) else None
+            except (CallFailed, msgspec.DecodeError) as error:
+                self.log.debug("%s: %s", machine.name, error)
+                return
+            if report is None:
+                return
             self.tell("answered", token, answer)
+            if status == 200 or report.token > token or report.session == session:
+                return
+            session = report.session
 
     def on_answered(self, token: int, body: bytes) -> None:
         """The report in the answer to direct commands is as good as one that the worker sent."""
--- a/src/tideusher/actors/peers.py
+++ b/src/tideusher/actors/peers.py
@@ -27,7 +27,7 @@
 MAX_WAITING = 512 * 1024
 
 #: What is said in answer to a heartbeat: the message, and up to which line it tells of workers.
-Answering = Callable[[int], tuple[wire.Hello, int]]
+Answering = Callable[[wire.Hello, int], tuple[wire.Hello, int]]
 Handler = Callable[[wire.Message], wire.Message | None]
 ReportsHandler = Callable[[list[wire.ForwardReport]], list[wire.ReportAnswer]]
 
@@ -194,7 +194,7 @@
     ) -> None:
         self.log = logging.getLogger("peers")
         self._clock = clock
-        self._answering: Answering = answering or (lambda line: (hello(), line))
+        self._answering: Answering = answering or (lambda heard, line: (hello(), line))
         self.links = {peer.name: Link(peer, hello, clock, told) for peer in config.peers}
         self._handler: Handler = lambda message: None
         self._reports: ReportsHandler = lambda reports: []
@@ -250,6 +250,15 @@
             if link.usable() and (said := link.said) is not None
         ]
 
+    def reads(self, node: str) -> bool:
+        """Is this controller heard by us, and does it reach the state service?"""
+        link = self.links.get(node)
+        return link is not None and link.usable() and link.in_contact
+
+    def hears_any(self) -> bool:
+        """Do we hear any other controller?"""
+        return any(link.usable() for link in self.links.values())
+
     def refuses(self, node: str) -> bool:
         """Did our connection to this controller end, and does it refuse a new one, for long enough to say so?"""
         link = self.links.get(node)
@@ -283,7 +292,7 @@
         reports = []
         for message in messages:
             if isinstance(message, wire.Hello):
-                said, line = self._answering(outbox.line)
+                said, line = self._answering(message, outbox.line)
                 if outbox.put(wire.frame(said)):
                     outbox.line = line
             elif isinstance(message, wire.ForwardReport):
--- a/src/tideusher/actors/users.py
+++ b/src/tideusher/actors/users.py
@@ -57,6 +57,8 @@
         self._scripts: Scripts | None = None
         self._conditions = conditions  # are jobs with conditions taken (`jobs.conditions`)?
         self._clock, self._store = clock, store
+        #: Whom to tell of a job that was cancelled here.
+        self.on_cancelled: Callable[[str], None] = lambda job_id: None
         self._max_value = int(config.settings.state.value_kb * 1024)
         self._teams = {team.name: team for team in config.settings.teams}
         self._types_value: Any = None
@@ -264,7 +266,10 @@
             begun = {"b": 1} if keys.chunk_key(job_id, 0) in self._store.mirror else {}
             return {**value, "st": JOB_CANCELLED, **begun}
 
-        return self._change(job_id, cancelled, "cancelled") or Reply(200, JobStatus(job_id, wire.CANCELLED))
+        reply = self._change(job_id, cancelled, "cancelled")
+        if reply is None:
+            self.on_cancelled(job_id)
+        return reply or Reply(200, JobStatus(job_id, wire.CANCELLED))
 
     def hold(self, job_id: str, action: str, body: bytes) -> Reply:
         """Hold a job or let it go on. Told to the user only when no start can be committed any more.
--- a/src/tideusher/core/decide/falls.py
+++ b/src/tideusher/core/decide/falls.py
@@ -19,6 +19,7 @@
 
 from tideusher.clock import SECOND_US, to_s, to_us
 from tideusher.config import Config
+from tideusher.core.decide import hearing
 from tideusher.core.decide.health import Health
 from tideusher.core.decide.placement import slots_in
 from tideusher.core.picture.records import CRITICAL, RETURNING, UP, Job, Machine
@@ -179,11 +180,11 @@
         return zone in self._shaky
 
     def doubted(self, machine: Machine, now_us: int) -> bool:
-        """Is nothing to be placed there for now? It is silent, or may be about to be found so with its zone.
+        """Is nothing to be placed there for now? It is silent, or deaf, or may be about to be found so with its zone.
 
         Tasks that a fall took were once placed again on machines that had died with theirs.
         """
-        if machine.name in self._silent:
+        if machine.name in self._silent or hearing.deaf(machine, now_us):
             return True
         return machine.zone in self._shaky and now_us - machine.reported_us > self._report_us * 3 // 2
 
--- /dev/null
+++ b/src/tideusher/core/decide/withdrawn.py
@@ -0,0 +1,75 @@
+"""Jobs that were cancelled lately, and what that changes in any answer to a worker. Pure.
+
+A cancellation is final once it is in the state service, whoever told of it. So whoever knows of one may stop its
+tasks: the leader that the state service refuses alone, a gateway that passes an answer of such a leader on, a
+controller that answers alone. Nobody needs this to keep the bound of `bounds.may_answer`; with it the tasks end at
+once.
+"""
+
+from collections.abc import Callable
+
+from tideusher.wire import workers
+from tideusher.wire.workers import Commands, Report
+
+#: So many are kept, the newest; and so many are told at a time, the oldest first.
+MOST, TOLD = 4096, 200
+
+
+class Withdrawn:
+    """Owns the jobs cancelled in the last `keep_us`, by when we learnt of them (steady time)."""
+
+    def __init__(self, keep_us: int) -> None:
+        self._keep_us = keep_us
+        self._jobs: dict[str, tuple[int, int]] = {}  # stamp of the cancellation, and when we learnt of it
+        #: Up to this revision a peer has told us all that it knew; what we read ourselves is the store's to say.
+        self.told = 0
+
+    def learn(self, job: str, stamp: int, now_us: int) -> bool:
+        """A job is cancelled, a record or another controller says; True if that is news."""
+        if job in self._jobs:
+            return False
+        self._jobs[job] = (stamp, now_us)
+        if len(self._jobs) > MOST:
+            del self._jobs[next(iter(self._jobs))]
+        return True
+
+    def any(self, now_us: int) -> bool:
+        """Was a job cancelled lately? Those that nobody can run any more are dropped."""
+        while self._jobs:
+            job, (_, learnt_us) = next(iter(self._jobs.items()))
+            if now_us - learnt_us <= self._keep_us:
+                return True
+            del self._jobs[job]
+        return False
+
+    def __contains__(self, job: str) -> bool:
+        return job in self._jobs
+
+    def since(self, revision: int) -> list[tuple[str, int]]:
+        """Jobs cancelled after this revision with the stamps of that, the oldest first and bounded."""
+        found = sorted((stamp, job) for job, (stamp, _) in self._jobs.items() if stamp > revision)
+        return [(job, stamp) for stamp, job in found[:TOLD]]
+
+
+def rectified(commands: Commands, report: Report, cancelled: Callable[[str], bool]) -> Commands:
+    """The answer to a report, with nothing of a cancelled job started and all that is there of one stopped."""
+    kept = [one for one in commands.commands if one.op != "run" or not cancelled(_job(one.task))]
+    ended = {(one.task, one.attempt) for one in kept if one.op == "halt" and not one.grace_s}
+    return Commands(commands.token, kept + [one for one in halts(report, cancelled) if _key(one) not in ended])
+
+
+def halts(report: Report, cancelled: Callable[[str], bool]) -> list[workers.Command]:
+    """What stops all tasks of cancelled jobs that the report lists."""
+    return [
+        workers.halt(item.task, item.attempt, 0.0)
+        for item in report.tasks
+        if item.state != workers.EXITED and cancelled(_job(item.task))
+    ]
+
+
+def _job(task: str) -> str:
+    return task.rpartition("/")[0]
+
+
+def _key(command: workers.Command) -> tuple[str, int]:
+    return command.task, command.attempt
--- a/src/tideusher/core/lead/cluster.py
+++ b/src/tideusher/core/lead/cluster.py
@@ -231,6 +231,17 @@
                 self.halt(task, self._grace_s(job), SHRUNK)
             self.dirty = self.dirty or bool(too_many)
 
+    def told_withdrawn(self, job_id: str, now_us: int) -> None:
+        """Another controller read that the job is cancelled: nothing of it starts, and what it has on machines stops.
+
+        Its record will say so once we can read it; until then nothing is written for it, since each of its records is
+        guarded by the key that was changed.
+        """
+        job = self.jobs.get(job_id)
+        if job is not None and job.status == OPEN:
+            job.not_before_us = now_us + to_us(self.config.settings.workers.cancel_s)
+            self._stop_job(job, 0.0, "its user cancelled it, another controller tells")
+
     def _keep_begun(self, job: Job, value: dict[str, Any]) -> None:
         """Others wait for the begin of a job that is cancelled now: write down that it had begun.
 
--- a/src/tideusher/core/lead/reports.py
+++ b/src/tideusher/core/lead/reports.py
@@ -5,7 +5,7 @@
 """
 
 from tideusher.clock import SECOND_US, to_s, to_us
-from tideusher.core.decide import failures
+from tideusher.core.decide import failures, hearing
 from tideusher.core.lead.cluster import Cluster
 from tideusher.core.picture.records import ASSIGNED, BOOTING, COMMITTING, OPEN, SEEN, UP, Job, Machine, Task
 from tideusher.wire import workers
@@ -51,7 +51,11 @@
             return None  # late or repeated: what it says is older than what we know
         new_session = machine.reported_us > 0 and report.session > machine.session
         machine.session, machine.serial = report.session, report.serial
+        lost = heeded = False  # was an answer of ours lost, was one carried out?
         if asked:
+            behind = report.token < self._c.token
+            lost = behind and machine.closed > (0, 0)
+            machine.behind_us = (machine.behind_us or now_us) if behind else 0
             machine.closed = (report.session, report.serial)
         machine.reported_us, machine.probes_failed, machine.found = now_us, 0, ""
         self._c.health.heard(machine.zone, now_us)
@@ -79,9 +83,14 @@
         for (job_id, index), task in list(machine.tasks.items()):
             item_or_none = listed.pop((job_id, index, task.attempt), None)
             if item_or_none is not None:
+                heeded = heeded or task.phase == ASSIGNED and task.sent is not None and task.sent > (0, 0)
                 self._listed(task, item_or_none, report, now_us)
             elif task.sent is not None and task.phase != COMMITTING:
-                self._absent(task, report, new_session, now_us)
+                lost |= self._absent(task, report, new_session, now_us)
+        if heeded:
+            hearing.heeded(machine)
+        elif lost and hearing.missed(machine, now_us):
+            self._move_on(machine, now_us)
         return [
             command
             for (job_id, index, attempt), item in listed.items()
@@ -108,7 +117,13 @@
             waited_us = self._c.wall_us() - task.job.submitted_us
             self._c.metrics.waited(task.job.spec.job_class, max(0.0, to_s(waited_us)))
 
-    def _absent(self, task: Task, report: Report, new_session: bool, now_us: int) -> None:
+    def _move_on(self, machine: Machine, now_us: int) -> None:
+        """What the worker was told to start in vain, and surely did not, may start elsewhere."""
+        for task in list(machine.tasks.values()):
+            if task.phase == ASSIGNED and task.sent is None and task.halt_grace_s is None:
+                self._c.lost(task, "its machine does not hear what it is told", now_us)
+
+    def _absent(self, task: Task, report: Report, new_session: bool, now_us: int) -> bool:
         """The report does not list a task that may have been started: is that proof of absence?
 
         Yes, if the worker has seen our token (no older leader's order can start anything any more) and has sent a
@@ -116,17 +131,20 @@
         never will be). The answer to a direct call proves nothing of an order that is still on its way: it once
         freed a place on which the task started a moment later. A new session alone proves it of our own orders, as
         their answers are dropped in it. Of an order that an older leader may have yet to give it proves nothing.
+
+        Returns whether an order of ours was lost on its way, and is given again.
         """
         assert task.sent is not None
         ours = task.sent > (0, 0)
         dropped = new_session and ours and report.session > task.sent[0]
         if not dropped and (report.token < self._c.token or task.machine.closed <= task.sent):
-            return
+            return False
         if task.phase == ASSIGNED and not task.inherited and not new_session and task.halt_grace_s is None:
             task.sent = None  # the answer was lost; this attempt never was on the machine: send it again
-            return
+            return True
         reason = "its machine's lease ran out" if new_session else "its machine does not have it"
         self._c.lost(task, reason, now_us)
+        return False
 
     def _exited(self, task: Task, item: TaskReport, now_us: int) -> None:
         job, machine = task.job, task.machine
--- a/src/tideusher/node.py
+++ b/src/tideusher/node.py
@@ -4,7 +4,7 @@
 import os
 import random
 import sys
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import gevent
 import msgspec
@@ -21,6 +21,9 @@
 from tideusher.clock import Clock, to_s, to_us
 from tideusher.config import Config, Policy
 from tideusher.core.decide.succession import Standing
+from tideusher.core.decide.withdrawn import TOLD, Withdrawn
+from tideusher.core.picture import keys
+from tideusher.core.picture.records import JOB_CANCELLED
 from tideusher.core.picture.sightings import Own, Sightings
 from tideusher.metrics import Metrics
 from tideusher.web import Web
@@ -55,9 +58,16 @@
         self.leader.hear_sightings(self.sightings)
         self.election.hear(self._standing, self.peers.standings, lambda token: self.leader.tell("tick"))
         self.store.hear_demands(self.peers.demands)
-        self.gateway = Gateway(config, self._clock, self.store, self.election, self.leader, self.peers, self.own)
+        #: What is on a machine longer than that after its cancellation broke the rule already.
+        self.withdrawn = Withdrawn(to_us(2 * config.settings.workers.cancel_s))
+        self.store.listen(self._note_withdrawn)
+        self.gateway = Gateway(
+            config, self._clock, self.store, self.election, self.leader, self.peers, self.own, self.withdrawn
+        )
         self.leader.hear_deaf(self._deaf_zones)
         self.users = Users(config, self._clock, self.store, policy.jobs__conditions, profile, self.metrics)
+        self.users.on_cancelled = lambda job_id: self.leader.tell("cancelled_here", job_id)
+        self.leader.hear_readers(self.peers.reads)
         questions = Questions(config, self.store, self.election, self.leader, self.peers)
         self.web = Web(
             config.bind,
@@ -84,10 +94,18 @@
         """What a heartbeat says; whoever answers one says more (`_answer_hello`)."""
         node, token = self.election.leader() or ("", 0)
         wanted = round(self.store.wanted(), 1)
-        return peer_wire.Hello(self._config.node, self.in_contact(), node, token, wanted, self.gateway.deaf())
+        said = peer_wire.Hello(self._config.node, self.in_contact(), node, token, wanted, self.gateway.deaf())
+        if not said.in_contact:
+            said.read = max(self.store.revision, self.withdrawn.told)
+        return said
 
-    def _answer_hello(self, line: int) -> tuple[peer_wire.Hello, int]:
+    def _answer_hello(self, heard: peer_wire.Hello, line: int) -> tuple[peer_wire.Hello, int]:
         said, ours = self._hello(), self._standing()
+        if heard.read:
+            # Whom the state service refuses alone learns here what its workers are to stop.
+            said.read, said.withdrawn = self.store.revision, self.withdrawn.since(heard.read)
+            if len(said.withdrawn) == TOLD:
+                said.read = min(said.read, said.withdrawn[-1][1])
         said.seen, line = self.own.news(line, self._clock.now_us())
         said.behind, said.lost, said.rests = ours.behind, ours.lost, ours.rests
         said.lag_ms = ours.lag_us // 1000
@@ -99,10 +117,21 @@
         if said is None:
             self.sightings.lost(node)
             return
-        self.sightings.told(node, said.seen, self._clock.now_us())
+        now_us = self._clock.now_us()
+        self.sightings.told(node, said.seen, now_us)
+        for job, stamp in said.withdrawn:
+            if self.withdrawn.learn(job, stamp, now_us):
+                self.log.info("%s tells that %s is cancelled", node, job)
+                self.leader.tell("withdrawn", job)
+        if said.in_contact:
+            self.withdrawn.told = max(self.withdrawn.told, said.read)
         if said.soft is not None:
             self.leader.hear_soft(said.soft)
 
+    def _note_withdrawn(self, key: str, value: Any, stamp: int) -> None:
+        if key.startswith(keys.JOB_PREFIX) and value is not None and value["st"] == JOB_CANCELLED:
+            self.withdrawn.learn(key[len(keys.JOB_PREFIX) :], stamp, self._clock.now_us())
+
     def _standing(self) -> Standing:
         """This controller as a possible leader."""
         node, token = self.election.leader() or ("", 0)
@@ -130,9 +159,13 @@
         """Can this node take requests at least as well as any other?
 
         In an outage that all nodes share, none gains from leaving the balancer; a node that alone is
-        cut off should.
+        cut off should. One that hears no other controller either is that for all it can tell: users kept
+        coming to a node that could say nothing but 503.
         """
-        return self.store.loaded.is_set() and (self.in_contact() or not self.peers.any_in_contact())
+        if not self.store.loaded.is_set():
+            return False
+        shared = not self.peers.any_in_contact() and (self.peers.hears_any() or not self.peers.links)
+        return self.in_contact() or shared
 
     def _metrics_text(self) -> bytes:
         self.metrics.gauges["leads"] = float(self.election.token is not None)
--- a/src/tideusher/wire/peers.py
+++ b/src/tideusher/wire/peers.py
@@ -62,6 +62,9 @@
     leads as far as it knows, how many changes a second it wants to write, and whether all workers that
     it had have fallen silent.
 
+    Of a controller that does not reach the state service, `read` is up to which revision it knows of cancellations;
+    the answer to that holds those that came after it (job, stamp) and up to which revision that is all.
+
     For whoever leads next, and passed over by older nodes: which workers it hears (what changed since the last
     heartbeat on this connection), how many changes it has yet to apply (None: it does not follow), the token of a
     leader that refuses it since their connection ended, how late its timers fire, whether it gave way just now, and
@@ -79,6 +82,8 @@
     lag_ms: int = 0
     rests: bool = False
     soft: Soft | None = None
+    read: int = 0
+    withdrawn: list[tuple[str, int]] = []
 
 
 class ForwardReport(PeerMessage, tag="report"):
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -3,6 +3,8 @@
 import pytest
 
 from standins import Bed, job
+from tideusher.clock import to_us
+from tideusher.core.decide import hearing
 from tideusher.core.decide.fleet import Wish
 from tideusher.core.lead.reports import Reports
 from tideusher.core.picture import keys
@@ -96,6 +98,51 @@
     assert set(placed.live) == {0, 1} and bed.state.items == before
 
 
+# Machines that are deaf to what they are told
+
+
+def test_what_a_deaf_machine_was_told_in_vain_starts_elsewhere_and_it_gets_no_more_for_a_while(bed):
+    spec = job()
+    placed = bed.place(spec)
+    for serial in range(2, 2 + hearing.DEAF_AFTER):
+        assert ops(bed.report("host-1", serial)) == [("run", f"{spec.id}/0", 1)]  # told again and again
+        assert 0 in placed.live
+    assert ops(bed.report("host-1", 5)) == [] and 0 not in placed.live
+    bed.report("host-2", 1)
+    bed.scheduler.schedule(bed.clock.now_us())
+    bed.commit()
+    assert placed.live[0].machine.name == "host-2" and placed.live[0].attempt == 2
+    assert ops(bed.report("host-2", 2)) == [("run", f"{spec.id}/0", 2)]
+    deaf = bed.cluster.machines["host-1"]
+    assert bed.cluster.falls.doubted(deaf, bed.clock.now_us())
+    bed.clock.pass_s(11.0)
+    assert not bed.cluster.falls.doubted(deaf, bed.clock.now_us())
+
+
+def test_a_machine_deaf_to_the_new_leader_is_returned_once_its_lease_is_over_and_not_before(bed):
+    """What the last leader placed on it is gone by then, but nothing it says can prove that."""
+    spec = job()
+    bed.place(spec)
+    old = bed.cluster.token
+    bed.report("host-1", 2)
+    bed.elect()
+    placed, w = bed.cluster.jobs[spec.id], bed.config.settings.workers
+    lease_us, report_us = to_us(w.lease_s), to_us(w.report_s)
+    machines = bed.cluster.machines.values()
+    for second in range(1, 10):
+        session = 1 if second < 6 else 2
+        listed = [(f"{spec.id}/0", 1, "running", None)] if session == 1 else []
+        bed.report("host-1", 10 + second, *listed, session=session, token=old)
+        due = list(hearing.unheard(machines, lease_us, report_us, bed.clock.now_us()))
+        assert 0 in placed.live and not due, second
+        bed.clock.pass_s(1.0)
+    bed.report("host-1", 21, session=2, token=old)
+    ((machine, why),) = hearing.unheard(machines, lease_us, report_us, bed.clock.now_us())
+    assert machine.name == "host-1" and "no answer" in why
+    bed.report("host-1", 22, session=2)  # it heard us after all
+    assert not list(hearing.unheard(machines, lease_us, report_us, bed.clock.now_us())) and 0 not in placed.live
+
+
 # Transactions that are carried out late
 
 
