--- a/src/tideusher/actors/peers.py
+++ b/src/tideusher/actors/peers.py
@@ -167,18 +167,22 @@
                 data = sock.recv(65536)
             if not data:
                 return
-            self._heard_us = self._clock.now_us()
-            for message in unframer.feed(data):
-                if isinstance(message, wire.Hello):
-                    self.in_contact, self.writes, self.deaf = message.in_contact, message.writes, message.deaf
-                    if message.token > self.told[1]:
-                        self.told = (message.leader, message.token)
-                    self.said = message
-                    self._tell(self.peer.name, message)
-                elif isinstance(message, wire.ReportAnswer):
-                    result = self._open.get(message.id)
-                    if result is not None:
-                        result.set(message)
+            self.take(unframer.feed(data))
+
+    def take(self, messages: list[wire.Message]) -> None:
+        """What the peer said on this connection."""
+        self._heard_us = self._clock.now_us()
+        for message in messages:
+            if isinstance(message, wire.Hello):
+                self.in_contact, self.writes, self.deaf = message.in_contact, message.writes, message.deaf
+                if message.token > self.told[1]:
+                    self.told = (message.leader, message.token)
+                self.said = message
+                self._tell(self.peer.name, message)
+            elif isinstance(message, wire.ReportAnswer):
+                result = self._open.get(message.id)
+                if result is not None:
+                    result.set(message)
 
 
 class Peers:
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -3,14 +3,16 @@
 import pytest
 
 from standins import Bed, job
+from tideusher.actors.store import Store
 from tideusher.clock import to_us
-from tideusher.core.decide import hearing
+from tideusher.core.decide import bounds, hearing
 from tideusher.core.decide.fleet import Wish
 from tideusher.core.lead.reports import Reports
 from tideusher.core.picture import keys
 from tideusher.core.picture.keeper import Entry, Keeper
 from tideusher.playground.standins import StateStandIn
 from tideusher.wire.workers import Report, TaskReport
+from town import Town
 
 
 @pytest.fixture
@@ -237,3 +239,155 @@
     cluster.keeper.saved(bed.state.tide)
     assert [machine.name for machine in cluster.to_return] == ["host-9"]
     assert bed.state.items[keys.rental_key(rental.name)][0]["returning"] == ["host-9"]
+
+
+# Several controllers, in simulated time (`town.py`)
+
+
+@pytest.fixture
+def town(monkeypatch):
+    made = []
+
+    def make(seed=0, **settings):
+        made.append(Town(monkeypatch, seed, **settings))
+        made[0].run(6.0)
+        return made[0]
+
+    yield make
+    for one in made:
+        one.close()
+
+
+def long_jobs(town, count=4):
+    specs = [town.submit(job("batch", 2, estimate_s=900.0)) for _ in range(count - 1)]
+    specs.append(town.submit(job("gang", 2, estimate_s=900.0, checkpoint_s=30.0, save_s=3.0, team="blue")))
+    town.run(10.0)
+    assert all(len(town.on_machines(spec.id)) == 2 for spec in specs)
+    return specs
+
+
+def other_than(town, *names):
+    return next(name for name in town.names if name not in names)
+
+
+def poll(town, spec, node=None):
+    got = []
+    town.hours.spawn(lambda: got.append(town.poll(spec.id, node)))
+    town.run(6.0)
+    return got[0]
+
+
+REFUSED = {
+    "long": dict(alone_s=12.0),
+    "for less than its lease": dict(alone_s=2.0),
+    "cut from its peers too": dict(alone_s=12.0, cut=True),
+    "links slow": dict(alone_s=12.0, delay_s=0.9),
+    "reports copied late": dict(alone_s=12.0, copies=0.5),
+    "next leader killed": dict(alone_s=12.0, kill=True),
+    "workers move": dict(alone_s=12.0, move=True),
+    "over before cancel_s": dict(alone_s=12.0, out_s=18.0),
+    "over just after it": dict(alone_s=2.0, out_s=22.0),
+}
+
+
+def refused_then_out(town, alone_s, out_s=50.0, cut=False, delay_s=0.001, copies=0.0, kill=False, move=False):
+    """The day of the page; returns for how long after its confirmation a task of each cancelled job was there."""
+    specs, old = long_jobs(town), town.leader()
+    town.service.refused.add(old)
+    if cut:
+        town.cuts |= {frozenset((old, other)) for other in town.names if other != old}
+    town.delay_s, town.copies = delay_s, copies
+    town.run(alone_s / 2)
+    by = other_than(town, old)
+    town.cancel(specs[0], by)
+    town.cancel(specs[3], by)
+    town.run(alone_s / 2 - 0.9)
+    town.cancel(specs[1], by)  # in the last second before the outage
+    town.run(0.9)
+    confirmed = dict(town.rules.cancelled_us)
+    assert len(confirmed) == 3  # else nothing is shown
+    town.service.outage(out_s)
+    gone = {}
+    for second in range(round(out_s) * 4):
+        town.run(0.25)
+        if kill and second == 20:
+            town.end(town.leader() or by, back_s=0.2)
+        if move and second % 16 == 0:
+            town.cuts ^= {("workers", town.names[second // 16 % 3])}
+        for name, at_us in confirmed.items():
+            if town.on_machines(name):
+                gone[name] = (town.clock.us - at_us) / 1e6
+    town.service.refused.clear()
+    town.cuts.clear()
+    return confirmed, gone, specs[2]
+
+
+@pytest.mark.parametrize("name", REFUSED)
+def test_the_leader_refused_alone_then_an_outage_for_all(town, name):
+    """Cancelled tasks are gone within `cancel_s`, whoever hears their worker, and at once where anybody can tell."""
+    town = town()
+    confirmed, gone, kept = refused_then_out(town, **REFUSED[name])
+    assert all(gone.get(job_id, 0.0) <= 3.0 for job_id in confirmed), gone
+    town.run(60.0)
+    assert len(town.on_machines(kept.id)) == 2  # what nobody cancelled goes on, or again
+    assert poll(town, kept) == "running"
+
+
+# Where nobody can tell: the bound itself
+
+
+def hidden(town, place):
+    """A cancellation right after the last contact of whoever answers the workers, an outage right after that, and no
+    way to tell anybody. Returns for how long the last of its tasks was there, in seconds."""
+    leader = town.leader()
+    to = leader if place == "leader" else other_than(town, leader)
+    town.cuts |= {("workers", name) for name in town.names if name != to}
+    town.run(20.0)
+    specs = [town.submit(job("batch", 5, cpus=16.0, gpus=0.0, estimate_s=900.0)) for _ in range(4)]
+    town.run(30.0)
+    there = [one for spec in specs for one in town.on_machines(spec.id)]
+    assert len(there) == 20  # each on a machine of its own: one of them reports just before the bound
+    alone = {to} if place != "relayed" else {to, leader}
+    town.service.refused |= alone
+    town.cuts |= {frozenset((one, two)) for one in alone for two in town.names if two not in alone}
+    town.calls = False
+    by = other_than(town, leader, to) if place != "leader" else other_than(town, leader)
+    for spec in specs:
+        town.cancel(spec, by)
+    town.run(0.05)
+    assert len(town.rules.cancelled_us) == 4
+    at_us = max(town.rules.cancelled_us.values())
+    town.service.outage(60.0)
+    last = 0.0
+    for _ in range(200):
+        town.run(0.25)
+        if any(town.on_machines(spec.id) for spec in specs):
+            last = (town.clock.us - at_us) / 1e6
+    return last
+
+
+PLACES = ["leader", "relayed", "alone"]
+
+
+def longer(config, contact_us, now_us):
+    """The bound, planted two seconds too long."""
+    return bounds.may_answer(config, contact_us and contact_us + 2_000_000, now_us)
+
+
+@pytest.mark.parametrize("place", PLACES)
+def test_where_nobody_can_tell_the_bound_ends_cancelled_tasks_in_time(town, place):
+    last = hidden(town(zones="a", machines=20, tick_s=0.1), place)
+    assert 12.0 < last < 20.0  # not at once: else this shows nothing of the bound
+
+
+@pytest.mark.parametrize("place", PLACES)
+@pytest.mark.parametrize("plant", ["bound", "contact"])
+def test_a_bound_planted_two_seconds_too_long_is_found(town, place, plant, monkeypatch):
+    if plant == "bound":
+        monkeypatch.setattr("tideusher.actors.gateway.may_answer", longer if place == "alone" else bounds.may_answer)
+        monkeypatch.setattr("tideusher.actors.leader.may_answer", bounds.may_answer if place == "alone" else longer)
+    else:
+        touched = Store._touched
+        monkeypatch.setattr(Store, "_touched", lambda store, sent_us: touched(store, sent_us + 2_000_000))
+    with pytest.raises(AssertionError, match="ran_cancelled"):
+        hidden(town(zones="a", machines=20, tick_s=0.1), place)
