--- a/src/tideusher/node.py
+++ b/src/tideusher/node.py
@@ -34,6 +34,8 @@
     from tideusher.pbs.profile import Profile
 
 CONTACT_US = to_us(3.0)
+#: A read is under way for a second at most where nothing changes: with none for longer, others are asked.
+READ_US = to_us(1.5)
 
 
 class Node:
@@ -95,7 +97,7 @@
         node, token = self.election.leader() or ("", 0)
         wanted = round(self.store.wanted(), 1)
         said = peer_wire.Hello(self._config.node, self.in_contact(), node, token, wanted, self.gateway.deaf())
-        if not said.in_contact:
+        if not self.in_contact(READ_US):
             said.read = max(self.store.revision, self.withdrawn.told)
         return said
 
@@ -150,10 +152,10 @@
     def _deaf_zones(self) -> set[str]:
         return self.peers.deaf_zones() | ({self._config.zone} if self.gateway.deaf() else set())
 
-    def in_contact(self) -> bool:
+    def in_contact(self, within_us: int = CONTACT_US) -> bool:
         """Has the state service answered us lately?"""
         contact_us = self.store.contact_us
-        return contact_us is not None and self._clock.now_us() - contact_us < CONTACT_US
+        return contact_us is not None and self._clock.now_us() - contact_us < within_us
 
     def healthy(self) -> bool:
         """Can this node take requests at least as well as any other?
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -402,3 +402,69 @@
         monkeypatch.setattr(Store, "_touched", lambda store, sent_us: touched(store, sent_us + 2_000_000))
     with pytest.raises(AssertionError, match="ran_cancelled"):
         hidden(town(zones="a", machines=20, tick_s=0.1), place)
+
+
+# Other meetings over whole controllers
+
+
+def test_jobs_of_tasks_that_end_far_apart_are_done_once_across_changes_of_leader(town):
+    """One task is over and forgotten under the first leader, the other under the third."""
+    town = town()
+    specs = [town.submit(job("batch", 2, estimate_s=100.0)) for _ in range(3)]
+    town.run(10.0)
+    for spec in specs:
+        worker, task = town.on_machines(spec.id)[0]
+        task.left_s = 1.0
+    town.run(6.0)
+    assert [len(town.on_machines(spec.id)) for spec in specs] == [1, 1, 1]
+    for pause_s in (8.0, 30.0):
+        old = town.leader()
+        town.end(old, back_s=0.2)
+        town.run(pause_s)
+        assert town.leader() and all(poll(town, spec) == "running" for spec in specs)
+    town.run(30.0)
+    assert [poll(town, spec) for spec in specs] == ["done"] * 3
+    assert all(town.rules.done_tasks[spec.id] == {0, 1} for spec in specs)
+
+
+def test_a_controller_that_hears_no_other_controller_and_no_state_service_takes_no_users(town):
+    town = town()
+    old = town.leader()
+    town.service.refused.add(old)
+    town.run(6.0)
+    node = town.nodes[old]
+    assert not node.healthy()  # the others reach it
+    town.service.outage(30.0)
+    town.run(6.0)
+    assert node.healthy() and all(one.healthy() for one in town.nodes.values())  # an outage that all share
+    town.cuts.add(old)
+    town.run(6.0)
+    assert not node.healthy() and town.nodes[other_than(town, old)].healthy()
+
+
+def test_what_is_cancelled_under_the_new_leader_ends_at_once_on_workers_that_report_to_the_old_one(town):
+    """It is cut from the state service and its peers, and answers them; their sessions nobody else has heard."""
+    town = town()
+    specs, old = long_jobs(town), town.leader()
+    for worker in town.workers.values():
+        worker.session += 3  # the next leader knows none of it
+    town.run(3.0)
+    town.service.refused.add(old)
+    town.cuts |= {old, *(("workers", name) for name in town.names if name != old)}
+    town.run(8.0)
+    assert town.leader() not in ("", old)
+    town.cancel(specs[0], town.leader())
+    town.run(2.5)
+    assert specs[0].id in town.rules.cancelled_us and not town.on_machines(specs[0].id)
+
+
+def test_a_leader_ends_while_workers_are_deaf_and_what_they_ran_runs_again_once(town):
+    town = town()
+    specs = long_jobs(town)
+    town.deaf |= set(town.workers)
+    town.run(1.0)
+    town.end(town.leader(), back_s=5.0)
+    town.run(25.0)  # longer than their leases: their tasks are gone, and only a return or a report proves it
+    town.deaf.clear()
+    town.run(60.0)
+    assert all(len(town.on_machines(spec.id)) == 2 for spec in specs)
--- a/tests/test_played.py
+++ b/tests/test_played.py
@@ -14,6 +14,8 @@
     "   11.0000 berth-0 I users: accepted req-000002 of red: gang of 2",
     "   12.0000 berth-0 I users: accepted req-000003 of blue: batch of 9",
     "   13.0000 berth-0 I users: cancelled req-000003 for its user",
+    "   14.0000 berth-1 I cluster: job req-000001 of red runs whole: 4 tasks, 30.0 s after it came",
+    "   15.0000 berth-1 I cluster: job req-000002 of red runs whole: 2 tasks, 0.5 s after it came",
     "   20.0000 berth-1 I cluster: job req-000001 is done",
     "   95.0000 berth-0 I users: accepted req-000004 of blue: batch of 1",
     "day seed 1: 100.0 s, up to 9 machines, 3 nodes (9 s of real time)",
@@ -30,6 +32,7 @@
         "rules_broken": {"total": 0, "by_kind": {}},
         "classes": {"fit": one, "web": {**one, "done": 0}},
         "users": {"errors": {"503": 3}},
+        "largest": {"fit": {"jobs": 4, "started": 3}, "web": {"jobs": 0, "started": 0}},
         "node_stats": [node],
     }
     return {**base, **changed}
@@ -38,22 +41,39 @@
 FAULTS = {
     "RULES": report(rules_broken={"total": 2, "by_kind": {"quota": 2}}),
     "ENDED": report(node_stats=[{**report()["node_stats"][0], "panics": 1}]),
+    "RULES {'forgotten': 1} UNANSWERED": report(rules_broken={"total": 1, "by_kind": {"forgotten": 1}}),
+    "STARVED by size": report(largest={"fit": {"jobs": 4, "started": 1}}),
     "STARVED": report(classes={"fit": {**report()["classes"]["fit"], "done": 4}}),
 }
 
 
 def test_a_day_on_which_all_is_served_passes_with_its_figures():
     cells, bad = played.row("site", "day", 1, report(), "\n".join(LOG))
-    assert not bad and cells[4:7] == ["0.75", "0.89 fit done", "0.50 red"] and cells[7] == "3" and cells[9] == "161"
+    assert not bad and cells[4:9] == ["0.75", "0.89 fit done", "0.50 red", "0.75 fit", "30"]
+    assert cells[9] == "3" and cells[11] == "161"
 
 
 @pytest.mark.parametrize("fault", FAULTS)
 def test_each_planted_fault_fails_the_day(fault):
     cells, bad = played.row("site", "day", 1, FAULTS[fault], "\n".join(LOG))
-    assert bad and cells[-1].startswith(fault)
+    assert bad and cells[-1].startswith(fault.removesuffix(" by size"))
 
 
 def test_a_starved_team_and_a_day_that_is_too_slow_fail_it():
-    assert played.row("site", "day", 1, report(), "\n".join(LOG[:4] + LOG[5:]))[0][-1] == "STARVED"
+    assert (
+        played.row("site", "day", 1, report(), "\n".join(line for line in LOG if "is done" not in line))[0][-1]
+        == "STARVED"
+    )
     slow = "\n".join(LOG).replace("150.0 s in the", "420.0 s in the")
     assert played.row("site", "day", 1, report(), slow)[0][-1] == "SLOW"
+
+
+def test_a_largest_job_that_begins_after_four_minutes_fails_the_day_and_a_small_one_does_not():
+    late = "\n".join(LOG).replace("30.0 s after", "250.0 s after")
+    assert played.row("site", "day", 1, report(), late)[0][-1] == "LATE req-000001"
+    small = ["   16.0 berth-0 I users: accepted req-000005 of red: batch of 1"]
+    small += [
+        "   18.0 berth-0 I cluster: job req-000005 is done",
+        "   17.0 berth-0 I cluster: job req-000005 of red runs whole: 1 tasks, 250.0 s after it came",
+    ]
+    assert played.row("site", "day", 1, report(), "\n".join(LOG[:8] + small + LOG[8:]))[0][-1] == "ok"
--- a/tools/play_served.py
+++ b/tools/play_served.py
@@ -5,8 +5,10 @@
 BENCH is the users' program; it is not part of this repository. All machines in it are simulated. A DAY is a file
 of `days/` or the name of one of the site's. Least class: of jobs submitted, the part accepted, started and (where it
 ends by itself) done, the lowest. Least team: of its accepted batches and gangs, cancelled ones and those of the last
-tenth left out, the part that is done. Exit 1 if a rule broke, a process ended by itself, less than half was served,
-or a day could not be played; `tests/test_played.py` shows each of these found.
+tenth left out, the part that is done. Largest: of each class's largest jobs, as the bench counts them, the part that
+began, the lowest; latest: how late, in seconds, the latest of the largest tenth began as a whole, by the log. Exit 1
+if a rule broke, a process ended by itself, less than half was served, a largest job began after four minutes, nobody
+answered for a job, or a day could not be played; `tests/test_played.py` shows each of these found.
 """
 
 import json
@@ -20,13 +22,19 @@
 
 import click
 
-COLUMNS = "site day seed rules mark least-class least-team refused ended cpu-s peak-MB sockets verdict".split()
+COLUMNS = (
+    "site day seed rules mark least-class least-team largest latest-s refused ended cpu-s peak-MB sockets".split()
+)
+COLUMNS += ["verdict"]
 ACCEPTED = re.compile(r"\s*([\d.]+) \S+ I users: accepted (\S+) of (\S+): (?:batch|gang)")
+SHAPED = re.compile(r"\s*([\d.]+) \S+ I users: accepted (\S+) of (\S+): (\S+) of (\d+)")
 DONE = re.compile(r"cluster: job (\S+) is done")
 CANCELLED = re.compile(r"cancelled (\S+) for its user")
 MARK = re.compile(r"(?m)^\S+\s+\d+\s+(\d\.\d\d)\s")
 SPENT = re.compile(r"([\d.]+) s for the world, ([\d.]+) s in the processes' own code and ([\d.]+) s in the k")
-LIMIT_S = 400.0
+WHOLE = re.compile(r"cluster: job (\S+) of \S+ runs whole: (\d+) tasks, ([\d.]+) s after")
+#: The users' bound on processor time, and on when the largest jobs are to begin.
+LIMIT_S, BEGIN_S = 400.0, 240.0
 
 
 def least_class(classes: dict[str, dict]) -> tuple[float, str]:
@@ -57,9 +65,32 @@
     return min([(served[name] / asked[name], name) for name in asked], default=(1.0, "-"))
 
 
+def least_largest(largest: dict[str, dict]) -> tuple[float, str]:
+    """The lowest share of a class's largest jobs that began, and of which class."""
+    return min(
+        [(one["started"] / one["jobs"], name) for name, one in largest.items() if one["jobs"]], default=(1.0, "-")
+    )
+
+
+def latest_largest(log: str) -> tuple[float, str]:
+    """How late the latest of the largest jobs began as a whole, in seconds, and which: the largest tenth by tasks of
+    those that began, for arrays and gangs and for services each."""
+    shape = {found[2]: found[4] for line in log.splitlines() if (found := SHAPED.match(line))}
+    began: dict[str, list[tuple[int, float, str]]] = {}
+    for line in log.splitlines():
+        if found := WHOLE.search(line):
+            began.setdefault(shape.get(found[1], "-"), []).append((int(found[2]), float(found[3]), found[1]))
+    latest = [(0.0, "-")]
+    for jobs in began.values():
+        least = sorted(tasks for tasks, _, _ in jobs)[len(jobs) * 9 // 10]
+        latest += [(late_s, job) for tasks, late_s, job in jobs if tasks >= least]
+    return max(latest)
+
+
 def row(site: str, day: str, seed: int, report: dict, log: str) -> tuple[list[str], bool]:
     """The cells of one day, in the order of COLUMNS, and whether it failed."""
     by_class, by_team = least_class(report["classes"]), least_team(log, 0.9 * report["duration_s"])
+    by_size, latest = least_largest(report.get("largest", {})), latest_largest(log)
     nodes = report["node_stats"]
     ended = sum(one["panics"] + sum("memory" in str(end) for end in one["restarts"]) for one in nodes)
     spent = sum(map(float, found.groups())) if (found := SPENT.search(log)) else 0.0
@@ -70,13 +101,15 @@
         for bad, text in (
             (broken, f"RULES {report['rules_broken']['by_kind']}"),
             (ended, "ENDED"),
-            (by_class[0] < 0.5 or by_team[0] < 0.5, "STARVED"),
+            (by_class[0] < 0.5 or by_team[0] < 0.5 or by_size[0] < 0.5, "STARVED"),
+            (latest[0] > BEGIN_S, f"LATE {latest[1]}"),
+            ("forgotten" in report["rules_broken"]["by_kind"], "UNANSWERED"),
             (spent > LIMIT_S, "SLOW"),
         )
         if bad
     ]
-    served = (f"{share:.2f} {who}" for share, who in (by_class, by_team))
-    cells = [site, day, str(seed), str(broken), mark, *served]
+    served = (f"{share:.2f} {who}" for share, who in (by_class, by_team, by_size))
+    cells = [site, day, str(seed), str(broken), mark, *served, f"{latest[0]:.0f}"]
     refused = sum(report["users"]["errors"].values())
     peaks = (max(one[what] for one in nodes) for what in ("memory_peak_mb", "connections_peak"))
     cells += [str(refused), str(ended), f"{spent:.0f}", *(f"{peak:.0f}" for peak in peaks)]
@@ -95,7 +128,7 @@
         try:
             found = json.loads(Path(report.name).read_text())
         except ValueError:
-            return [Path(site).stem, name, str(seed or 0), *"-" * 9, "NOT PLAYED"], True
+            return [Path(site).stem, name, str(seed or 0), *"-" * 11, "NOT PLAYED"], True
     return row(Path(site).stem, name, seed or found["seed"], found, run.stdout)
 
 
