Answers are read again for cancellations only while the leader may not know them

Need: with some job always cancelled in the last minute and a half a gateway read each report and answer twice. Now only for 3 s after a cancellation, or while the leader is heard not to read the state service.

--- a/src/tideusher/actors/gateway.py
+++ b/src/tideusher/actors/gateway.py
@@ -29,6 +29,8 @@
 from tideusher.wire.peers import ForwardReport
 
 FORWARD_S = to_s(REPORT_WAITS_US)
+#: A read is under way for a second at most where nothing changes: with none for longer, it may be we who are refused.
+READ_US = to_us(1.5)
 
 
 @dataclass(frozen=True)
@@ -87,7 +89,7 @@
         if known is not None and report.token <= known[1]:
             answer = self._from_leader(known[0], body)
             if answer is not None:
-                return Answer(200, self._rectified(answer, body))
+                return Answer(200, self._rectified(known[0], answer, body))
         return self._alone(workers.decode_report(body))
 
     def _known(self) -> tuple[str, int] | None:
@@ -132,9 +134,16 @@
         stored = self._store.mirror.get(keys.job_key(job_id))
         return job_id in self._withdrawn or (stored is not None and stored.value["st"] == JOB_CANCELLED)
 
-    def _rectified(self, answer: bytes, body: bytes) -> bytes:
+    def _rectified(self, leader: str, answer: bytes, body: bytes) -> bytes:
         """A leader may not know yet what we do: above all one that the state service refuses alone."""
-        if not self._withdrawn.any(self._clock.now_us()):
+        now_us, contact_us = self._clock.now_us(), self._store.contact_us
+
+        def reads() -> bool:
+            if leader != self._config.node:
+                return self._peers.reads(leader)
+            return contact_us is not None and now_us - contact_us <= READ_US
+
+        if not self._withdrawn.matters(reads, now_us):
             return answer
         commands, report = workers.decode_commands(answer), workers.decode_report(body)
         return workers.encode(rectified(commands, report, self._cancelled))
--- a/src/tideusher/core/decide/withdrawn.py
+++ b/src/tideusher/core/decide/withdrawn.py
@@ -8,11 +8,14 @@
 
 from collections.abc import Callable
 
+from tideusher.clock import SECOND_US
 from tideusher.wire import workers
 from tideusher.wire.workers import Commands, Report
 
 #: So many are kept, the newest; and so many are told at a time, the oldest first.
 MOST, TOLD = 4096, 200
+#: A leader that reads the state service has stopped what was cancelled so long ago.
+KNOWN_US = 3 * SECOND_US
 
 
 class Withdrawn:
@@ -20,6 +23,7 @@
 
     def __init__(self, keep_us: int) -> None:
         self._keep_us = keep_us
+        self._newest_us = 0  # when we learnt of the last one
         self._jobs: dict[str, tuple[int, int]] = {}  # stamp of the cancellation, and when we learnt of it
         #: Up to this revision a peer has told us all that it knew; what we read ourselves is the store's to say.
         self.told = 0
@@ -29,11 +33,21 @@
         if job in self._jobs:
             return False
         self._jobs[job] = (stamp, now_us)
+        self._newest_us = now_us
         if len(self._jobs) > MOST:
             del self._jobs[next(iter(self._jobs))]
         return True
 
-    def any(self, now_us: int) -> bool:
+    def matters(self, leader_reads: Callable[[], bool], now_us: int) -> bool:
+        """May we know of a cancellation that the leader, who reads the state service or does not, has yet to hear of?
+
+        Answers are read again only then: with some job always cancelled a minute ago all of them would be.
+        """
+        if not self._any(now_us):
+            return False
+        return now_us - self._newest_us <= KNOWN_US or not leader_reads()
+
+    def _any(self, now_us: int) -> bool:
         """Was a job cancelled lately? Those that nobody can run any more are dropped."""
         while self._jobs:
             job, (_, learnt_us) = next(iter(self._jobs.items()))
--- a/src/tideusher/node.py
+++ b/src/tideusher/node.py
@@ -12,7 +12,7 @@
 
 from tideusher.actors.cloud import Cloud
 from tideusher.actors.election import Election
-from tideusher.actors.gateway import Gateway
+from tideusher.actors.gateway import READ_US, Gateway
 from tideusher.actors.leader import Leader
 from tideusher.actors.peers import Peers
 from tideusher.actors.questions import Questions
@@ -34,8 +34,6 @@
     from tideusher.pbs.profile import Profile
 
 CONTACT_US = to_us(3.0)
-#: A read is under way for a second at most where nothing changes: with none for longer, others are asked.
-READ_US = to_us(1.5)
 
 
 class Node:
