--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -7,6 +7,7 @@
 from tideusher.clock import to_us
 from tideusher.core.decide import bounds, hearing
 from tideusher.core.decide.fleet import Wish
+from tideusher.core.lead import explain
 from tideusher.core.lead.reports import Reports
 from tideusher.core.picture import keys
 from tideusher.core.picture.keeper import Entry, Keeper
@@ -468,3 +469,16 @@
     town.deaf.clear()
     town.run(60.0)
     assert all(len(town.on_machines(spec.id)) == 2 for spec in specs)
+
+
+def test_why_tasks_ended_whose_workers_nobody_could_answer_is_explained_a_minute_later(town):
+    town = town()
+    specs = long_jobs(town)
+    town.deaf |= set(town.workers)
+    town.run(10.0)
+    town.deaf.clear()
+    town.run(60.0)
+    cluster = town.nodes[town.leader()].leader._cluster
+    for spec in specs:
+        told = explain.explain_job(cluster, spec.id, town.clock.us)
+        assert any("lease ran out" in stop["reason"] or "is gone" in stop["reason"] for stop in told["stops"]), told
