Reports that a cut held up and that come at once make no machine deaf

At the end of a cut that holds packets a leader reads a zone's old reports in one moment; none of their answers had time to arrive, and three in a row made the machines deaf: no work for 10 s, the more so under a new leader, whose token none of them shows. Change: answers in vain count once in half a report's interval, and a token that is seen ends the count. Test in test_meetings.py fails without it.

--- a/src/tideusher/core/decide/hearing.py
+++ b/src/tideusher/core/decide/hearing.py
@@ -16,9 +16,16 @@
 REST_US = 10 * SECOND_US
 
 
-def missed(machine: Machine, now_us: int) -> bool:
-    """An answer had no effect: is the worker deaf?"""
+def missed(machine: Machine, report_us: int, now_us: int) -> bool:
+    """An answer had no effect: is the worker deaf?
+
+    Reports that a cut held up come all at once when it is over, and none of their answers had time to arrive: they
+    count as one. All machines of a zone would else get no work for the first seconds after its cut.
+    """
+    if machine.missed and now_us - machine.missed_us < report_us // 2:
+        return False
     machine.missed += 1
+    machine.missed_us = now_us
     if machine.missed < DEAF_AFTER:
         return False
     machine.deaf_until_us = now_us + REST_US
--- a/src/tideusher/core/lead/reports.py
+++ b/src/tideusher/core/lead/reports.py
@@ -22,6 +22,7 @@
 
     def __init__(self, cluster: Cluster) -> None:
         self._c = cluster
+        self._report_us = to_us(cluster.config.settings.workers.report_s)
         self.log = cluster.log
 
     def answer(self, report: Report, now_us: int) -> list[Command]:
@@ -56,6 +57,7 @@
         if asked:
             behind = report.token < self._c.token
             lost = behind and machine.closed > (0, 0)
+            heeded = bool(machine.behind_us) and not behind
             machine.behind_us = (machine.behind_us or now_us) if behind else 0
             machine.closed = (report.session, report.serial)
         machine.reported_us, machine.probes_failed, machine.found = now_us, 0, ""
@@ -90,7 +92,7 @@
                 lost |= self._absent(task, report, new_session, now_us)
         if heeded:
             hearing.heeded(machine)
-        elif lost and hearing.missed(machine, now_us):
+        elif lost and hearing.missed(machine, self._report_us, now_us):
             self._move_on(machine, now_us)
         return [
             command
--- a/src/tideusher/core/picture/records.py
+++ b/src/tideusher/core/picture/records.py
@@ -332,6 +332,7 @@
     #: (session, serial) of the newest report that it sent by itself: answers to earlier ones do nothing any more.
     closed: tuple[int, int] = (0, 0)
     missed: int = 0  # answers in a row that had no effect
+    missed_us: int = 0  # when the last of these was found
     deaf_until_us: int = 0  # nothing is placed there until then
     behind_us: int = 0  # since when its reports show an older token although we answered; 0: they do not
     reported_us: int = 0
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -121,6 +121,7 @@
     for serial in range(2, 2 + hearing.DEAF_AFTER):
         assert ops(bed.report("host-1", serial)) == [("run", f"{spec.id}/0", 1)]  # told again and again
         assert 0 in placed.live
+        bed.clock.pass_s(1.0)
     assert ops(bed.report("host-1", 5)) == [] and 0 not in placed.live
     bed.report("host-2", 1)
     bed.scheduler.schedule(bed.clock.now_us())
@@ -133,6 +134,24 @@
     assert not bed.cluster.falls.doubted(deaf, bed.clock.now_us())
 
 
+def test_reports_that_a_cut_held_up_and_that_come_at_once_make_no_machine_deaf(bed):
+    """None of their answers had time to arrive: all machines of a zone got no work right after its cut."""
+    spec = job()
+    placed, old = bed.place(spec), bed.cluster.token
+    for serial in range(2, 12):
+        bed.report("host-1", serial)
+    machine = bed.cluster.machines["host-1"]
+    assert 0 in placed.live and not hearing.deaf(machine, bed.clock.now_us())
+    bed.elect()
+    for serial in range(12, 22):
+        bed.report("host-1", serial, token=old)
+    machine = bed.cluster.machines["host-1"]
+    assert not hearing.deaf(machine, bed.clock.now_us())
+    bed.clock.pass_s(1.0)
+    bed.report("host-1", 22)
+    assert not machine.missed
+
+
 def test_a_machine_deaf_to_the_new_leader_is_returned_once_its_lease_is_over_and_not_before(bed):
     """What the last leader placed on it is gone by then, but nothing it says can prove that."""
     spec = job()
