--- a/tests/test_played.py
+++ b/tests/test_played.py
@@ -71,6 +71,8 @@
 def test_a_largest_job_that_begins_after_four_minutes_fails_the_day_and_a_small_one_does_not():
     late = "\n".join(LOG).replace("30.0 s after", "250.0 s after")
     assert played.row("site", "day", 1, report(), late)[0][-1] == "LATE req-000001"
+    again = "   16.0000 berth-2 I cluster: job req-000001 of red runs whole: 4 tasks, 260.0 s after it came"
+    assert played.row("site", "day", 1, report(), "\n".join([*LOG[:7], again, *LOG[7:]]))[0][-1] == "ok"
     small = ["   16.0 berth-0 I users: accepted req-000005 of red: batch of 1"]
     small += [
         "   18.0 berth-0 I cluster: job req-000005 is done",
--- a/tools/play_served.py
+++ b/tools/play_served.py
@@ -77,8 +77,11 @@
     those that began, for arrays and gangs and for services each."""
     shape = {found[2]: found[4] for line in log.splitlines() if (found := SHAPED.match(line))}
     began: dict[str, list[tuple[int, float, str]]] = {}
+    said = set()
     for line in log.splitlines():
-        if found := WHOLE.search(line):
+        # Each leader says it of a job; the first time counts.
+        if (found := WHOLE.search(line)) and found[1] not in said:
+            said.add(found[1])
             began.setdefault(shape.get(found[1], "-"), []).append((int(found[2]), float(found[3]), found[1]))
     latest = [(0.0, "-")]
     for jobs in began.values():
