--- a/src/tideusher/actors/leader.py
+++ b/src/tideusher/actors/leader.py
@@ -12,7 +12,7 @@
 from tideusher.actors.election import Election
 from tideusher.actors.http import CallFailed, HttpClient
 from tideusher.actors.store import Busy, Conflict, NoLease, Store, Unavailable
-from tideusher.clock import Clock, to_s, to_us
+from tideusher.clock import SECOND_US, Clock, to_s, to_us
 from tideusher.config import Config, Policy
 from tideusher.core.decide import hearing
 from tideusher.core.decide.bounds import may_answer
@@ -46,8 +46,10 @@
 PHASES = ("check read", "check records", "first decision", "first start")
 #: How often a controller that does not lead compares some of what it followed with the records.
 AUDIT_US = 1_000_000
-#: The part of the process's sockets that connections of ours to workers may keep.
+#: The part of the process's sockets that connections of ours to workers may keep, or that halts for another leader's
+#: workers may take at a time; of one job these are told again so soon at the earliest.
 DIRECT_PART = 8
+CALLED_AGAIN_US = 2 * SECOND_US
 #: A timer that fires so much later than it should tells that the whole process stood still, its clocks running on.
 STILL_US = 2_000_000
 #: How long a gateway waits for the answer to a report before it answers alone.
@@ -89,6 +91,11 @@
         self._deaf_zones: Callable[[], set[str]] = set
         self._reads: Callable[[str], bool] = lambda node: True
         self._direct: dict[str, HttpClient] = {}
+        self._sending: dict[tuple[str, int], list[workers.Command]] = {}  # by machine and token: what waits meanwhile
+        #: Halts to tell workers of another leader, by address, and when each job's were last asked for.
+        self._stops: dict[str, list[workers.Command]] = {}
+        self._stopping = 0
+        self._stopped_us: dict[str, int] = {}
 
     def start(self) -> None:
         super().start()
@@ -191,7 +198,7 @@
                 self.spawn(self._take_over, token)
             return
         now_us = self._clock.now_us()
-        self._look_after(engine.cluster, now_us)
+        self._look_after(engine, now_us)
         self._after_piece(engine, engine.tick(now_us))
 
     def on_beat(self) -> None:
@@ -245,14 +252,24 @@
             self._metrics.checked(name.replace(" ", "_"), since_s)
             self.log.info("%s %.2f s after the election", name, since_s)
 
-    def _look_after(self, cluster: Cluster, now_us: int) -> None:
+    def _look_after(self, engine: Engine, now_us: int) -> None:
         """Machines taken back or silent. Done at ticks: after each report of a fleet it cost most of a core."""
+        cluster = engine.cluster
         for machine in cluster.health.taken(now_us):
             cluster.give_back(machine, "the cloud has taken it back")
         workers_ = self._config.settings.workers
         lease_us, report_us = to_us(workers_.lease_s), to_us(workers_.report_s)
-        for machine, why in hearing.unheard(list(cluster.machines.values()), lease_us, report_us, now_us):
+        machines = list(cluster.machines.values())
+
+        def heard_us(machine: Machine) -> int:
+            seen = self._sightings.last(machine.name, now_us)
+            return seen[0] if seen is not None else 0
+
+        for machine, why in hearing.unheard(machines, lease_us, report_us, now_us, cluster.health.boot_us, heard_us):
             cluster.give_back(machine, why)
+        for machine in machines:
+            if machine.tasks and hearing.mute(machine, report_us, heard_us, now_us):
+                engine.reports.move_on(machine, "its machine does not report", now_us)
         cluster.falls.linked = self._deaf_zones()
         look = cluster.look_at_silence(now_us, self._probing)
         for probe in look.probes:
@@ -351,24 +368,36 @@
         if self._engine is not None or picture is None or known is None or self._reads(known[0]):
             return
         job, now_us = picture.jobs.get(job_id), self._clock.now_us()
-        stops: dict[str, list[workers.Command]] = {}
-        for task in job.live.values() if job is not None else ():
+        if job is None or now_us - self._stopped_us.get(job_id, -CALLED_AGAIN_US) < CALLED_AGAIN_US:
+            return  # users repeat themselves faster than workers need to hear it
+        self._stopped_us = {name: at for name, at in self._stopped_us.items() if now_us - at < CALLED_AGAIN_US}
+        self._stopped_us[job_id], machines = now_us, 0
+        for task in job.live.values():
             seen = self._sightings.last(task.machine.name, now_us)
             if seen is not None and seen[1]:
-                stops.setdefault(seen[1], []).append(workers.halt(task.name, task.attempt, 0.0))
-        if stops:
-            self.log.info("stop %s on %d machines for its leader, which cannot be told", job_id, len(stops))
-        for address, commands in stops.items():
-            self.spawn(self._stop_there, address, known[1], commands)
-
-    def _stop_there(self, address: str, token: int, commands: list[workers.Command]) -> None:
-        client = HttpClient(address, PROBE_S, keep=0)
+                machines += 1
+                self._stops.setdefault(seen[1], []).append(workers.halt(task.name, task.attempt, 0.0))
+        if machines:
+            self.log.info("stop %d tasks of %s for its leader, which cannot be told", machines, job_id)
+        most = max(1, self._config.settings.resources.max_sockets // DIRECT_PART)
+        for _ in range(min(len(self._stops), most - self._stopping)):
+            self._stopping += 1
+            self.spawn(self._stop_there, known[1])
+
+    def _stop_there(self, token: int) -> None:
+        """Call one worker after the other; so many of these at once that the process keeps sockets for its users."""
         try:
-            _, answer = client.call("GET", "/show")
-            session = workers.decode_report(answer).session
-            client.call("POST", "/do", workers.encode(workers.DirectCommands(token, session, commands)))
-        except (CallFailed, msgspec.DecodeError) as error:
-            self.log.debug("%s: %s", address, error)
+            while self._stops:
+                address = next(iter(self._stops))
+                commands, client = self._stops.pop(address), HttpClient(address, PROBE_S, keep=0)
+                try:
+                    _, answer = client.call("GET", "/show")
+                    session = workers.decode_report(answer).session
+                    client.call("POST", "/do", workers.encode(workers.DirectCommands(token, session, commands)))
+                except (CallFailed, msgspec.DecodeError) as error:
+                    self.log.debug("%s: %s", address, error)
+        finally:
+            self._stopping -= 1
 
     def answer_reports(self, reports: list[workers.Report]) -> AsyncResult:
         """Ask for the commands to reports that came together, while their gateway waits."""
@@ -470,7 +499,11 @@
         for machine, commands in orders.direct.items():
             # One that has yet to report to us has an address if another controller hears it, or the cloud lists it.
             if machine.address and machine.phase != RETURNING:
-                self.spawn(self._send, machine, token, commands)
+                waiting = self._sending.get((machine.name, token))
+                if waiting is not None:
+                    waiting += commands  # one connection a machine: of one that hangs many would wait
+                else:
+                    self.spawn(self._send_all, machine, token, commands)
 
     def _rent(self, token: int, rental: Rental) -> None:
         request = cloud_wire.RentRequest(rental.name, rental.type, rental.zone, rental.spot, rental.count)
@@ -527,13 +560,25 @@
                 self._direct[machine.name] = client
         return client
 
-    def _send(self, machine: Machine, token: int, commands: list[workers.Command]) -> None:
+    def _send_all(self, machine: Machine, token: int, commands: list[workers.Command]) -> None:
+        key = machine.name, token
+        self._sending[key] = commands
+        try:
+            while self._sending[key]:
+                commands, self._sending[key] = self._sending[key], []
+                self._send(machine, token, commands)
+        finally:
+            del self._sending[key]
+
+    def _send(
+        self, machine: Machine, token: int, commands: list[workers.Command], session: int | None = None
+    ) -> None:
         """Send halts ahead of the next report; they are repeated in its answer, so a loss is harmless.
 
         A worker that reports to another controller, such as an old leader, may be in a session that we have not heard
         of: its refusal tells which, and it is asked once more.
         """
-        session = machine.session
+        session = machine.session if session is None else session
         for _ in range(2):
             body = workers.encode(workers.DirectCommands(token, session, commands))
             try:
@@ -577,10 +622,22 @@
                 return
             self.tell("found", token, machine)
             if status == 200:
-                self.tell("answered", token, body)
+                self._answered_call(machine, token, body)
         finally:
             self._probing.discard(machine.name)
 
+    def _answered_call(self, machine: Machine, token: int, body: bytes) -> None:
+        """One that answers calls and does not report learns our token by a call: only then is what it lists no more
+        proven gone of what an older leader placed there."""
+        try:
+            report = workers.decode_report(body)
+        except msgspec.DecodeError as error:
+            self.log.error("bad answer of a worker: %s", error)
+            return
+        self.tell("answered", token, body)
+        if report.token < token:
+            self._send(machine, token, [], report.session)
+
     def on_found(self, token: int, machine: Machine) -> None:
         """A call reached a machine."""
         if self._cluster is not None and self._cluster.token == token:
--- a/src/tideusher/core/decide/health.py
+++ b/src/tideusher/core/decide/health.py
@@ -50,6 +50,11 @@
             return now_us - max(self._began_us, heard_us) > self._settle_us
         return False
 
+    def boot_us(self, machine: Machine) -> int:
+        """How long one like it takes to boot, as its type says."""
+        kind = self._fleet.types.get(machine.type)
+        return to_us(kind.boot_s) if kind is not None else 0
+
     def surveyed(self, now_us: int) -> None:
         """The cloud's list has come."""
         self._surveyed_us = now_us
--- a/src/tideusher/core/decide/hearing.py
+++ b/src/tideusher/core/decide/hearing.py
@@ -1,12 +1,16 @@
-"""Does a worker that reports hear what it is answered? Pure.
+"""Does a worker that reports hear what it is answered, and does one that answers calls report? Pure.
 
 Its reports may arrive while answers and direct commands to it are lost. Whatever it is told to start then never does,
 and was told it again and again; and nothing that an older leader placed there is ever proven gone, since it never
 shows our token. Elapsed time frees nothing here either: work that it never began goes elsewhere by its own reports,
 and a machine that has not heard us for longer than its lease is returned, which is the proof for the rest.
+
+A worker may reach no controller while calls reach it. Such a mute one can be told to stop, never to start anything,
+and its lease runs out. What was placed there and never told goes elsewhere; for the rest, calls under our token prove
+what is gone. It is returned after its lease and as long as a replacement takes.
 """
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 
 from tideusher.clock import SECOND_US, to_s
 from tideusher.core.picture.records import UP, Machine
@@ -14,6 +18,8 @@
 #: So many answers in a row without effect, and the worker is taken for deaf; after a rest it is tried again.
 DEAF_AFTER = 3
 REST_US = 10 * SECOND_US
+#: So many reports in a row that do not come, and it may be mute.
+MUTE_REPORTS = 3
 
 
 def missed(machine: Machine, report_us: int, now_us: int) -> bool:
@@ -37,14 +43,44 @@
     machine.missed = machine.deaf_until_us = 0
 
 
+def unproven(machine: Machine, now_us: int) -> None:
+    """Nothing is known of it but a report from before it can have heard us."""
+    machine.deaf_until_us = now_us + REST_US
+
+
+def mute(machine: Machine, report_us: int, heard_us: Callable[[Machine], int], now_us: int) -> bool:
+    """Has it not reported for some reports, though it did before? Whether calls reach it is not asked.
+
+    `heard_us`: when any controller heard it last. One that reports to a controller from which nothing comes to us is
+    kept alive by that one: it was once taken for mute, and returned with what it ran.
+    """
+    since_us = now_us - MUTE_REPORTS * report_us - SECOND_US
+    return 0 < machine.own_us < since_us and heard_us(machine) < since_us
+
+
 def deaf(machine: Machine, now_us: int) -> bool:
     """Is nothing to be placed there, as it would not be begun?"""
     return now_us < machine.deaf_until_us
 
 
-def unheard(machines: Iterable[Machine], lease_us: int, report_us: int, now_us: int) -> Iterator[tuple[Machine, str]]:
-    """Machines to return, with the reason: what they hold is of an older leader, and was not answered for a lease."""
+def unheard(
+    machines: Iterable[Machine],
+    lease_us: int,
+    report_us: int,
+    now_us: int,
+    boot_us: Callable[[Machine], int] = lambda machine: 0,
+    heard_us: Callable[[Machine], int] = lambda machine: 0,
+) -> Iterator[tuple[Machine, str]]:
+    """Machines to return, with the reason: what they hold is of an older leader, and was not answered for a lease; or
+    calls reach them, and no controller heard them for a lease and as long as another one boots."""
     for machine in machines:
+        if machine.phase == UP and 0 < machine.own_us < machine.reported_us:
+            since_us = now_us - lease_us - boot_us(machine)
+            called = now_us - machine.reported_us < lease_us
+            if called and machine.own_us < since_us and heard_us(machine) < since_us:
+                silent_s = to_s(now_us - machine.own_us)
+                yield machine, f"calls reach it and it has not reported for {silent_s:.0f} s"
+                continue
         behind_us = now_us - machine.behind_us if machine.behind_us else 0
         heard = now_us - machine.reported_us < lease_us
         if machine.phase == UP and machine.tasks and heard and behind_us > lease_us + 2 * report_us:
--- a/src/tideusher/core/decide/withdrawn.py
+++ b/src/tideusher/core/decide/withdrawn.py
@@ -6,36 +6,45 @@
 once.
 """
 
+import heapq
 from collections.abc import Callable
 
 from tideusher.clock import SECOND_US
 from tideusher.wire import workers
 from tideusher.wire.workers import Commands, Report
 
-#: So many are kept, the newest; and so many are told at a time, the oldest first.
-MOST, TOLD = 4096, 200
+#: So many are told at a time, the oldest first.
+TOLD = 200
 #: A leader that reads the state service has stopped what was cancelled so long ago.
 KNOWN_US = 3 * SECOND_US
 
 
 class Withdrawn:
-    """Owns the jobs cancelled in the last `keep_us`, by when we learnt of them (steady time)."""
+    """Owns the jobs cancelled in the last `keep_us`, by when we learnt of them (steady time).
 
-    def __init__(self, keep_us: int) -> None:
+    `write_rps`: no more can be cancelled a second than the state service takes changes, so all that were cancelled in
+    that time are kept. Of a history that is read at a start, all at once and by name, those cancelled last are: once
+    the last ones by name were, and a leader without contact was never told of the others.
+    """
+
+    def __init__(self, keep_us: int, write_rps: float = 0.0) -> None:
         self._keep_us = keep_us
+        self._most = max(TOLD, round(write_rps * (keep_us / SECOND_US + 1)))
         self._newest_us = 0  # when we learnt of the last one
         self._jobs: dict[str, tuple[int, int]] = {}  # stamp of the cancellation, and when we learnt of it
+        self._stamps: list[tuple[int, str]] = []  # a heap, the one cancelled first on top
         #: Up to this revision a peer has told us all that it knew; what we read ourselves is the store's to say.
         self.told = 0
 
     def learn(self, job: str, stamp: int, now_us: int) -> bool:
         """A job is cancelled, a record or another controller says; True if that is news."""
-        if job in self._jobs:
+        if job in self._jobs or (len(self._jobs) >= self._most and (stamp, job) < self._stamps[0]):
             return False
         self._jobs[job] = (stamp, now_us)
+        heapq.heappush(self._stamps, (stamp, job))
         self._newest_us = now_us
-        if len(self._jobs) > MOST:
-            del self._jobs[next(iter(self._jobs))]
+        while len(self._stamps) > self._most:
+            self._jobs.pop(heapq.heappop(self._stamps)[1], None)
         return True
 
     def matters(self, leader_reads: Callable[[], bool], now_us: int) -> bool:
@@ -62,7 +71,8 @@
     def since(self, revision: int) -> list[tuple[str, int]]:
         """Jobs cancelled after this revision with the stamps of that, the oldest first and bounded."""
         found = sorted((stamp, job) for job, (stamp, _) in self._jobs.items() if stamp > revision)
-        return [(job, stamp) for stamp, job in found[:TOLD]]
+        last = found[TOLD - 1][0] if len(found) > TOLD else 0  # all of one transaction are told at a time
+        return [(job, stamp) for number, (stamp, job) in enumerate(found) if number < TOLD or stamp == last]
 
 
 def rectified(commands: Commands, report: Report, cancelled: Callable[[str], bool]) -> Commands:
--- a/src/tideusher/core/lead/cluster.py
+++ b/src/tideusher/core/lead/cluster.py
@@ -15,7 +15,7 @@
 
 from tideusher.clock import to_s, to_us
 from tideusher.config import Config, Policy
-from tideusher.core.decide import failures
+from tideusher.core.decide import failures, hearing
 from tideusher.core.decide.conditions import Conditions
 from tideusher.core.decide.falls import MANY, Falls, Look
 from tideusher.core.decide.fleet import Fleet, Wish
@@ -499,7 +499,7 @@
     def hear_own(self, now_us: int) -> None:
         """Own machines live as long as their program: they are as good as heard at any moment."""
         for machine in self.machines.values():
-            machine.reported_us = now_us
+            machine.reported_us = machine.own_us = now_us
 
     def set_types(self, types: Iterable[MachineType]) -> None:
         """Machine types became known or prices changed."""
@@ -517,6 +517,10 @@
         returned = report.machine in self.gone
         self.log.info("adopt %s: it reports and no rental names it", report.machine)
         machine = self._add_unnamed(report.machine, report, now_us)
+        if report.token < self.token:
+            # It may be a copy of a report from before its return, of which an earlier leader knew: nothing is placed
+            # there until it shows that it is there and hears us.
+            hearing.unproven(machine, now_us)
         if returned:
             self.give_back(machine, "its return was answered before")
         return machine
--- a/src/tideusher/core/lead/reports.py
+++ b/src/tideusher/core/lead/reports.py
@@ -52,15 +52,21 @@
         if (report.session, report.serial) <= (machine.session, machine.serial):
             return None  # late or repeated: what it says is older than what we know
         new_session = machine.reported_us > 0 and report.session > machine.session
+        heard_us = now_us
         machine.session, machine.serial = report.session, report.serial
         lost = heeded = False  # was an answer of ours lost, was one carried out?
         if asked:
             behind = report.token < self._c.token
             lost = behind and machine.closed > (0, 0)
             heeded = bool(machine.behind_us) and not behind
+            if behind and machine.closed == (0, 0) and not machine.reported_us:
+                # The first that we hear may be a copy from before our election: what controllers told of its silence
+                # holds until it shows that it hears us.
+                heard_us = machine.seen_us or now_us
+            machine.own_us = now_us
             machine.behind_us = (machine.behind_us or now_us) if behind else 0
             machine.closed = (report.session, report.serial)
-        machine.reported_us, machine.probes_failed, machine.found = now_us, 0, ""
+        machine.reported_us, machine.probes_failed, machine.found = heard_us, 0, ""
         self._c.health.heard(machine.zone, now_us)
         machine.address = report.address
         if machine.phase == BOOTING:
@@ -93,7 +99,7 @@
         if heeded:
             hearing.heeded(machine)
         elif lost and hearing.missed(machine, self._report_us, now_us):
-            self._move_on(machine, now_us)
+            self.move_on(machine, "its machine does not hear what it is told", now_us)
         return [
             command
             for (job_id, index, attempt), item in listed.items()
@@ -120,18 +126,18 @@
             waited_us = self._c.wall_us() - task.job.submitted_us
             self._c.metrics.waited(task.job.spec.job_class, max(0.0, to_s(waited_us)))
 
-    def _move_on(self, machine: Machine, now_us: int) -> None:
-        """What the worker was told to start in vain, and surely did not, may start elsewhere."""
+    def move_on(self, machine: Machine, why: str, now_us: int) -> None:
+        """What the worker was not told to start, or surely in vain, may start elsewhere."""
         for task in list(machine.tasks.values()):
             if task.phase == ASSIGNED and task.sent is None and task.halt_grace_s is None:
-                self._c.lost(task, "its machine does not hear what it is told", now_us)
+                self._c.lost(task, why, now_us)
 
     def _absent(self, task: Task, report: Report, new_session: bool, now_us: int) -> bool:
         """The report does not list a task that may have been started: is that proof of absence?
 
         Yes, if the worker has seen our token (no older leader's order can start anything any more) and has sent a
-        report since our order (one is in flight at a time, so the answer with the order was executed before, or
-        never will be). The answer to a direct call proves nothing of an order that is still on its way: it once
+        report since an order of ours (one is in flight at a time, so the answer with the order was executed before,
+        or never will be). The answer to a direct call proves nothing of an order that is still on its way: it once
         freed a place on which the task started a moment later. A new session alone proves it of our own orders, as
         their answers are dropped in it. Of an order that an older leader may have yet to give it proves nothing.
 
@@ -140,7 +146,7 @@
         assert task.sent is not None
         ours = task.sent > (0, 0)
         dropped = new_session and ours and report.session > task.sent[0]
-        if not dropped and (report.token < self._c.token or task.machine.closed <= task.sent):
+        if not dropped and (report.token < self._c.token or (ours and task.machine.closed <= task.sent)):
             return False
         if task.phase == ASSIGNED and not task.inherited and not new_session and task.halt_grace_s is None:
             task.sent = None  # the answer was lost; this attempt never was on the machine: send it again
--- a/src/tideusher/core/lead/scheduler.py
+++ b/src/tideusher/core/lead/scheduler.py
@@ -107,7 +107,7 @@
         usable = [
             m
             for m in self._c.machines.values()
-            if _usable(m) and now_us - m.reported_us < fresh_us and m.free_cpus > 0 and not doubted(m, now_us)
+            if _usable(m) and now_us - m.own_us < fresh_us and m.free_cpus > 0 and not doubted(m, now_us)
         ]
         used_gpus = sum(usage[1] for usage in self._c.usage.values())
         # While work that a fall took still waits, no room is kept for work that may come.
--- a/src/tideusher/core/picture/records.py
+++ b/src/tideusher/core/picture/records.py
@@ -335,7 +335,8 @@
     missed_us: int = 0  # when the last of these was found
     deaf_until_us: int = 0  # nothing is placed there until then
     behind_us: int = 0  # since when its reports show an older token although we answered; 0: they do not
-    reported_us: int = 0
+    reported_us: int = 0  # when it was heard last, by a report or in a direct answer
+    own_us: int = 0  # when it last reported by itself: only then can it be told to start anything
     idle_since_us: int = 0
     recall_us: int | None = None
     draining: str = ""  # why no new work goes here; empty: it may
--- a/src/tideusher/node.py
+++ b/src/tideusher/node.py
@@ -59,7 +59,8 @@
         self.election.hear(self._standing, self.peers.standings, lambda token: self.leader.tell("tick"))
         self.store.hear_demands(self.peers.demands)
         #: What is on a machine longer than that after its cancellation broke the rule already.
-        self.withdrawn = Withdrawn(to_us(2 * config.settings.workers.cancel_s))
+        settings = config.settings
+        self.withdrawn = Withdrawn(to_us(2 * settings.workers.cancel_s), settings.state.write_rps)
         self.store.listen(self._note_withdrawn)
         self.gateway = Gateway(
             config, self._clock, self.store, self.election, self.leader, self.peers, self.own, self.withdrawn
@@ -104,7 +105,7 @@
         if heard.read:
             # Whom the state service refuses alone learns here what its workers are to stop.
             said.read, said.withdrawn = self.store.revision, self.withdrawn.since(heard.read)
-            if len(said.withdrawn) == TOLD:
+            if len(said.withdrawn) >= TOLD:
                 said.read = min(said.read, said.withdrawn[-1][1])
         said.seen, line = self.own.news(line, self._clock.now_us())
         said.behind, said.lost, said.rests = ours.behind, ours.lost, ours.rests
