Heartbeats give back when they were sent, so slow links are known as such

Change: a heartbeat holds its sender's time, the answer gives it back; older nodes pass the field over.

--- a/src/tideusher/actors/peers.py
+++ b/src/tideusher/actors/peers.py
@@ -101,7 +101,6 @@
         self.deaf = False
         #: How long the last heartbeat and its answer were under way.
         self.round_us = 0
-        self._asked_us: int | None = None
 
     def usable(self) -> bool:
         """Connected, and heard from just now."""
@@ -113,9 +112,9 @@
 
     def beat(self) -> bytes:
         """A heartbeat, to be sent now."""
-        if self._asked_us is None:
-            self._asked_us = self._clock.now_us()
-        return wire.frame(self._hello())
+        said = self._hello()
+        said.sent = self._clock.now_us()
+        return wire.frame(said)
 
     def start(self) -> None:
         """Connect and keep connecting."""
@@ -157,7 +156,7 @@
                 if self.said is not None:
                     self._tell(self.peer.name, None)
                 self._outbox = self.said = None
-                self._heard_us = self._asked_us = None
+                self._heard_us = None
                 self.in_contact = False
                 sock.close()
                 for result in list(self._open.values()):
@@ -183,8 +182,8 @@
         self._heard_us = self._clock.now_us()
         for message in messages:
             if isinstance(message, wire.Hello):
-                if self._asked_us is not None:
-                    self.round_us, self._asked_us = self._heard_us - self._asked_us, None
+                if message.sent:
+                    self.round_us = self._heard_us - message.sent
                 self.in_contact, self.writes, self.deaf = message.in_contact, message.writes, message.deaf
                 if message.token > self.told[1]:
                     self.told = (message.leader, message.token)
@@ -308,6 +307,7 @@
         for message in messages:
             if isinstance(message, wire.Hello):
                 said, line = self._answering(message, outbox.line)
+                said.sent = message.sent
                 if outbox.put(wire.frame(said)):
                     outbox.line = line
             elif isinstance(message, wire.ForwardReport):
--- a/src/tideusher/wire/peers.py
+++ b/src/tideusher/wire/peers.py
@@ -68,7 +68,9 @@
     For whoever leads next, and passed over by older nodes: which workers it hears (what changed since the last
     heartbeat on this connection), how many changes it has yet to apply (None: it does not follow), the token of a
     leader that refuses it since their connection ended, how late its timers fire, whether it gave way just now, and
-    from a leader what no record holds."""
+    from a leader what no record holds.
+
+    `sent` is the sender's own steady time, which the answer gives back: for how long both were under way."""
 
     node: str
     in_contact: bool = False
@@ -84,6 +86,7 @@
     soft: Soft | None = None
     read: int = 0
     withdrawn: list[tuple[str, int]] = []
+    sent: int = 0
 
 
 class ForwardReport(PeerMessage, tag="report"):
--- a/tests/town.py
+++ b/tests/town.py
@@ -234,7 +234,7 @@
                 link._peer_life = peer
             if link._outbox is not None:
                 if link._peer_life is not peer:
-                    link._outbox = link.said = link._heard_us = link._asked_us = None
+                    link._outbox = link.said = link._heard_us = None
                     node._told(other, None)
                 else:
                     link._outbox.put(link.beat())
