Gangs that waited long are made room for on machines in use

Change: for the first gang that has waited for gather.patience_s (60 s) machines in use or booting are held too, in the zone in which its room is together first; only work of a higher rank may come there; stops of others do not reserve what is held.

--- a/src/tideusher/config.py
+++ b/src/tideusher/config.py
@@ -173,6 +173,7 @@
     fleet__capacity_backoff_s: Annotated[float, msgspec.Meta(ge=0.1)] = 8.0
     fleet__silence_reports: Annotated[float, msgspec.Meta(ge=1.5)] = 2.5
     fleet__silence_floor_s: Annotated[float, msgspec.Meta(ge=0)] = 2.5
+    gather__patience_s: Annotated[float, msgspec.Meta(ge=0)] = 60.0
     jobs__conditions: bool = False
     leader__lease_s: Annotated[float, msgspec.Meta(ge=1, le=60)] = 3.0
 
--- a/src/tideusher/core/decide/gather.py
+++ b/src/tideusher/core/decide/gather.py
@@ -5,11 +5,17 @@
 zone is held for the first gang in the queue that wants it there, until the rest has come. Work that
 is ahead of the gang in the queue may still take it, and one gang a zone gathers at a time, or several
 would hold parts of a zone and none could start.
+
+What is free is not enough where small work is spread over all machines: a few tasks of one CPU keep a gang that
+needs whole machines off each of them, and others come as they end. So for the first gang that has waited long,
+machines that hold other work, or boot, are held too, those of the zone in which its room is together first; what runs
+there ends undisturbed, and only work of a higher rank may still come. One gang of the whole fleet at a time.
 """
 
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 
+from tideusher.clock import to_us
 from tideusher.core.decide.placement import slots, slots_in
 from tideusher.core.picture.records import BOOTING, UP, Job, Machine
 
@@ -32,11 +38,16 @@
     def __init__(self) -> None:
         self.held: dict[str, Job] = {}
         self._free = _Free(())
+        self._first: tuple[Job, str] | None = None  # the gang for which machines in use are held, and the zone
 
     def may_use(self, job: Job, machine: Machine, place: dict[str, int]) -> bool:
         """Is the machine free to this job, given the places of jobs in the queue?"""
         holder = self.held.get(machine.name)
-        return holder is None or holder is job or place[job.spec.id] < place.get(holder.spec.id, -1)
+        if holder is None or holder is job:
+            return True
+        if self._first is not None and holder is self._first[0]:
+            return job.spec.rank < holder.spec.rank
+        return place[job.spec.id] < place.get(holder.spec.id, -1)
 
     def update(
         self,
@@ -44,19 +55,34 @@
         usable: Sequence[Machine],
         machines: Iterable[Machine],
         offer: Callable[[Job, str], int],
+        long_us: Callable[[Job], int] = lambda job: 0,
+        now_us: int = 0,
     ) -> list[Request]:
-        """Hold what is free for gangs in the order of the queue; returns what is missing beyond that."""
+        """Hold what is free for gangs in the order of the queue; returns what is missing beyond that.
+
+        `long_us`: for how much longer than is patient a gang has waited; 0: it has not.
+        """
         self.held = {}
         if not unplaced:
+            self._first = None
             return []
         requests, gathering = [], set()
+        machines = list(machines)
         outlook = _Outlook(machines)
+        for name in self._hold_in_use(unplaced, machines, long_us, now_us):
+            assert self._first is not None
+            self.held[name] = self._first[0]
+            gathering.add(self._first[1])
         self._free = _Free(usable)
         for job, count in unplaced:
             if not (job.is_gang and job.spec.one_zone) or job.live:
                 requests.append(Request(job, count))
                 continue
-            zone, free = self._best_zone(job, count, outlook, offer)
+            if self._first is not None and job is self._first[0]:
+                zone: str | None = self._first[1]
+                free = [m for m in usable if self.held.get(m.name) is job and m.fits(job.spec)]
+            else:
+                zone, free = self._best_zone(job, count, outlook, offer)
             missing = count
             for machine in sorted(free, key=lambda m: (m.free_gpus, m.name)):
                 if missing <= 0:
@@ -70,6 +96,45 @@
                 requests.append(Request(job, missing, zone))
         return requests
 
+    def _hold_in_use(
+        self,
+        unplaced: Sequence[tuple[Job, int]],
+        machines: Sequence[Machine],
+        long_us: Callable[[Job], int],
+        now_us: int,
+    ) -> list[str]:
+        """The machines that are held for the gang that has waited too long for the longest time, in use or not."""
+        waits = [
+            (-long_us(job), job.spec.id, job, count)
+            for job, count in unplaced
+            if job.is_gang and job.spec.one_zone and not job.live and long_us(job) > 0
+        ]
+        before, self._first = self._first, None
+        for _, _, job, count in sorted(waits, key=lambda one: (before is None or one[2] is not before[0], one[:2])):
+            zones: dict[str, list[tuple[int, str, int]]] = {}
+            for machine in machines:
+                if machine.draining or machine.phase not in (BOOTING, UP) or not machine.allows(job.spec):
+                    continue
+                room = _once_idle(machine, job)
+                if room > 0:  # though stops were made there for another: that is over soon
+                    zones.setdefault(machine.zone, []).append((_busy_us(machine, now_us), machine.name, room))
+            chosen: dict[str, tuple[int, list[str]]] = {}
+            for zone, free in zones.items():
+                left, names = count, []
+                for busy_us, name, room in sorted(free):
+                    names.append(name)
+                    left -= room
+                    if left <= 0:
+                        chosen[zone] = busy_us, names
+                        break
+            if chosen:
+                # The zone that was begun with is gone on with: what ended there for this gang did not end elsewhere.
+                begun = before[1] if before is not None and before[0] is job else ""
+                zone = begun if begun in chosen else min(chosen, key=lambda one: (chosen[one][0], one))
+                self._first = job, zone
+                return chosen[zone][1]
+        return []
+
     def _best_zone(
         self, job: Job, count: int, outlook: "_Outlook", offer: Callable[[Job, str], int]
     ) -> tuple[str | None, list[Machine]]:
@@ -156,6 +221,16 @@
         return self._known[key]
 
 
+def _busy_us(machine: Machine, now_us: int) -> int:
+    """How long until all its work that ends by itself has ended, by what its owners expect."""
+    longest = 0
+    for task in machine.tasks.values():
+        if not task.job.is_service:
+            began_us = now_us if task.running_us is None else task.running_us
+            longest = max(longest, began_us + to_us(task.job.spec.estimate_s) - now_us)
+    return longest
+
+
 def _once_idle(machine: Machine, job: Job) -> int:
     """How many tasks of the job the machine will hold when all its work that ends by itself has ended."""
     services = [task.job.spec for task in machine.tasks.values() if task.job.is_service]
--- a/src/tideusher/core/lead/scheduler.py
+++ b/src/tideusher/core/lead/scheduler.py
@@ -147,7 +147,15 @@
         yield
         unplaced = _still_wait(unplaced)
         holding = [m for m in holding if _usable(m)]
-        requests = self._gathering.update(unplaced, holding, self._c.machines.values(), self._offer(now_us))
+        patience_us = to_us(self._c.policy.gather__patience_s)
+        requests = self._gathering.update(
+            unplaced,
+            holding,
+            self._c.machines.values(),
+            self._offer(now_us),
+            lambda job: max(0, wall_us - job.submitted_us - patience_us),
+            now_us,
+        )
         yield
         requests = [request for request in requests if request.job.waits]
         if self._c.rents:
@@ -303,8 +311,12 @@
             return min(spent, to_us(task.job.spec.save_s)) if task.job.spec.checkpoint_s else spent
 
         offers, nothing = Offers(lost_us), Refusals()
-        free = [m for m in usable if not m.reserved]
-        reserved = {m.reserved for m in usable if m.reserved}
+        # What is held for a gang is no room for others' stops: machines that had been emptied for it were kept for
+        # one after the other of them, and stood idle.
+        held = self._gathering.held
+        free = [m for m in usable if not m.reserved and m.name not in held]
+        kept = [m for m in usable if not m.reserved and m.name in held]
+        reserved = {m.reserved for m in usable if m.reserved} | {job.spec.id for job in held.values()}
         for job, count in unplaced:
             if stops >= self._c.policy.preempt__max_stops:
                 return
@@ -320,7 +332,8 @@
             asks, whole = (rights(job.spec), id(victims)), count if job.is_gang else 1
             if own not in reserved and nothing.refuses(asks, job.spec, whole):
                 continue
-            free_for = [m for m in usable if m.reserved in ("", own)] if own in reserved else free
+            theirs = [m for m in kept if self._gathering.may_use(job, m, self._place)]
+            free_for = free + theirs + ([m for m in usable if m.reserved == own] if own in reserved else [])
             machines, stopped = choose_room(job, count, free_for, coming_free, victims, offers)
             if machines or stopped:
                 nothing.clear()
@@ -345,7 +358,8 @@
                 stoppable.changed()
                 offers.changed()
             if machines:
-                free = [m for m in usable if not m.reserved]
+                free = [m for m in free if not m.reserved]
+                kept = [m for m in kept if not m.reserved]
 
     def _consolidate(self, now_us: int) -> None:
         """Move the replicas of thinly used machines onto others, so that they can be returned.
--- a/tests/test_compound_faults.py
+++ b/tests/test_compound_faults.py
@@ -588,3 +588,22 @@
     assert counts["writes"] <= 40 * LIMITS[site].write_rps
     per_job = counts["writes"] / len(specs)
     assert per_job <= 5.5, counts  # accepted, placed, done with its task, its chunk removed; and the machines'
+
+
+def test_a_gang_of_whole_machines_begins_though_small_work_is_spread_over_all_of_them(town):
+    """Three tasks of one CPU keep it off a machine, and others came as they ended: it waited for ten minutes."""
+    town = town(machines=8)
+    town.capacity = 9
+    gang = job("gang", 4, cpus=14.0, gpus=2.0, one_zone=True, priority="urgent", estimate_s=20.0)
+    for second in range(200):
+        for team in ("red", "blue"):
+            lasts_s = town.rng.uniform(15.0, 40.0)
+            town.submit(job("gang", 1, cpus=2.0, gpus=0.0, estimate_s=lasts_s, priority="urgent", team=team))
+        if second == 30:
+            town.submit(gang)
+        if town.on_machines(gang.id):
+            break
+        town.run(1.0)
+    town.run(3.0)
+    assert 30 < second < 160
+    assert len(town.on_machines(gang.id)) == 4
--- a/tests/town.py
+++ b/tests/town.py
@@ -165,6 +165,7 @@
         self.delay_s, self.tick_s, self.report_s = 0.001, tick_s, 1.0
         self.cuts, self.frozen, self.deaf = set(), {}, set()  # pairs or nodes; nodes; machines
         self.mute, self.hung = set(), {}  # machines that reach no controller; that hang, with calls that wait there
+        self.capacity = 1000  # of the cloud
         self.boot_s, self.for_next, self.kept = 3.0, 0.0, []  # the share of reports copied for the next leader
         self.cut_zones, self.held_reports, self.held_calls = set(), 0.0, 0.0  # and the shares that are held up
         self.calls = True  # do direct calls reach workers?
@@ -333,6 +334,8 @@
     def rent(self, charter, zone, spot, count, boots_s=None):
         boots_s = self.boot_s if boots_s is None else boots_s
         if charter not in self.rented:
+            used = sum(host not in self.rented for hosts in self.rented.values() for host in hosts)
+            count = max(0, min(count, self.capacity - used))
             self.rented[charter] = [f"host-{next(self.count):06d}" for _ in range(count)]
             for name in self.rented[charter]:
                 self.hours.later(boots_s, lambda name=name: self.hours.spawn(self._live, name, zone, spot))
