--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -1,6 +1,6 @@
 """KNOWN-RED.txt at the root: tests that fail for a fault which is known and not mended yet.
 
-A line is a test's id, the cause and the issue, with " | " between them; three lines at most, and usually none. What is
+A line is a test's id, the cause and the issue, with " | " between them; three lines at most, usually none. What is
 listed runs as all other tests do. Failures of these do not fail the run and are printed by name at its end; one that
 passes fails the run, and so do a line that is no such three and an id that no test has.
 """
