--- a/tests/test_played.py
+++ b/tests/test_played.py
@@ -14,6 +14,7 @@
     "   11.0000 berth-0 I users: accepted req-000002 of red: gang of 2",
     "   12.0000 berth-0 I users: accepted req-000003 of blue: batch of 9",
     "   13.0000 berth-0 I users: cancelled req-000003 for its user",
+    "   13.9000 berth-1 I cluster: stop req-000003/8 attempt 1 on host-000001: its user cancelled it",
     "   14.0000 berth-1 I cluster: job req-000001 of red runs whole: 4 tasks, 30.0 s after it came",
     "   15.0000 berth-1 I cluster: job req-000002 of red runs whole: 2 tasks, 0.5 s after it came",
     "   20.0000 berth-1 I cluster: job req-000001 is done",
@@ -34,6 +35,7 @@
         "users": {"errors": {"503": 3}},
         "largest": {"fit": {"jobs": 4, "started": 3}, "web": {"jobs": 0, "started": 0}},
         "node_stats": [node],
+        "idle": {"neglected": 0, "displaced": 0, "slips": {}},
     }
     return {**base, **changed}
 
@@ -43,6 +45,8 @@
     "ENDED": report(node_stats=[{**report()["node_stats"][0], "panics": 1}]),
     "RULES {'forgotten': 1} UNANSWERED": report(rules_broken={"total": 1, "by_kind": {"forgotten": 1}}),
     "STARVED by size": report(largest={"fit": {"jobs": 4, "started": 1}}),
+    "NEGLECTED 2": report(idle={"neglected": 2, "slips": {}}),
+    "SLIPS {'started_cancelled': 1}": report(idle={"neglected": 0, "slips": {"started_cancelled": 1}}),
     "STARVED": report(classes={"fit": {**report()["classes"]["fit"], "done": 4}}),
 }
 
@@ -50,7 +54,7 @@
 def test_a_day_on_which_all_is_served_passes_with_its_figures():
     cells, bad = played.row("site", "day", 1, report(), "\n".join(LOG))
     assert not bad and cells[4:9] == ["0.75", "0.89 fit done", "0.50 red", "0.75 fit", "30"]
-    assert cells[9] == "3" and cells[11] == "161"
+    assert cells[9:12] == ["0", "0", "1"] and cells[12] == "3" and cells[14] == "161"
 
 
 @pytest.mark.parametrize("fault", FAULTS)
@@ -72,10 +76,17 @@
     late = "\n".join(LOG).replace("30.0 s after", "250.0 s after")
     assert played.row("site", "day", 1, report(), late)[0][-1] == "LATE req-000001"
     again = "   16.0000 berth-2 I cluster: job req-000001 of red runs whole: 4 tasks, 260.0 s after it came"
-    assert played.row("site", "day", 1, report(), "\n".join([*LOG[:7], again, *LOG[7:]]))[0][-1] == "ok"
+    assert played.row("site", "day", 1, report(), "\n".join([*LOG[:8], again, *LOG[8:]]))[0][-1] == "ok"
     small = ["   16.0 berth-0 I users: accepted req-000005 of red: batch of 1"]
     small += [
         "   18.0 berth-0 I cluster: job req-000005 is done",
         "   17.0 berth-0 I cluster: job req-000005 of red runs whole: 1 tasks, 250.0 s after it came",
     ]
-    assert played.row("site", "day", 1, report(), "\n".join(LOG[:8] + small + LOG[8:]))[0][-1] == "ok"
+    assert played.row("site", "day", 1, report(), "\n".join(LOG[:9] + small + LOG[9:]))[0][-1] == "ok"
+
+
+def test_the_last_stop_of_a_cancelled_job_is_told_by_how_long_it_came_after_the_answer():
+    late = "   52.0000 berth-2 I cluster: stop req-000003/8 attempt 1 on host-000001: its user cancelled it"
+    others = "   60.0000 berth-2 I cluster: stop req-000001/8 attempt 1 on host-000001: its user cancelled it"
+    assert played.latest_stop("\n".join([*LOG, late, others])) == (39.0, "req-000003")
+    assert played.row("site", "day", 1, report(), "\n".join([*LOG, late]))[0][11] == "39"
--- a/tools/play_served.py
+++ b/tools/play_served.py
@@ -6,9 +6,13 @@
 of `days/` or the name of one of the site's. Least class: of jobs submitted, the part accepted, started and (where it
 ends by itself) done, the lowest. Least team: of its accepted batches and gangs, cancelled ones and those of the last
 tenth left out, the part that is done. Largest: of each class's largest jobs, as the bench counts them, the part that
-began, the lowest; latest: how late, in seconds, the latest of the largest tenth began as a whole, by the log. Exit 1
-if a rule broke, a process ended by itself, less than half was served, a largest job began after four minutes, nobody
-answered for a job, or a day could not be played; `tests/test_played.py` shows each of these found.
+began, the lowest; latest: how late, in seconds, the latest of the largest tenth began as a whole, by the log. Idle:
+jobs that the bench saw wait for too long beside room that fits. Slips: what else it counted against us, such as starts
+after a cancellation that was confirmed and jobs accepted that can't run. Stops after: seconds from a job's confirmed
+cancellation to the last stop of a task of it in our log, the longest: no fault by itself, as machines out of reach are
+told again when they are back, but where to look. Exit 1 if a rule broke, a process ended by itself, less than half was
+served, a largest job began after four minutes, nobody answered for a job, a job was left beside room, something
+slipped, or a day could not be played; `tests/test_played.py` shows each of these found.
 """
 
 import json
@@ -22,14 +26,14 @@
 
 import click
 
-COLUMNS = (
-    "site day seed rules mark least-class least-team largest latest-s refused ended cpu-s peak-MB sockets".split()
-)
-COLUMNS += ["verdict"]
+COLUMNS = "site day seed rules mark least-class least-team largest latest-s idle slips stops-after-s".split()
+COLUMNS += "refused ended cpu-s peak-MB sockets verdict".split()
 ACCEPTED = re.compile(r"\s*([\d.]+) \S+ I users: accepted (\S+) of (\S+): (?:batch|gang)")
 SHAPED = re.compile(r"\s*([\d.]+) \S+ I users: accepted (\S+) of (\S+): (\S+) of (\d+)")
 DONE = re.compile(r"cluster: job (\S+) is done")
 CANCELLED = re.compile(r"cancelled (\S+) for its user")
+TOLD = re.compile(r"\s*([\d.]+) \S+ I users: cancelled (\S+) for its user")
+STOPS = re.compile(r"\s*([\d.]+) \S+ I cluster: stop (\S+)/\d+ attempt \d+ on \S+: its user cancelled it")
 MARK = re.compile(r"(?m)^\S+\s+\d+\s+(\d\.\d\d)\s")
 SPENT = re.compile(r"([\d.]+) s for the world, ([\d.]+) s in the processes' own code and ([\d.]+) s in the k")
 WHOLE = re.compile(r"cluster: job (\S+) of \S+ runs whole: (\d+) tasks, ([\d.]+) s after")
@@ -90,6 +94,21 @@
     return max(latest)
 
 
+def latest_stop(log: str) -> tuple[float, str]:
+    """How long after its cancellation was confirmed a job's tasks were still being stopped, the longest, and which.
+
+    Stops of the same task are told once by each leader, so a job whose tasks go on under one after the other shows.
+    """
+    told: dict[str, float] = {}
+    late = [(0.0, "-")]
+    for line in log.splitlines():
+        if found := TOLD.match(line):
+            told.setdefault(found[2], float(found[1]))
+        elif (found := STOPS.match(line)) and found[2] in told:
+            late.append((float(found[1]) - told[found[2]], found[2]))
+    return max(late)
+
+
 def row(site: str, day: str, seed: int, report: dict, log: str) -> tuple[list[str], bool]:
     """The cells of one day, in the order of COLUMNS, and whether it failed."""
     by_class, by_team = least_class(report["classes"]), least_team(log, 0.9 * report["duration_s"])
@@ -99,6 +118,9 @@
     spent = sum(map(float, found.groups())) if (found := SPENT.search(log)) else 0.0
     mark = found[1] if (found := MARK.search(log)) else "-"
     broken = report["rules_broken"]["total"]
+    idle = report.get("idle", {})
+    neglected, slips = idle.get("neglected", 0), idle.get("slips") or {}
+    stop_s, _ = latest_stop(log)
     why = [
         text
         for bad, text in (
@@ -106,6 +128,8 @@
             (ended, "ENDED"),
             (by_class[0] < 0.5 or by_team[0] < 0.5 or by_size[0] < 0.5, "STARVED"),
             (latest[0] > BEGIN_S, f"LATE {latest[1]}"),
+            (neglected, f"NEGLECTED {neglected}"),
+            (slips, f"SLIPS {slips}"),
             ("forgotten" in report["rules_broken"]["by_kind"], "UNANSWERED"),
             (spent > LIMIT_S, "SLOW"),
         )
@@ -113,6 +137,7 @@
     ]
     served = (f"{share:.2f} {who}" for share, who in (by_class, by_team, by_size))
     cells = [site, day, str(seed), str(broken), mark, *served, f"{latest[0]:.0f}"]
+    cells += [str(neglected), str(sum(slips.values()) if isinstance(slips, dict) else len(slips)), f"{stop_s:.0f}"]
     refused = sum(report["users"]["errors"].values())
     peaks = (max(one[what] for one in nodes) for what in ("memory_peak_mb", "connections_peak"))
     cells += [str(refused), str(ended), f"{spent:.0f}", *(f"{peak:.0f}" for peak in peaks)]
@@ -131,7 +156,7 @@
         try:
             found = json.loads(Path(report.name).read_text())
         except ValueError:
-            return [Path(site).stem, name, str(seed or 0), *"-" * 11, "NOT PLAYED"], True
+            return [Path(site).stem, name, str(seed or 0), *"-" * 14, "NOT PLAYED"], True
     return row(Path(site).stem, name, seed or found["seed"], found, run.stdout)
 
 
