--- a/tools/play_served.py
+++ b/tools/play_served.py
@@ -7,12 +7,12 @@
 ends by itself) done, the lowest. Least team: of its accepted batches and gangs, cancelled ones and those of the last
 tenth left out, the part that is done. Largest: of each class's largest jobs, as the bench counts them, the part that
 began, the lowest; latest: how late, in seconds, the latest of the largest tenth began as a whole, by the log. Idle:
-jobs that the bench saw wait for too long beside room that fits. Slips: what else it counted against us, such as starts
-after a cancellation that was confirmed and jobs accepted that can't run. Stops after: seconds from a job's confirmed
-cancellation to the last stop of a task of it in our log, the longest: no fault by itself, as machines out of reach are
-told again when they are back, but where to look. Exit 1 if a rule broke, a process ended by itself, less than half was
-served, a largest job began after four minutes, nobody answered for a job, a job was left beside room, something
-slipped, or a day could not be played; `tests/test_played.py` shows each of these found.
+jobs that the bench saw wait for too long beside room that fits. Slips: what else it counted against us, such as
+starts after a cancellation that was confirmed and jobs accepted that can't run. Stops after: seconds from a job's
+confirmed cancellation to the last stop of a task of it in our log, the longest: no fault by itself, as machines out
+of reach are told again when they are back, but where to look. Exit 1 if a rule broke, a process ended by itself,
+less than half was served, a largest job began after four minutes, nobody answered for a job, a job was left beside
+room, something slipped, or a day could not be played; `tests/test_played.py` shows each of these found.
 """
 
 import json
