Write queue and cancellations, by their usual names

Need: our own words, and one of the users' outside of wire, hid standard terms. Change: core/picture/keeper.py is write_queue.py, Keeper WriteQueue; core/decide/withdrawn.py is cancellations.py, Withdrawn Cancellations; the peers' message keeps its field's name on the wire. No change of behaviour.

--- a/src/tideusher/actors/gateway.py
+++ b/src/tideusher/actors/gateway.py
@@ -20,8 +20,8 @@
 from tideusher.clock import Clock, to_s, to_us
 from tideusher.config import Config
 from tideusher.core.decide.bounds import may_answer
+from tideusher.core.decide.cancellations import Cancellations, halts, rectified
 from tideusher.core.decide.routing import Directions, Door, Ear
-from tideusher.core.decide.withdrawn import Withdrawn, halts, rectified
 from tideusher.core.picture import keys
 from tideusher.core.picture.records import JOB_CANCELLED
 from tideusher.core.picture.sightings import Own
@@ -55,7 +55,7 @@
         leader: Leader,
         peers: Peers,
         own: Own | None = None,
-        withdrawn: Withdrawn | None = None,
+        cancellations: Cancellations | None = None,
     ) -> None:
         self.log = logging.getLogger("gateway")
         self._config, self._clock = config, clock
@@ -63,7 +63,7 @@
         self._directions = Directions()
         self._ear = Ear(config.settings.workers)
         self._own = own or Own(to_us(config.settings.workers.report_s))
-        self._withdrawn = withdrawn or Withdrawn(0)
+        self._cancellations = cancellations or Cancellations(0)
 
     def deaf(self) -> bool:
         """Have all workers that reported here fallen silent?"""
@@ -137,7 +137,7 @@
     def _cancelled(self, job_id: str) -> bool:
         """Does the state service, or a controller that reads it, say that the job is cancelled?"""
         stored = self._store.mirror.get(keys.job_key(job_id))
-        return job_id in self._withdrawn or (stored is not None and stored.value["st"] == JOB_CANCELLED)
+        return job_id in self._cancellations or (stored is not None and stored.value["st"] == JOB_CANCELLED)
 
     def _rectified(self, leader: str, answer: bytes, body: bytes) -> bytes:
         """A leader may not know yet what we do: above all one that the state service refuses alone."""
@@ -148,7 +148,7 @@
                 return self._peers.reads(leader)
             return contact_us is not None and now_us - contact_us <= READ_US
 
-        if not self._withdrawn.matters(reads, now_us):
+        if not self._cancellations.matters(reads, now_us):
             return answer
         commands, report = workers.decode_commands(answer), workers.decode_report(body)
         return workers.encode(rectified(commands, report, self._cancelled))
--- a/src/tideusher/actors/leader.py
+++ b/src/tideusher/actors/leader.py
@@ -26,11 +26,11 @@
 from tideusher.core.lead.soft import tell as tell_soft
 from tideusher.core.lead.standby import Standby
 from tideusher.core.picture import keys
-from tideusher.core.picture.keeper import Batch
 from tideusher.core.picture.picture import Picture
 from tideusher.core.picture.records import RETURNING, Machine
 from tideusher.core.picture.rentals import Rental
 from tideusher.core.picture.sightings import Own, Sightings
+from tideusher.core.picture.write_queue import Batch
 from tideusher.metrics import Metrics
 from tideusher.wire import cloud as cloud_wire
 from tideusher.wire import workers
@@ -353,10 +353,10 @@
             self._engine.cluster.job_changed(job_id, value, stamp, self._clock.now_us())
             self._act(self._engine)
 
-    def on_withdrawn(self, job_id: str) -> None:
+    def on_cancelled_elsewhere(self, job_id: str) -> None:
         """Another controller tells that a job is cancelled, which we may not be able to read."""
         if self._engine is not None:
-            self._engine.cluster.told_withdrawn(job_id, self._clock.now_us())
+            self._engine.cluster.told_cancelled(job_id, self._clock.now_us())
             self._act(self._engine)
 
     def on_cancelled_here(self, job_id: str) -> None:
--- a/src/tideusher/core/decide/withdrawn.py
+++ b/src/tideusher/core/decide/cancellations.py
@@ -19,7 +19,7 @@
 KNOWN_US = 3 * SECOND_US
 
 
-class Withdrawn:
+class Cancellations:
     """Owns the jobs cancelled in the last `keep_us`, by when we learnt of them (steady time).
 
     `write_rps`: no more can be cancelled a second than the state service takes changes, so all that were cancelled in
--- a/src/tideusher/core/decide/recovery.py
+++ b/src/tideusher/core/decide/recovery.py
@@ -13,8 +13,8 @@
 from tideusher.clock import SECOND_US, to_s
 from tideusher.config import Config
 from tideusher.core.picture import keys
-from tideusher.core.picture.keeper import Entry, Keeper
 from tideusher.core.picture.records import CRITICAL, OPEN, RETURNING, Job, Machine
+from tideusher.core.picture.write_queue import Entry, WriteQueue
 from tideusher.metrics import Metrics
 
 LOST_ALL, LOST_SOME, EVERYBODY = 0, 1, 2
@@ -118,7 +118,7 @@
     config: Config
     jobs: dict[str, Job]
     machines: dict[str, Machine]
-    keeper: Keeper
+    write_queue: WriteQueue
     to_return: list[Machine]
     metrics: Metrics
     wall_us: Callable[[], int]
@@ -161,7 +161,9 @@
                 self._c.set_returning(machine, f"{why} (fall {fall.name})")
                 machine.fall = fall.name
                 names.append(machine.name)
-            self._c.keeper.touch(self._part_entry(fall, number), self._to_return([machine for machine, _ in some]))
+            self._c.write_queue.touch(
+                self._part_entry(fall, number), self._to_return([machine for machine, _ in some])
+            )
         self._write(fall)
 
     def _part_with_room(self, fall: Fall, size: int) -> int:
@@ -230,7 +232,7 @@
                 names.remove(machine.name)
                 if not names:
                     del fall.parts[number]
-                    self._c.keeper.touch(self._part_entry(fall, number), urgent=False)
+                    self._c.write_queue.touch(self._part_entry(fall, number), urgent=False)
         if not fall.parts:
             self._write(fall)
 
@@ -323,7 +325,7 @@
                 self._c.to_return += here
             else:
                 del fall.parts[number]
-                self._c.keeper.touch(self._part_entry(fall, number), urgent=False)
+                self._c.write_queue.touch(self._part_entry(fall, number), urgent=False)
         for fall in self.falls.values():
             for job_id in fall.jobs if not fall.whole_us else ():
                 job = self._c.jobs.get(job_id)
@@ -331,7 +333,7 @@
                     self._hurt[job_id] = _Hurt(fall, min(fall.jobs[job_id], job.pending))
 
     def _write(self, fall: Fall) -> None:
-        self._c.keeper.touch(self._entry(fall), urgent=False)
+        self._c.write_queue.touch(self._entry(fall), urgent=False)
 
     def _entry(self, fall: Fall) -> Entry:
         key = keys.fall_key(fall.name, 0)
--- a/src/tideusher/core/lead/cluster.py
+++ b/src/tideusher/core/lead/cluster.py
@@ -1,7 +1,7 @@
 """The leader's picture of jobs, tasks and machines, and every transition in it.
 
 Pure: time is passed in, effects come out as lists (commands in answer to a report, direct commands,
-rental wishes, returns). What must be persisted goes through the Keeper, and what may only be done
+rental wishes, returns). What must be persisted goes through the WriteQueue, and what may only be done
 after that hangs on the write as an effect.
 """
 
@@ -25,7 +25,6 @@
 from tideusher.core.decide.recovery import Recovery
 from tideusher.core.decide.truth import Truth
 from tideusher.core.picture import keys
-from tideusher.core.picture.keeper import Effect, Entry, Keeper
 from tideusher.core.picture.picture import Picture, RecordOf
 from tideusher.core.picture.records import (
     ASSIGNED,
@@ -46,6 +45,7 @@
 )
 from tideusher.core.picture.rentals import Rental
 from tideusher.core.picture.values import MAX_STOPS_KEPT, final_value, holder, over_limit_reason
+from tideusher.core.picture.write_queue import Effect, Entry, WriteQueue
 from tideusher.metrics import Metrics
 from tideusher.wire import workers
 from tideusher.wire.cloud import FAILED, Listed, MachineType
@@ -100,7 +100,7 @@
         self.conditions = Conditions(self, record_of)
         self.limits = Limits(self)
         self._fence = Entry(keys.FENCE, lambda: {"by": token}, 0)
-        self.keeper = Keeper(keys.LEADER, token, settings.state.txn_ops, self._fence)
+        self.write_queue = WriteQueue(keys.LEADER, token, settings.state.txn_ops, self._fence)
         self._entries: dict[str, Entry] = {}
         self.direct: list[Direct] = []
         self.to_rent: list[Rental] = []
@@ -132,7 +132,7 @@
         self.to_return += [machine for machine in self.machines.values() if machine.phase == RETURNING]
         self.recovery.load((key, value, stamp) for key, (value, stamp) in sorted(picture.falls.items()))
         for key, stamp in picture.orphans.items():
-            self.keeper.touch(Entry(key, lambda: None, stamp), urgent=False)
+            self.write_queue.touch(Entry(key, lambda: None, stamp), urgent=False)
         for job in [self.jobs[name] for name in picture.unsettled if name in self.jobs]:
             self._settle_job(job)
         for job in [self.jobs[name] for name in picture.conditional if name in self.jobs]:
@@ -197,11 +197,11 @@
 
     def is_saved(self, job: Job, index: int) -> bool:
         """Is what we know of the task's chunk in the state service?"""
-        return self.keeper.clean(self._chunk_entry(job, job.chunk_of(index)))
+        return self.write_queue.clean(self._chunk_entry(job, job.chunk_of(index)))
 
     def touch_chunk(self, job: Job, index: int, effect: Effect | None = None, urgent: bool = True) -> None:
         chunk = job.chunk_of(index)
-        self.keeper.touch(self._chunk_entry(job, chunk), effect, urgent)
+        self.write_queue.touch(self._chunk_entry(job, chunk), effect, urgent)
 
     # ---------------------------------------------------------------- jobs
 
@@ -231,7 +231,7 @@
                 self.halt(task, self._grace_s(job), SHRUNK)
             self.dirty = self.dirty or bool(too_many)
 
-    def told_withdrawn(self, job_id: str, now_us: int) -> None:
+    def told_cancelled(self, job_id: str, now_us: int) -> None:
         """Another controller read that the job is cancelled: nothing of it starts, and what it has on machines stops.
 
         Its record will say so once we can read it; until then nothing is written for it, since each of its records is
@@ -250,7 +250,7 @@
         """
         if job.begun and "b" not in value and self.conditions.names_its_begin(job.spec.id):
             entry = Entry(keys.job_key(job.spec.id), lambda: {**value, "b": 1}, job.stamp)
-            self.keeper.touch(entry)
+            self.write_queue.touch(entry)
 
     def park_or_wake(self, job: Job, now_us: int) -> None:
         """Passes look at the job from now on, or no more, as its conditions say."""
@@ -275,7 +275,7 @@
             return
         if job.live:
             return  # a gang's other tasks have yet to report their exit
-        if not all(self.keeper.clean(self._chunk_entry(job, c)) for c in job.chunks.values()):
+        if not all(self.write_queue.clean(self._chunk_entry(job, c)) for c in job.chunks.values()):
             return
         if job.failed_count:
             count = f"{job.failed_count} of its {job.spec.tasks} tasks"
@@ -298,7 +298,7 @@
                 self._retire(job)
                 self.dirty = True  # as when a leader reads its own record first
 
-        self.keeper.touch(entry, told, urgent)
+        self.write_queue.touch(entry, told, urgent)
 
     def end(self, job: Job, why: str) -> None:
         """The job can never run: its record will say why. Not urgent: starts and ends of others go first."""
@@ -317,8 +317,8 @@
             return
         for chunk in job.chunks.values():
             entry = self._chunk_entry(job, chunk)
-            if entry.stamp or not self.keeper.clean(entry):
-                self.keeper.touch(entry, urgent=False)
+            if entry.stamp or not self.write_queue.clean(entry):
+                self.write_queue.touch(entry, urgent=False)
         for chunk in list(job.chunks.values()):
             self._entries.pop(keys.chunk_key(job.spec.id, chunk.number), None)
         if job.spec.id in self.jobs:
@@ -509,7 +509,7 @@
         entry = self._entry(keys.TYPES, lambda: msgspec.to_builtins(list(self.picture.types.values())))
         if first or value != self._types_value:
             self._types_value = value
-            self.keeper.touch(entry, urgent=False)
+            self.write_queue.touch(entry, urgent=False)
         self.dirty = True
 
     def adopt(self, report: Report, now_us: int) -> Machine:
@@ -529,7 +529,7 @@
         """Keep a machine that no rental of ours names under a rental of its own."""
         rental = Rental(f"adopted-{name}", told.type, told.zone, told.spot, 1, True, [name])
         self.rentals[rental.name] = rental
-        self.keeper.touch(self._rental_entry(rental), urgent=False)
+        self.write_queue.touch(self._rental_entry(rental), urgent=False)
         return self._add_machine(name, rental, rented_us)
 
     def drain(self, machine: Machine, reason: str) -> None:
@@ -557,7 +557,7 @@
             return
         self.set_returning(machine, reason)
         rental = self.rentals[machine.rental]
-        self.keeper.touch(self._rental_entry(rental), lambda: self.to_return.append(machine))
+        self.write_queue.touch(self._rental_entry(rental), lambda: self.to_return.append(machine))
 
     def set_returning(self, machine: Machine, reason: str) -> None:
         """No work goes there from now on. Whoever calls this has it persisted before the cloud hears of it."""
@@ -611,7 +611,7 @@
         self.ledger.set_fleet(self.machines.values())
 
     def _settle(self, rental: Rental) -> None:
-        self.keeper.touch(self._rental_entry(rental), urgent=False)
+        self.write_queue.touch(self._rental_entry(rental), urgent=False)
         if rental.value() is None:
             self.rentals.pop(rental.name, None)
             self._entries.pop(keys.rental_key(rental.name), None)
@@ -636,9 +636,9 @@
                     # the record of the adoption may never be written.
                     effects, entry.effects = entry.effects, []
                     for effect in effects:
-                        self.keeper.touch(self._rental_entry(rental), effect)
+                        self.write_queue.touch(self._rental_entry(rental), effect)
                     entry.value = lambda: None
-                    self.keeper.touch(entry, urgent=False)
+                    self.write_queue.touch(entry, urgent=False)
             else:
                 self._add_machine(name, rental, now_us)
         self._settle(rental)
@@ -718,7 +718,7 @@
                         if not self.rents:
                             self.touched[task.machine.name] = task.machine
 
-            self.keeper.touch(self._chunk_entry(job, chunk), persisted)
+            self.write_queue.touch(self._chunk_entry(job, chunk), persisted)
         self.recovery.placed(job, len(tasks))
         self.log.debug("place %s: %s", job.spec.id, ", ".join(f"{t.index}@{t.machine.name}" for t in tasks[:8]))
 
@@ -731,8 +731,8 @@
         """
         for rental in {machine.rental: self.rentals[machine.rental] for machine in machines}.values():
             entry = self._rental_entry(rental)
-            if self.rents and not self.keeper.clean(entry):
-                self.keeper.touch(entry)
+            if self.rents and not self.write_queue.clean(entry):
+                self.write_queue.touch(entry)
 
     def is_guest(self, team_name: str) -> bool:
         """Has the team no guarantee, so that it runs on what others leave?"""
@@ -775,7 +775,7 @@
             rental.name,
             wish.reason,
         )
-        self.keeper.touch(self._rental_entry(rental), lambda: self.to_rent.append(rental))
+        self.write_queue.touch(self._rental_entry(rental), lambda: self.to_rent.append(rental))
 
     def rentals_asked(self) -> list[Rental]:
         """Rentals whose answer has yet to come."""
@@ -793,4 +793,4 @@
         self.ledger.gather(
             ((t, self.min_run_us(t.job)) for m in self.machines.values() for t in m.tasks.values()), now_us
         )
-        self.keeper.touch(self._entry(keys.RATIOS, lambda: self.ledger.to_value(now_us)), urgent=False)
+        self.write_queue.touch(self._entry(keys.RATIOS, lambda: self.ledger.to_value(now_us)), urgent=False)
--- a/src/tideusher/core/lead/engine.py
+++ b/src/tideusher/core/lead/engine.py
@@ -15,10 +15,10 @@
 from tideusher.core.lead.cluster import Cluster
 from tideusher.core.lead.reports import Reports
 from tideusher.core.lead.scheduler import Scheduler
-from tideusher.core.picture.keeper import Batch
 from tideusher.core.picture.picture import Picture, RecordOf
 from tideusher.core.picture.records import Machine
 from tideusher.core.picture.rentals import Rental
+from tideusher.core.picture.write_queue import Batch
 from tideusher.metrics import Metrics
 from tideusher.wire.workers import Command
 
@@ -97,11 +97,11 @@
     def batch(self) -> Batch | None:
         """The next transaction; None while one is under way, or when nothing waits."""
         recovers = self.cluster.recovery.waiting() > 0
-        return self.cluster.keeper.next_batch(self._max_ops, self._max_ops // LAZY_PART if recovers else None)
+        return self.cluster.write_queue.next_batch(self._max_ops, self._max_ops // LAZY_PART if recovers else None)
 
     def saved(self, revision: int, now_us: int) -> None:
         """The batch is through: its effects may be told."""
-        self.cluster.keeper.saved(revision)
+        self.cluster.write_queue.saved(revision)
         self.cluster.saved_us, self.cluster.writable = now_us, True
 
     def unwritable(self) -> None:
@@ -113,7 +113,7 @@
 
         `unknown`: it may still be carried out.
         """
-        self.cluster.keeper.not_saved(stamp_of, unknown)
+        self.cluster.write_queue.not_saved(stamp_of, unknown)
 
     def orders(self) -> Orders:
         """Take what may be done now; each is given once."""
--- a/src/tideusher/core/lead/scheduler.py
+++ b/src/tideusher/core/lead/scheduler.py
@@ -371,7 +371,7 @@
         """
         if now_us < self._next_move_us or not self._c.settled(now_us) or not self._c.truth.whole():
             return
-        if self._c.keeper.waiting > self._c.config.settings.state.txn_ops:
+        if self._c.write_queue.waiting > self._c.config.settings.state.txn_ops:
             return  # moves would wait for their write
         if any(job.is_service and job.waits for job in self._c.active.values()):
             return
--- a/src/tideusher/core/picture/keeper.py
+++ b/src/tideusher/core/picture/write_queue.py
@@ -46,7 +46,7 @@
     effects: list[list[Effect]]  # of each entry
 
 
-class Keeper:
+class WriteQueue:
     """Dirty entries in the order in which they became so; urgent ones first, and of those one of each job in turn.
 
     An array of 25,000 tasks has 400 records; starts and ends of all others waited behind them for half a minute. What
--- a/src/tideusher/node.py
+++ b/src/tideusher/node.py
@@ -20,8 +20,8 @@
 from tideusher.actors.users import Users
 from tideusher.clock import Clock, to_s, to_us
 from tideusher.config import Config, Policy
+from tideusher.core.decide.cancellations import TOLD, Cancellations
 from tideusher.core.decide.succession import Standing
-from tideusher.core.decide.withdrawn import TOLD, Withdrawn
 from tideusher.core.picture import keys
 from tideusher.core.picture.records import JOB_CANCELLED
 from tideusher.core.picture.sightings import Own, Sightings
@@ -60,10 +60,10 @@
         self.store.hear_demands(self.peers.demands)
         #: What is on a machine longer than that after its cancellation broke the rule already.
         settings = config.settings
-        self.withdrawn = Withdrawn(to_us(2 * settings.workers.cancel_s), settings.state.write_rps)
-        self.store.listen(self._note_withdrawn)
+        self.cancellations = Cancellations(to_us(2 * settings.workers.cancel_s), settings.state.write_rps)
+        self.store.listen(self._note_cancelled)
         self.gateway = Gateway(
-            config, self._clock, self.store, self.election, self.leader, self.peers, self.own, self.withdrawn
+            config, self._clock, self.store, self.election, self.leader, self.peers, self.own, self.cancellations
         )
         self.leader.hear_deaf(self._deaf_zones)
         self.users = Users(config, self._clock, self.store, policy.jobs__conditions, profile, self.metrics)
@@ -97,16 +97,16 @@
         wanted = round(self.store.wanted(), 1)
         said = peer_wire.Hello(self._config.node, self.in_contact(), node, token, wanted, self.gateway.deaf())
         if not self.in_contact(READ_US):
-            said.read = max(self.store.revision, self.withdrawn.told)
+            said.read = max(self.store.revision, self.cancellations.told)
         return said
 
     def _answer_hello(self, heard: peer_wire.Hello, line: int) -> tuple[peer_wire.Hello, int]:
         said, ours = self._hello(), self._standing()
         if heard.read:
             # Whom the state service refuses alone learns here what its workers are to stop.
-            said.read, said.withdrawn = self.store.revision, self.withdrawn.since(heard.read)
-            if len(said.withdrawn) >= TOLD:
-                said.read = min(said.read, said.withdrawn[-1][1])
+            said.read, said.cancelled = self.store.revision, self.cancellations.since(heard.read)
+            if len(said.cancelled) >= TOLD:
+                said.read = min(said.read, said.cancelled[-1][1])
         said.seen, line = self.own.news(line, self._clock.now_us())
         said.behind, said.lost, said.rests = ours.behind, ours.lost, ours.rests
         said.lag_ms = ours.lag_us // 1000
@@ -120,18 +120,18 @@
             return
         now_us = self._clock.now_us()
         self.sightings.told(node, said.seen, now_us)
-        for job, stamp in said.withdrawn:
-            if self.withdrawn.learn(job, stamp, now_us):
+        for job, stamp in said.cancelled:
+            if self.cancellations.learn(job, stamp, now_us):
                 self.log.info("%s tells that %s is cancelled", node, job)
-                self.leader.tell("withdrawn", job)
+                self.leader.tell("cancelled_elsewhere", job)
         if said.in_contact:
-            self.withdrawn.told = max(self.withdrawn.told, said.read)
+            self.cancellations.told = max(self.cancellations.told, said.read)
         if said.soft is not None:
             self.leader.hear_soft(said.soft)
 
-    def _note_withdrawn(self, key: str, value: Any, stamp: int) -> None:
+    def _note_cancelled(self, key: str, value: Any, stamp: int) -> None:
         if key.startswith(keys.JOB_PREFIX) and value is not None and value["st"] == JOB_CANCELLED:
-            self.withdrawn.learn(key[len(keys.JOB_PREFIX) :], stamp, self._clock.now_us())
+            self.cancellations.learn(key[len(keys.JOB_PREFIX) :], stamp, self._clock.now_us())
 
     def _standing(self) -> Standing:
         """This controller as a possible leader."""
--- a/src/tideusher/wire/peers.py
+++ b/src/tideusher/wire/peers.py
@@ -85,7 +85,7 @@
     rests: bool = False
     soft: Soft | None = None
     read: int = 0
-    withdrawn: list[tuple[str, int]] = []
+    cancelled: list[tuple[str, int]] = msgspec.field(name="withdrawn", default_factory=list)
     sent: int = 0
 
 
--- a/tests/region.py
+++ b/tests/region.py
@@ -108,14 +108,14 @@
             return
         while self.budget >= 1:
             lazy = 2 if self.cluster.recovery.waiting() else None
-            batch = self.cluster.keeper.next_batch(min(8, int(self.budget)), lazy)
+            batch = self.cluster.write_queue.next_batch(min(8, int(self.budget)), lazy)
             if batch is None:
                 return
             self.budget -= len(batch.writes)
             self.written += len(batch.writes)
             revision = self.state.txn(batch.guards, batch.writes)
             assert revision is not None
-            self.cluster.keeper.saved(revision)
+            self.cluster.write_queue.saved(revision)
 
     def _whole(self, task):
         ready = {
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -20,8 +20,8 @@
 from tideusher.core.lead.reports import Reports
 from tideusher.core.lead.scheduler import Scheduler
 from tideusher.core.picture import keys
-from tideusher.core.picture.keeper import Batch
 from tideusher.core.picture.records import JOB_DONE, OPEN
+from tideusher.core.picture.write_queue import Batch
 from tideusher.metrics import Metrics
 from tideusher.playground.standins import TYPE, OnMachine, StateStandIn, WorkerStandIn
 from tideusher.wire.jobs import JobSpec
@@ -220,7 +220,7 @@
                 if worker is None or worker.dead:
                     cluster.give_back(machine, "silent")
         for _ in range(4):
-            batch = cluster.keeper.next_batch(8)
+            batch = cluster.write_queue.next_batch(8)
             if batch is None:
                 break
             self._commit(cluster, batch, now)
@@ -230,7 +230,7 @@
         if kind < 0.3:  # lost on the way, or given up on and applied later
             if kind < 0.2:
                 self.late_txns.append((now + self.rng.randrange(1, 30) * SECOND_US, batch))
-            cluster.keeper.not_saved(self.state.stamp_of)
+            cluster.write_queue.not_saved(self.state.stamp_of)
             return
         revision = self.state.txn(batch.guards, batch.writes)
         if revision is None or kind < 0.6:  # refused, or applied with the answer lost
@@ -238,9 +238,9 @@
                 if key.startswith(keys.JOB_PREFIX):
                     cluster.job_changed(key[len(keys.JOB_PREFIX) :], value, stamp, now)
             if self.state.stamp_of(keys.LEADER) == cluster.token:
-                cluster.keeper.not_saved(self.state.stamp_of, unknown=revision is not None)
+                cluster.write_queue.not_saved(self.state.stamp_of, unknown=revision is not None)
             return
-        cluster.keeper.saved(revision)
+        cluster.write_queue.saved(revision)
 
     def _cloud(self, now: int) -> None:
         for cluster in self.leaders[-2:]:
@@ -333,17 +333,17 @@
     def commit(self) -> None:
         """Write until nothing waits, as the leader's actor does, conflicts included."""
         for _ in range(500):
-            batch = self.cluster.keeper.next_batch(8)
+            batch = self.cluster.write_queue.next_batch(8)
             if batch is None:
                 return
             revision = self.state.txn(batch.guards, batch.writes)
             if revision is not None:
-                self.cluster.keeper.saved(revision)
+                self.cluster.write_queue.saved(revision)
                 continue
             if self.state.stamp_of(keys.LEADER) != self.cluster.token:
                 return
             self.see_jobs()
-            self.cluster.keeper.not_saved(self.state.stamp_of, unknown=False)
+            self.cluster.write_queue.not_saved(self.state.stamp_of, unknown=False)
         raise AssertionError("the leader writes without end")
 
     def report(self, machine: str, serial: int, *tasks, session=1, token=None, zone="a", spot=False):
--- a/tests/test_compound_faults.py
+++ b/tests/test_compound_faults.py
@@ -1,5 +1,6 @@
 """Compound faults of the users' page over whole controllers in simulated time, one test or more a bullet
-(docs/meetings.md has the table). The rules are judged by the simulated cluster all the time; what else must hold is asserted here.
+(docs/meetings.md has the table). The rules are judged by the simulated cluster all the time; what else must hold is
+asserted here.
 """
 
 import msgspec
@@ -12,7 +13,7 @@
 from tideusher.clock import SECOND_US
 from tideusher.config import Policy, Resources, StateSettings
 from tideusher.core.decide import hearing
-from tideusher.core.decide.withdrawn import TOLD, Withdrawn
+from tideusher.core.decide.cancellations import TOLD, Cancellations
 from tideusher.core.lead.reports import Reports
 from tideusher.core.lead.scheduler import Scheduler
 from tideusher.core.picture import keys
@@ -318,11 +319,11 @@
 
 
 def test_notes_of_cancellations_hold_all_that_can_be_cancelled_in_their_time_and_of_a_history_the_newest():
-    notes = Withdrawn(40 * SECOND_US, write_rps=90.0)
+    notes = Cancellations(40 * SECOND_US, write_rps=90.0)
     for number in range(40 * 90):
         assert notes.learn(f"req-{number}", number + 1, number * SECOND_US // 90)
     assert all(f"req-{number}" in notes for number in range(40 * 90))  # 4,096 were kept, whatever the limits
-    history = Withdrawn(40 * SECOND_US, write_rps=1.0)
+    history = Cancellations(40 * SECOND_US, write_rps=1.0)
     for number in range(2000):  # in the order of names, which says nothing of when
         history.learn(f"req-{number:06d}", 5000 - number, SECOND_US)
     assert [job for job, _ in history.since(4990)] == [f"req-{number:06d}" for number in range(9, -1, -1)]
@@ -330,7 +331,7 @@
 
 def test_cancellations_of_one_transaction_are_told_together():
     """The next answer begins after the last revision told: what shared it was never told."""
-    notes = Withdrawn(40 * SECOND_US, write_rps=90.0)
+    notes = Cancellations(40 * SECOND_US, write_rps=90.0)
     for number in range(TOLD + 3):
         notes.learn(f"req-{number}", min(number + 1, TOLD - 1), SECOND_US)
     told, seen = notes.since(0), set()
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -27,7 +27,7 @@
     bed.submit(spec)
     bed.report("host-1", 1)
     bed.scheduler.schedule(bed.clock.now_us())
-    batch = old.keeper.next_batch(8)
+    batch = old.write_queue.next_batch(8)
     bed.elect()
     assert bed.state.txn(batch.guards, batch.writes) is None
     assert not [key for key in bed.state.items if key.startswith(keys.CHUNK_PREFIX)]
@@ -77,8 +77,8 @@
     bed.report("host-1", 1)
     bed.commit()
     bed.scheduler.schedule(bed.clock.now_us())
-    lost = bed.cluster.keeper.next_batch(8)  # its answer never comes
-    bed.cluster.keeper.not_saved(bed.state.stamp_of)
+    lost = bed.cluster.write_queue.next_batch(8)  # its answer never comes
+    bed.cluster.write_queue.not_saved(bed.state.stamp_of)
     bed.commit()
     bed.report("host-1", 2)
     bed.report("host-1", 3, (f"{spec.id}/0", 1, "exited", "done"), (f"{spec.id}/1", 1, "running", None))
@@ -95,9 +95,9 @@
     bed.report("host-1", 2)
     done = [(f"{spec.id}/{i}", 1, "exited", "done") for i in (0, 1)]
     bed.report("host-1", 3, *done)
-    first = bed.cluster.keeper.next_batch(8)
+    first = bed.cluster.write_queue.next_batch(8)
     assert [write.key for write in first.writes] == [keys.chunk_key(spec.id, 0)]
-    bed.cluster.keeper.saved(bed.state.txn(first.guards, first.writes))
+    bed.cluster.write_queue.saved(bed.state.txn(first.guards, first.writes))
     bed.commit()
     assert bed.state.items[keys.job_key(spec.id)][0]["st"] == JOB_DONE
 
@@ -112,9 +112,9 @@
     bed.commit()
     bed.cluster.note_stop(placed, placed.live[CHUNK_TASKS], "it was moved")
     bed.report("host-1", 4, (names[-1], 1, "exited", "done"))
-    keeper = bed.cluster.keeper
-    while (batch := keeper.next_batch(1)) is not None:
-        keeper.saved(bed.state.txn(batch.guards, batch.writes))
+    queue = bed.cluster.write_queue
+    while (batch := queue.next_batch(1)) is not None:
+        queue.saved(bed.state.txn(batch.guards, batch.writes))
     assert bed.state.items[keys.job_key(spec.id)][0]["st"] == JOB_DONE
 
 
@@ -143,8 +143,8 @@
     bed.place(spec)
     bed.report("host-1", 2)
     bed.report("host-1", 3, (f"{spec.id}/0", 1, "exited", "done"))
-    chunk = bed.cluster.keeper.next_batch(8)
-    bed.cluster.keeper.saved(bed.state.txn(chunk.guards, chunk.writes))
+    chunk = bed.cluster.write_queue.next_batch(8)
+    bed.cluster.write_queue.saved(bed.state.txn(chunk.guards, chunk.writes))
     bed.state.cancel(spec.id)  # told to its user while `done` is on its way
     bed.commit()
     assert bed.state.items[keys.job_key(spec.id)][0]["st"] == JOB_CANCELLED
@@ -346,8 +346,8 @@
     bed.commit()
     bed.scheduler.schedule(bed.clock.now_us())
     assert len(placed.live) == 200
-    batch = bed.cluster.keeper.next_batch(2)
-    bed.cluster.keeper.saved(bed.state.txn(batch.guards, batch.writes))
+    batch = bed.cluster.write_queue.next_batch(2)
+    bed.cluster.write_queue.saved(bed.state.txn(batch.guards, batch.writes))
     assert not any(command.op == "run" for command in bed.report("host-1", 2))
     bed.elect()  # the leader ends between the gang's transactions
     assert all(task.halt_grace_s is not None for task in bed.cluster.jobs[spec.id].live.values())
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -11,7 +11,7 @@
 from tideusher.core.lead import explain
 from tideusher.core.lead.reports import Reports
 from tideusher.core.picture import keys
-from tideusher.core.picture.keeper import Entry, Keeper
+from tideusher.core.picture.write_queue import Entry, WriteQueue
 from tideusher.playground.standins import StateStandIn
 from tideusher.wire.workers import Report, TaskReport
 
@@ -181,59 +181,59 @@
 
 def fenced(state):
     fence = Entry("t/fence", lambda: {"by": 1}, state.stamp_of("t/fence"))
-    return Keeper(keys.LEADER, state.elect("n0"), 8, fence)
+    return WriteQueue(keys.LEADER, state.elect("n0"), 8, fence)
 
 
-def commit(keeper, state):
-    batch = keeper.next_batch(8)
+def commit(queue, state):
+    batch = queue.next_batch(8)
     revision = state.txn(batch.guards, batch.writes)
     assert revision is not None
-    keeper.saved(revision)
+    queue.saved(revision)
     return batch
 
 
 def lost_creation():
     """A record's first write got no answer, and may be carried out at any later time; `value[0]` is the record's."""
     state = StateStandIn()
-    keeper, value = fenced(state), [{"v": 1}]
+    queue, value = fenced(state), [{"v": 1}]
     entry = Entry("t/m/a", lambda: value[0], 0)
-    keeper.touch(entry)
-    lost = keeper.next_batch(8)
-    keeper.not_saved(state.stamp_of)
-    return state, keeper, entry, value, lost
+    queue.touch(entry)
+    lost = queue.next_batch(8)
+    queue.not_saved(state.stamp_of)
+    return state, queue, entry, value, lost
 
 
 def test_a_lost_creation_never_applies_once_its_key_was_written_and_removed():
     """0 guards a creation again when the key is gone: a rental that was over stood in the records once more."""
-    state, keeper, entry, value, lost = lost_creation()
-    commit(keeper, state)
+    state, queue, entry, value, lost = lost_creation()
+    commit(queue, state)
     value[0] = None
-    keeper.touch(entry)
-    commit(keeper, state)
+    queue.touch(entry)
+    commit(queue, state)
     assert "t/m/a" not in state.items
     assert state.txn(lost.guards, lost.writes) is None and "t/m/a" not in state.items
 
 
 def test_a_lost_creation_never_applies_once_its_entry_was_dropped_unwritten():
-    state, keeper, _, value, lost = lost_creation()
+    state, queue, _, value, lost = lost_creation()
     value[0] = None  # it has lost its point, and as far as was read it was never there
-    batch = commit(keeper, state)
+    batch = commit(queue, state)
     assert [write.key for write in batch.writes] == ["t/fence"]
     assert state.txn(lost.guards, lost.writes) is None and "t/m/a" not in state.items
 
 
 def test_a_lost_transaction_that_applies_before_the_next_one_is_found_and_written_over():
     state = StateStandIn()
-    keeper, effects = fenced(state), []
+    queue, effects = fenced(state), []
     entry = Entry("t/m/a", lambda: {"v": 1}, 0)
-    keeper.touch(entry, lambda: effects.append("told"))
-    lost = keeper.next_batch(8)
-    keeper.not_saved(state.stamp_of)
+    queue.touch(entry, lambda: effects.append("told"))
+    lost = queue.next_batch(8)
+    queue.not_saved(state.stamp_of)
     assert state.txn(lost.guards, lost.writes) is not None
-    batch = keeper.next_batch(8)
+    batch = queue.next_batch(8)
     assert state.txn(batch.guards, batch.writes) is None and effects == []
-    keeper.not_saved(state.stamp_of, unknown=False)
-    commit(keeper, state)
+    queue.not_saved(state.stamp_of, unknown=False)
+    commit(queue, state)
     assert effects == ["told"]
     assert state.txn(lost.guards, lost.writes) is None
 
@@ -244,8 +244,8 @@
     bed.report("host-1", 1)
     bed.commit()
     bed.scheduler.schedule(bed.clock.now_us())
-    lost = bed.cluster.keeper.next_batch(8)
-    bed.cluster.keeper.not_saved(bed.state.stamp_of)
+    lost = bed.cluster.write_queue.next_batch(8)
+    bed.cluster.write_queue.not_saved(bed.state.stamp_of)
     bed.elect()
     assert bed.state.txn(lost.guards, lost.writes) is None
     bed.report("host-1", 2)
@@ -265,10 +265,10 @@
     bed.report("host-9", 1)
     cluster.give_back(cluster.machines["host-9"], "it is idle")
     cluster.rented(rental, ["host-9"], bed.clock.now_us())
-    batch = cluster.keeper.next_batch(8)
+    batch = cluster.write_queue.next_batch(8)
     assert not cluster.to_return
     assert bed.state.txn(batch.guards, batch.writes) is not None
-    cluster.keeper.saved(bed.state.tide)
+    cluster.write_queue.saved(bed.state.tide)
     assert [machine.name for machine in cluster.to_return] == ["host-9"]
     assert bed.state.items[keys.rental_key(rental.name)][0]["returning"] == ["host-9"]
 
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -12,10 +12,10 @@
 from tideusher.core.decide.order import TASK_US, urgency_us
 from tideusher.core.lead import explain
 from tideusher.core.picture import keys
-from tideusher.core.picture.keeper import Entry, Keeper
 from tideusher.core.picture.records import RETURNING, Job, Machine
 from tideusher.core.picture.rentals import Rental
 from tideusher.core.picture.sightings import Own
+from tideusher.core.picture.write_queue import Entry, WriteQueue
 from tideusher.metrics import MAX_LABELS
 from tideusher.playground.standins import TYPE
 
@@ -26,26 +26,26 @@
 
 def test_a_huge_arrays_records_take_turns_with_those_of_others():
     """391 records of a guest's array once went before each start of a gang: eleven writes a second, 35 s."""
-    keeper = Keeper("lead", 7, 4)
+    queue = WriteQueue("lead", 7, 4)
     for number in range(40):
-        keeper.touch(entry(f"t/r/huge/{number}", "huge"))
+        queue.touch(entry(f"t/r/huge/{number}", "huge"))
     for name in ("gang", "web"):
-        keeper.touch(entry(f"t/r/{name}/0", name))
-    keeper.touch(entry("t/m/7-1"))
-    first = [one.key for one in keeper.next_batch(4).entries]
+        queue.touch(entry(f"t/r/{name}/0", name))
+    queue.touch(entry("t/m/7-1"))
+    first = [one.key for one in queue.next_batch(4).entries]
     assert first == ["t/m/7-1", "t/r/huge/0", "t/r/gang/0", "t/r/web/0"]
-    keeper.saved(9)
-    assert [one.key for one in keeper.next_batch(4).entries] == [f"t/r/huge/{number}" for number in range(1, 5)]
+    queue.saved(9)
+    assert [one.key for one in queue.next_batch(4).entries] == [f"t/r/huge/{number}" for number in range(1, 5)]
 
 
 def test_a_machine_is_on_record_before_a_place_on_it_whichever_waited_longer():
     """A job's record that waits for its turn may get a place on a machine rented since: the machine goes first."""
-    keeper = Keeper("lead", 7, 1)
+    queue = WriteQueue("lead", 7, 1)
     place, machine = entry("t/r/old/0", "old"), entry("t/m/7-9")
-    keeper.touch(place)
-    keeper.touch(machine)  # the assignment touches both, the machine's record first
-    keeper.touch(place)
-    assert keeper.next_batch(1).entries == [machine]
+    queue.touch(place)
+    queue.touch(machine)  # the assignment touches both, the machine's record first
+    queue.touch(place)
+    assert queue.next_batch(1).entries == [machine]
 
 
 def test_no_machine_is_rented_for_tasks_that_are_done_before_it_is_up():
--- a/tests/test_pairs.py
+++ b/tests/test_pairs.py
@@ -20,8 +20,8 @@
 from tideusher.core.lead.cluster import Cluster
 from tideusher.core.lead.reports import Reports
 from tideusher.core.picture import keys
-from tideusher.core.picture.keeper import Keeper
 from tideusher.core.picture.records import JOB_CANCELLED, JOB_DONE
+from tideusher.core.picture.write_queue import WriteQueue
 from tideusher.wire.jobs import JobStatus
 
 SEEDS = int(os.environ.get("MEETINGS_SEEDS", "12"))
@@ -266,15 +266,15 @@
 
 def late_writes_count(monkeypatch):
     """What is carried out late is written whatever came after it."""
-    next_batch = Keeper.next_batch
+    next_batch = WriteQueue.next_batch
 
-    def unguarded(keeper, room, lazy=None):
-        batch = next_batch(keeper, room, lazy)
+    def unguarded(queue, room, lazy=None):
+        batch = next_batch(queue, room, lazy)
         if batch is not None:
             batch.guards = [guard for guard in batch.guards if guard.key == keys.LEADER]
         return batch
 
-    monkeypatch.setattr(Keeper, "next_batch", unguarded)
+    monkeypatch.setattr(WriteQueue, "next_batch", unguarded)
 
 
 def old_reports_prove(monkeypatch):
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -276,12 +276,12 @@
         bed.report(f"host-{number}", 1)
     bed.scheduler.schedule(clock.now_us())
     written = []
-    while (batch := cluster.keeper.next_batch(1000)) is not None:
+    while (batch := cluster.write_queue.next_batch(1000)) is not None:
         assert len(batch.writes) <= ops and len(batch.guards) <= 4 * ops
         assert len(msgspec.json.encode(Txn(batch.guards, batch.writes))) <= 64 * 1024
         revision = bed.state.txn(batch.guards, batch.writes)
         assert revision is not None
-        cluster.keeper.saved(revision)
+        cluster.write_queue.saved(revision)
         written += [write.key for write in batch.writes]
     assert sum(key.startswith(keys.CHUNK_PREFIX) for key in written) == ops + 1
 
--- a/tests/test_standby.py
+++ b/tests/test_standby.py
@@ -209,14 +209,15 @@
     bed.report("late-1", 2)
     bed.submit(job("batch", 3))
     bed.scheduler.schedule(bed.clock.now_us())
-    batch = bed.cluster.keeper.next_batch(1)  # only one write a transaction goes through
+    batch = bed.cluster.write_queue.next_batch(1)  # only one write a transaction goes through
     assert [write.key for write in batch.writes] == [keys.rental_key("adopted-late-1")]
     monkeypatch.setattr(Cluster, "_write_rentals_of", lambda self, machines: None)
     bed = Bed()
     bed.report("late-1", 1)
     bed.submit(job("batch", 3))
     bed.scheduler.schedule(bed.clock.now_us())
-    assert bed.cluster.keeper.next_batch(1).writes[0].key.startswith(keys.CHUNK_PREFIX)  # what the guard is against
+    # What the guard is against.
+    assert bed.cluster.write_queue.next_batch(1).writes[0].key.startswith(keys.CHUNK_PREFIX)
 
 
 # ---------------------------------------------------------------- charges
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -6,7 +6,7 @@
 from standins import FakeClock, make_config
 from tideusher.actors.store import Bucket, Busy, Demand, Store
 from tideusher.core.picture import keys
-from tideusher.core.picture.keeper import Entry, Keeper
+from tideusher.core.picture.write_queue import Entry, WriteQueue
 from tideusher.metrics import Metrics
 from tideusher.wire import state
 
@@ -90,15 +90,15 @@
 
 
 def test_a_record_made_anew_under_its_key_keeps_its_place_and_effects():
-    keeper, told = Keeper("t/leader", 1, 8), []
+    queue, told = WriteQueue("t/leader", 1, 8), []
     old, new = Entry("t/m/a", lambda: None, 7), Entry("t/m/a", lambda: {"v": 1}, 0)
-    keeper.touch(old, lambda: told.append("old"), urgent=False)
-    keeper.touch(new, lambda: told.append("new"))
-    batch = keeper.next_batch(8)
+    queue.touch(old, lambda: told.append("old"), urgent=False)
+    queue.touch(new, lambda: told.append("new"))
+    batch = queue.next_batch(8)
     assert [(g.key, g.stamp) for g in batch.guards] == [("t/leader", 1), ("t/m/a", 7)]
     assert [write.value for write in batch.writes] == [{"v": 1}]
-    keeper.saved(9)
-    assert told == ["old", "new"] and new.stamp == 9 and keeper.waiting == 0
+    queue.saved(9)
+    assert told == ["old", "new"] and new.stamp == 9 and queue.waiting == 0
 
 
 def sharing(leader, told, node="n0"):
@@ -170,12 +170,12 @@
 
 
 def test_while_much_is_urgent_other_writes_get_a_part_of_each_batch():
-    keeper = Keeper("t/leader", 1, 8)
+    queue = WriteQueue("t/leader", 1, 8)
     for n in range(20):
-        keeper.touch(Entry(f"t/m/{n}", lambda: {}, 1), urgent=False)
+        queue.touch(Entry(f"t/m/{n}", lambda: {}, 1), urgent=False)
     for n in range(3):
-        keeper.touch(Entry(f"t/r/{n}", lambda: {}, 1))
-    batch = keeper.next_batch(8, lazy=2)
+        queue.touch(Entry(f"t/r/{n}", lambda: {}, 1))
+    batch = queue.next_batch(8, lazy=2)
     assert [entry.key for entry in batch.entries] == ["t/r/0", "t/r/1", "t/r/2", "t/m/0", "t/m/1"]
-    keeper.saved(5)
-    assert len(keeper.next_batch(8, lazy=0).entries) == 1  # never nothing at all
+    queue.saved(5)
+    assert len(queue.next_batch(8, lazy=0).entries) == 1  # never nothing at all
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -114,7 +114,7 @@
     bed.submit(job())
     bed.report("host-1", 1)
     bed.scheduler.schedule(bed.clock.now_us())
-    batch = old.keeper.next_batch(8)
+    batch = old.write_queue.next_batch(8)
     assert bed.state.txn(batch.guards, batch.writes) is None  # the one that was wrongly suspected writes nothing more
 
 
