--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -1,4 +1,4 @@
-"""What users are told by any node, judged by when they asked and when they were answered (docs/meetings.md).
+"""What users are told by any node, judged by when they asked and when they were answered (docs/compound-faults.md).
 
 All answers of all nodes are remembered (`simulated_cluster.py`): nobody is told less than anybody was told before the
 question was sent. Lost answers: a transaction is carried out at once, and only its answer never comes.
--- a/tests/test_compound_faults.py
+++ b/tests/test_compound_faults.py
@@ -1,5 +1,5 @@
 """Compound faults of the users' page over whole controllers in simulated time, one test or more a bullet
-(docs/meetings.md has the table). The rules are judged by the simulated cluster all the time; what else must hold is
+(docs/compound-faults.md has the table). The rules are judged by the simulated cluster all the time; what else must hold is
 asserted here.
 """
 
--- a/tests/test_meetings.py
+++ b/tests/test_leader_faults.py
@@ -1,4 +1,4 @@
-"""Two troubles that meet (docs/meetings.md): each is brought about here, and judged by the rules."""
+"""Two troubles that meet (docs/compound-faults.md): each is brought about here, and judged by the rules."""
 
 import pytest
 
--- a/tests/test_pairs.py
+++ b/tests/test_random_faults.py
@@ -1,6 +1,6 @@
 """Two or three troubles drawn by a seed, with overlapping times, over whole controllers (`simulated_cluster.py`).
 
-    MEETINGS_SEEDS=500 pytest -q tests/test_pairs.py -k pairs       a longer run
+    FAULTS_SEEDS=500 pytest -q tests/test_random_faults.py -k pairs       a longer run
 
 Judged are all rules of the protocol, and that every job that was accepted and not cancelled is done, or runs, or is
 known, once the troubles are over. Planted faults show that each of these is found.
@@ -24,7 +24,7 @@
 from tideusher.core.picture.write_queue import WriteQueue
 from tideusher.wire.jobs import JobStatus
 
-SEEDS = int(os.environ.get("MEETINGS_SEEDS", "12"))
+SEEDS = int(os.environ.get("FAULTS_SEEDS", "12"))
 TROUBLES_S, AFTER_S = 60.0, 90.0
 
 
@@ -256,7 +256,7 @@
         assert there != over or (not over and sim.waits(spec.id)), f"{spec.id} is {answers[0]}, on machines: {there}"
 
 
-@pytest.mark.parametrize("seed", range(int(os.environ.get("MEETINGS_FIRST", "0")), SEEDS))
+@pytest.mark.parametrize("seed", range(int(os.environ.get("FAULTS_FIRST", "0")), SEEDS))
 def test_pairs_of_troubles_break_no_rule(seed, monkeypatch):
     play(monkeypatch, seed)
 
