--- a/tests/test_compound_faults.py
+++ b/tests/test_compound_faults.py
@@ -1,6 +1,6 @@
 """Compound faults of the users' page over whole controllers in simulated time, one test or more a bullet
-(docs/compound-faults.md has the table). The rules are judged by the simulated cluster all the time; what else must hold is
-asserted here.
+(docs/compound-faults.md has the table). The rules are judged by the simulated cluster all the time; what else must
+hold is asserted here.
 """
 
 import msgspec
