--- a/src/tideusher/core/decide/gather.py
+++ b/src/tideusher/core/decide/gather.py
@@ -57,10 +57,12 @@
         offer: Callable[[Job, str], int],
         long_us: Callable[[Job], int] = lambda job: 0,
         now_us: int = 0,
+        heard: Callable[[Machine], bool] = lambda machine: True,
     ) -> list[Request]:
         """Hold what is free for gangs in the order of the queue; returns what is missing beyond that.
 
-        `long_us`: for how much longer than is patient a gang has waited; 0: it has not.
+        `long_us`: for how much longer than is patient a gang has waited; 0: it has not. `heard`: could the machine
+        be told to start something now?
         """
         self.held = {}
         if not unplaced:
@@ -69,7 +71,7 @@
         requests, gathering = [], set()
         machines = list(machines)
         outlook = _Outlook(machines)
-        for name in self._hold_in_use(unplaced, machines, long_us, now_us):
+        for name in self._hold_in_use(unplaced, [m for m in machines if heard(m)], long_us, now_us):
             assert self._first is not None
             self.held[name] = self._first[0]
             gathering.add(self._first[1])
--- a/src/tideusher/core/lead/scheduler.py
+++ b/src/tideusher/core/lead/scheduler.py
@@ -155,6 +155,8 @@
             self._offer(now_us),
             lambda job: max(0, wall_us - job.submitted_us - patience_us),
             now_us,
+            # One that is silent or mute would be held, and the gang would wait for it.
+            lambda m: m.phase == BOOTING or (now_us - m.own_us < fresh_us and not doubted(m, now_us)),
         )
         yield
         requests = [request for request in requests if request.job.waits]
--- a/tests/test_compound_faults.py
+++ b/tests/test_compound_faults.py
@@ -14,10 +14,11 @@
 from tideusher.config import Policy, Resources, StateSettings
 from tideusher.core.decide import hearing
 from tideusher.core.decide.cancellations import TOLD, Cancellations
+from tideusher.core.decide.gather import NONE, Gathering
 from tideusher.core.lead.reports import Reports
 from tideusher.core.lead.scheduler import Scheduler
 from tideusher.core.picture import keys
-from tideusher.core.picture.records import UP
+from tideusher.core.picture.records import UP, Job, Machine
 from tideusher.wire import workers
 from tideusher.wire.workers import Report, TaskReport
 
@@ -608,3 +609,16 @@
     sim.run(3.0)
     assert 30 < second < 160
     assert len(sim.on_machines(gang.id)) == 4
+
+
+def test_no_machine_that_cannot_be_told_to_start_anything_is_held_for_a_gang():
+    """On a day of mute machines the gang waited for some of them, held and idle."""
+    zones, names = {"b": 3, "a": 2}, []
+    for zone, count in zones.items():
+        names += [(f"{zone}{number}", zone) for number in range(count)]
+    machines = [Machine(name, "m4", zone, False, "r", 16.0, 4.0, 64.0, 0, phase=UP, own_us=1) for name, zone in names]
+    waits = Job(job("gang", 2, cpus=14.0, one_zone=True), 1, 0, 0)
+    room = Gathering()
+    for heard, kept in ((lambda m: True, {"a0", "a1"}), (lambda m: m.name not in ("a0", "b1"), {"b0", "b2"})):
+        room.update([(waits, 2)], machines, machines, lambda job, zone: NONE, lambda job: 1, 0, heard)
+        assert set(room.held) == kept
