--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,6 +3,7 @@
 import pytest
 
 from known_red import pytest_collection_modifyitems, pytest_terminal_summary  # noqa: F401
+from simulated_cluster import SimulatedCluster
 from tideusher.embed.disk import Disk
 
 
@@ -12,3 +13,18 @@
     if "real_disk" not in request.keywords:
         monkeypatch.setattr(Disk, "sync", lambda self, fd: None)
         monkeypatch.setattr(Disk, "sync_directory", lambda self, path: None)
+
+
+@pytest.fixture
+def sim(monkeypatch):
+    """Makes a simulated cluster whose controllers have found their leader."""
+    made = []
+
+    def make(seed=0, **settings):
+        made.append(SimulatedCluster(monkeypatch, seed, **settings))
+        made[0].run(6.0)
+        return made[0]
+
+    yield make
+    for one in made:
+        one.close()
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -9,7 +9,6 @@
 import msgspec
 import pytest
 
-from simulated_cluster import SimulatedCluster
 from standins import TYPE, FakeClock, StateStandIn, job, make_config
 from tideusher.actors.election import Election
 from tideusher.actors.replies import Reply
@@ -24,20 +23,6 @@
 from tideusher.wire.jobs import JobStatus
 
 
-@pytest.fixture
-def sim(monkeypatch):
-    made = []
-
-    def make(seed=0, **settings):
-        made.append(SimulatedCluster(monkeypatch, seed, **settings))
-        made[0].run(6.0)
-        return made[0]
-
-    yield make
-    for one in made:
-        one.close()
-
-
 class Node:
     """A node's store whose mirror is as old as the test says, over the state that all share."""
 
--- a/tests/test_compound_faults.py
+++ b/tests/test_compound_faults.py
@@ -6,7 +6,6 @@
 import msgspec
 import pytest
 
-from simulated_cluster import SimulatedCluster
 from standins import Bed, FakeClock, job, make_config
 from tideusher.actors import leader as leader_actor
 from tideusher.actors.leader import Leader
@@ -28,20 +27,6 @@
     return Bed()
 
 
-@pytest.fixture
-def sim(monkeypatch):
-    made = []
-
-    def make(seed=0, **settings):
-        made.append(SimulatedCluster(monkeypatch, seed, **settings))
-        made[0].run(6.0)
-        return made[0]
-
-    yield make
-    for one in made:
-        one.close()
-
-
 def poll(sim, spec, node=None):
     got = []
     sim.time.spawn(lambda: got.append(sim.poll(spec.id, node)))
--- a/tests/test_leader_faults.py
+++ b/tests/test_leader_faults.py
@@ -2,7 +2,6 @@
 
 import pytest
 
-from simulated_cluster import SimulatedCluster
 from standins import Bed, job
 from tideusher.actors.store import Store
 from tideusher.clock import to_us
@@ -276,20 +275,6 @@
 # Several controllers, in simulated time (`simulated_cluster.py`)
 
 
-@pytest.fixture
-def sim(monkeypatch):
-    made = []
-
-    def make(seed=0, **settings):
-        made.append(SimulatedCluster(monkeypatch, seed, **settings))
-        made[0].run(6.0)
-        return made[0]
-
-    yield make
-    for one in made:
-        one.close()
-
-
 def long_jobs(sim, count=4):
     specs = [sim.submit(job("batch", 2, estimate_s=900.0)) for _ in range(count - 1)]
     specs.append(sim.submit(job("gang", 2, estimate_s=900.0, checkpoint_s=30.0, save_s=3.0, team="blue")))
