--- a/src/tideusher/actors/peers.py
+++ b/src/tideusher/actors/peers.py
@@ -13,7 +13,7 @@
 from gevent.event import AsyncResult
 from gevent.server import StreamServer
 
-from tideusher.clock import Clock, to_us
+from tideusher.clock import Clock, to_s, to_us
 from tideusher.config import Config, Peer, split_address
 from tideusher.core.decide.succession import LOST_US, Standing
 from tideusher.wire import peers as wire
@@ -226,10 +226,16 @@
         return max((link.told for link in self.links.values()), key=lambda told: told[1], default=("", 0))
 
     def pass_on(self, method: str, path: str, body: str) -> wire.ReportAnswer | None:
-        """Have a user's request answered by a peer that reaches the state service, if there is one."""
+        """Have a user's request answered by a peer that reaches the state service, if there is one.
+
+        All of them together have as long as one: with six that were slow, one after the other, a user was told
+        nothing in the time for which users wait.
+        """
+        until_us = self._clock.now_us() + to_us(REQUEST_S)
         for link in self.links.values():
-            if link.usable() and link.in_contact:
-                answer = link.ask(lambda number: wire.UserRequest(number, method, path, body), REQUEST_S)
+            left_us = until_us - self._clock.now_us()
+            if left_us > 0 and link.usable() and link.in_contact:
+                answer = link.ask(lambda number: wire.UserRequest(number, method, path, body), to_s(left_us))
                 if answer is not None and answer.ok:
                     return answer
         return None
--- a/src/tideusher/web.py
+++ b/src/tideusher/web.py
@@ -110,11 +110,14 @@
         body = self._body(environ)
         if body is None:
             return refusal(400, "the body is over 64 KiB")
-        passed_on = None if self._in_contact() else self._through_peer(method, path, body)
+        alone = not self._in_contact()
+        passed_on = self._through_peer(method, path, body) if alone else None
         if passed_on is not None:
             return passed_on
         reply = self._users.handle(method, path, body)
-        return (self._through_peer(method, path, body) or reply) if reply.status == 503 else reply
+        if reply.status != 503 or alone:  # peers that had nothing to say just now are not asked again
+            return reply
+        return self._through_peer(method, path, body) or reply
 
     def _through_peer(self, method: str, path: str, body: bytes) -> Reply | None:
         """What we cannot decide, a peer that reaches the state service may: any node may answer."""
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -373,3 +373,26 @@
     election._leads(41)
     election._on_change(keys.LEADER, {"node": "n0", "nonce": "8"}, 42)  # a former life's, or another's
     assert told == [41] and election.token == 41 and election.elected_us == clock.now_us()
+
+
+def test_what_a_shunned_node_cannot_find_out_is_refused_in_the_time_for_which_users_wait(town):
+    """Its peers read, and none of their answers comes: each had its second, twice, one after the other."""
+    town = town(nodes=7)
+    spec = town.submit(job(estimate_s=60.0))
+    town.run(3.0)
+    one = next(name for name in town.names if name != town.leader())
+    town.service.refused.add(one)
+    town.run(4.0)
+    links = town.nodes[one].peers.links.values()
+    for link in links:
+        link.ask = lambda make, timeout_s: town.hours.sleep(timeout_s)
+    told = []
+
+    def ask():
+        began_us = town.clock.us
+        told.append((town.ask(one, "GET", f"/work/{spec.id}"), town.clock.us - began_us))
+
+    town.hours.spawn(ask)
+    town.run(5.0)
+    ((reply, took_us),) = told
+    assert reply[0] == 503 and took_us < 2_000_000
