Scale runs: real controllers beside hollow workers, judged on what happened

Controllers are processes of run.py; a stand-in state service with the protocol's limits, a cloud, users and links with delays run beside them, and workers: some as processes of their own, the rest hollow, hundreds to a process.

--- /dev/null
+++ b/src/tideusher/scale/coordinator.py
@@ -0,0 +1,364 @@
+"""Runs a scale run: starts its processes, rents and stops machines, brings about the faults, and judges it all."""
+
+import random
+import sys
+from collections import Counter
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+from urllib.parse import parse_qs
+
+import gevent
+import msgspec
+import psutil
+from gevent.event import AsyncResult
+from gevent.pywsgi import WSGIServer
+
+from tideusher.actors.handler import Handler
+from tideusher.clock import Clock, to_s, to_us
+from tideusher.config import split_address
+from tideusher.scale import cloud as cloud_module
+from tideusher.scale import events, report
+from tideusher.scale.cloud import Cloud, Rental
+from tideusher.scale.control_config import controller_config, teams
+from tideusher.scale.errors import ScaleError
+from tideusher.scale.gangs import Gangs
+from tideusher.scale.host import machine_type
+from tideusher.scale.hub import Hub
+from tideusher.scale.judge import Judge
+from tideusher.scale.layout import Layout
+from tideusher.scale.measures import Measures
+from tideusher.scale.messages import (
+    Begin,
+    Booted,
+    Cut,
+    Finish,
+    GangLeft,
+    GangWaits,
+    LeaderIn,
+    LeaderSeen,
+    Message,
+    Stop,
+    Stopped,
+)
+from tideusher.scale.processes import Processes, Usage, controller_command, role_command
+from tideusher.scale.settings import Fault, ScaleSettings
+from tideusher.scale.workload import Workload
+from tideusher.wire import cloud as cloud_wire
+
+_READY_S, _FINISH_S, _STOP_S = 60.0, 30.0, 10.0
+_SAMPLE_S, _PROGRESS_S = 1.0, 5.0
+_DAY_S = 86_400.0
+_MB = 1e6
+#: The users' bound.
+MEMORY_SHARE = 0.5
+REAL_WORKER, HOLLOW_WORKERS, CONTROLLER = "real worker", "hollow workers", "controller"
+
+
+class ScaleRun:
+    """One run, from its first process to its result."""
+
+    def __init__(self, settings: ScaleSettings, path: Path, directory: Path, tree: Path | None = None) -> None:
+        self._settings, self._path, self._directory, self._tree = settings, path, directory, tree
+        self._clock, self._layout, self._workload = Clock(), Layout(settings), Workload(settings)
+        self._rng = random.Random(f"{settings.seed}/faults")
+        self._processes = Processes(directory)
+        self._hub = Hub(self._layout.hub, self._said)
+        self._gangs = Gangs(self._workload)
+        self._kind = machine_type(settings, self._layout.zones)
+        self._cloud = Cloud(settings, self._layout, self._kind, self._clock)
+        self._log = events.EventLog(directory / "events-run.jsonl")
+        self._orders: dict[int, AsyncResult] = {}
+        self._cuts: list[tuple[int, int]] = []
+        self._leader = ""
+        self._began_us = 0
+        self._done: list[report.FaultDone] = []
+        self._notes: list[str] = []
+        self._counts: Counter[str] = Counter()
+        self._usage: dict[str, Usage] = {}
+
+    def run(self) -> report.Result:
+        """Play the run and judge it. Raises ScaleError if it cannot be made; all processes are ended in any case."""
+        try:
+            self._start()
+            self._play()
+            self._finish()
+            self._usage = self._processes.usage(to_s(self._clock.now_us()))
+        finally:
+            self._processes.end_all()
+            self._hub.stop()
+            self._log.close()
+        return self._judge()
+
+    # ---------------------------------------------------------------- start
+
+    @property
+    def _hosts(self) -> list[str]:
+        return [f"host-{number}" for number in range(self._settings.worker_processes)]
+
+    def _start(self) -> None:
+        try:
+            self._hub.start()
+            server = WSGIServer(
+                split_address(self._layout.cloud), self._answer_cloud, log=None, error_log=None, handler_class=Handler
+            )
+            server.start()
+        except OSError as error:
+            raise ScaleError(f"port {self._settings.port}: {error.strerror}") from None
+        now_s, path = to_s(self._clock.now_us()), str(self._path)
+        self._processes.start("state", "state service", role_command("state_service", path), now_s)
+        self._processes.start("links", "links", role_command("links", path), now_s)
+        self._processes.start("users", "users", role_command("users", path, str(self._directory)), now_s)
+        for number, name in enumerate(self._hosts):
+            role = HOLLOW_WORKERS if number < self._settings.fleet.hollow_processes else REAL_WORKER
+            command = role_command("host", path, str(number), str(self._directory))
+            self._processes.start(name, role, command, now_s)
+        self._wait_ready()
+        for number in range(self._settings.control.controllers):
+            config = controller_config(self._settings, self._layout, number)
+            (self._directory / f"{self._layout.controller_name(number)}.toml").write_text(config)
+            self._start_controller(number)
+
+    def _wait_ready(self) -> None:
+        """All but the controllers serve before these start."""
+        names, until_us = {"state", "links", "users", *self._hosts}, self._clock.now_us() + to_us(_READY_S)
+        while missing := self._hub.missing(names):
+            dead = self._processes.ended()
+            if dead or self._clock.now_us() > until_us:
+                name = (dead or sorted(missing))[0]
+                raise ScaleError(f"{name} does not serve: {self._processes.log_tail(name, 1) or 'it said nothing'}")
+            gevent.sleep(0.05)
+
+    def _start_controller(self, number: int) -> None:
+        name = self._layout.controller_name(number)
+        command = controller_command(self._tree, self._directory / f"{name}.toml")
+        self._processes.start(name, CONTROLLER, command, to_s(self._clock.now_us()))
+
+    # ---------------------------------------------------------------- play
+
+    def _play(self) -> None:
+        self._began_us = self._clock.now_us()
+        self._hub.broadcast(Begin(self._began_us))
+        tasks = [gevent.spawn(self._bring_about, fault) for fault in self._settings.faults if fault.kind != "burst"]
+        tasks.append(gevent.spawn(self._keep_list))
+        next_progress_s = _PROGRESS_S
+        while (at_s := self._at_s()) < self._settings.duration_s:
+            gevent.sleep(min(_SAMPLE_S, self._settings.duration_s - at_s))
+            self._look(self._processes.sample(to_s(self._clock.now_us())))
+            if self._at_s() >= next_progress_s:
+                next_progress_s += _PROGRESS_S
+                self._show_progress()
+        gevent.killall(tasks)
+
+    def _at_s(self) -> float:
+        return to_s(self._clock.now_us() - self._began_us)
+
+    def _look(self, memory_mb: float) -> None:
+        """Does the run stay within its bounds, and does all that it started still run?"""
+        allowed_mb = psutil.virtual_memory().total * MEMORY_SHARE / _MB
+        if memory_mb > allowed_mb:
+            raise ScaleError(f"the processes hold {memory_mb:.0f} MB, over half of the machine's memory")
+        for name in self._processes.ended():
+            if not name.startswith("c"):
+                raise ScaleError(f"{name} has ended: {self._processes.log_tail(name)}")
+            self._notes.append(f"{name} ended by itself at {self._at_s():.1f} s: {self._processes.log_tail(name, 1)}")
+            self._processes.kill(name)
+            self._back(int(name[1:]))
+
+    def _show_progress(self) -> None:
+        machines, memory_mb = len(self._cloud.running()), self._processes.peak_memory_mb
+        line = f"{self._at_s():6.0f} s: {machines} machines up, leader {self._leader or 'none'}, {memory_mb:.0f} MB"
+        print(line, file=sys.stderr, flush=True)
+
+    def _finish(self) -> None:
+        self._hub.broadcast(Finish())
+        missing = self._hub.wait_counted({"state", "links", "users", *self._hosts}, _FINISH_S)
+        self._notes += [f"{name} did not say what it counted" for name in sorted(missing)]
+
+    # ---------------------------------------------------------------- what processes say
+
+    def _said(self, name: str, message: Message) -> None:
+        match message:
+            case GangWaits():
+                begins = self._gangs.waits(message, self._clock.now_us())
+                if begins is not None:
+                    self._hub.broadcast(begins, self._hosts)
+            case GangLeft():
+                broken = self._gangs.left(message)
+                if broken is not None:
+                    self._hub.broadcast(broken, self._hosts)
+            case Stopped():
+                result = self._orders.pop(message.order, None)
+                if result is not None:
+                    result.set(None)
+            case LeaderSeen():
+                self._leader = message.node
+                if message.node:
+                    place = self._layout.controller_place(int(message.node[1:]))
+                    self._hub.broadcast(LeaderIn(place.zone), self._hosts)
+
+    # ---------------------------------------------------------------- the cloud
+
+    def _answer_cloud(self, environ: dict[str, Any], start: Callable[..., Any]) -> list[bytes]:
+        method, path, body = environ["REQUEST_METHOD"], environ["PATH_INFO"], environ["wsgi.input"].read()
+        gevent.sleep(self._settings.cloud.latency_ms / 1000)
+        self._counts[f"{method} {path}"] += 1
+        if self._cloud.admit():
+            status, answer = self._route_cloud(method, path, environ["QUERY_STRING"], body)
+        else:
+            status, answer = "429 Too Many Requests", {"error": "too many requests"}
+        data = msgspec.json.encode(answer)
+        start(status, [("Content-Type", "application/json"), ("Content-Length", str(len(data)))])
+        return [data]
+
+    def _route_cloud(self, method: str, path: str, query: str, body: bytes) -> tuple[str, Any]:
+        if path == "/machine_types":
+            return "200 OK", cloud_wire.MachineTypes([self._kind])
+        if path == "/rentals/return":
+            returned = self._cloud.give_back(cloud_module.parse_names(body))
+            self._stop([one for one in returned if one.up])
+            return "200 OK", {}
+        if method == "POST":
+            request = cloud_module.parse_rent(body)
+            rented = self._cloud.rent(request)
+            if rented is None:
+                return "503 Service Unavailable", {"error": "no capacity"}
+            for one in rented:
+                boot_s = self._settings.machine.boot_s * (0.8 + 0.4 * self._rng.random())
+                gevent.spawn_later(boot_s, self._boot, one)
+            return "200 OK", cloud_wire.Rented(self._cloud.charter(request.name))
+        asked = parse_qs(query)
+        most = int(asked.get("most", [str(cloud_wire.MAX_LIST)])[0])
+        return "200 OK", self._cloud.page(asked.get("since", [""])[0], most)
+
+    def _boot(self, one: Rental) -> None:
+        if self._cloud.machines.get(one.name) is one:
+            one.up = True
+            number = int(one.address.partition(":")[0].split(".")[3]) - 1
+            number += 250 * int(one.address.split(".")[2])
+            self._hub.send(f"host-{one.process}", Booted(one.name, number, one.zone, one.spot))
+
+    def _keep_list(self) -> None:
+        while True:
+            self._cloud.describe()
+            gevent.sleep(_SAMPLE_S)
+
+    def _stop(self, machines: list[Rental]) -> None:
+        """They and all that is on them stop; returns once they have."""
+        waiting = []
+        by_process: dict[int, list[str]] = {}
+        for one in machines:
+            by_process.setdefault(one.process, []).append(one.name)
+        for process, names in by_process.items():
+            order = 1 + self._counts["stop orders"]
+            self._counts["stop orders"] = order
+            self._orders[order] = AsyncResult()
+            waiting.append(self._orders[order])
+            self._hub.send(f"host-{process}", Stop(order, names))
+        gevent.wait(waiting, timeout=_STOP_S)
+
+    # ---------------------------------------------------------------- faults
+
+    def _bring_about(self, fault: Fault) -> None:
+        gevent.sleep(max(0.0, fault.at_s - self._at_s()))
+        match fault.kind:
+            case "machine":
+                running = self._cloud.running()
+                self._fail(self._rng.sample(running, min(fault.count, len(running))), "machines")
+            case "rack":
+                zone = self._layout.zones[fault.zone]
+                self._fail(
+                    self._cloud.in_rack(zone, self._rng.randrange(self._settings.fleet.racks_per_zone)), "rack"
+                )
+            case "zone":
+                self._lose_zone(self._layout.zones[fault.zone], fault.for_s)
+            case "controller":
+                for number in self._rng.sample(range(self._settings.control.controllers), fault.count):
+                    self._kill_controller(number)
+            case "leader":
+                if self._leader:
+                    self._kill_controller(int(self._leader[1:]))
+            case "regions":
+                self._cut_regions(fault)
+            case "replace":
+                self._replace(fault.per_day)
+
+    def _note(self, what: str) -> None:
+        self._done.append(report.FaultDone(round(self._at_s(), 2), what))
+        print(f"{self._at_s():6.1f} s: {what}", file=sys.stderr, flush=True)
+
+    def _fail(self, machines: list[Rental], what: str) -> None:
+        self._note(f"{len(machines)} machines stop ({what})")
+        self._cloud.fail(machines)
+        self._stop(machines)
+
+    def _lose_zone(self, zone: str, for_s: float) -> None:
+        machines = self._cloud.in_zone(zone)
+        self._note(f"zone {zone} is lost with {len(machines)} machines and its controllers")
+        self._log.write(events.ZoneLost(self._clock.now_us(), zone, [one.name for one in machines]))
+        self._cloud.lose_zone(zone, to_us(for_s))
+        there = self._layout.zones.index(zone)
+        for number in range(self._settings.control.controllers):
+            if self._layout.controller_place(number).zone == there:
+                self._kill_controller(number, for_s)
+        self._cloud.fail(machines)
+        self._stop(machines)
+
+    def _kill_controller(self, number: int, for_s: float | None = None) -> None:
+        name = self._layout.controller_name(number)
+        self._note(f"controller {name} is killed{', the leader' if name == self._leader else ''}")
+        self._processes.kill(name)
+        self._back(number, for_s)
+
+    def _back(self, number: int, after_s: float | None = None) -> None:
+        gevent.spawn_later(after_s or self._settings.control.restart_s, self._start_controller, number)
+
+    def _cut_regions(self, fault: Fault) -> None:
+        pair = (fault.region, fault.other)
+        self._note(f"regions {pair[0]} and {pair[1]} lose each other for {fault.for_s:g} s")
+        self._cuts.append(pair)
+        self._hub.broadcast(Cut(list(self._cuts)))
+        gevent.sleep(fault.for_s)
+        self._cuts.remove(pair)
+        self._hub.broadcast(Cut(list(self._cuts)))
+        self._note(f"regions {pair[0]} and {pair[1]} find each other")
+
+    def _replace(self, per_day: float) -> None:
+        """Machines that are restarted or replaced one by one, at the rate of an ordinary day."""
+        while True:
+            gevent.sleep(self._rng.expovariate(per_day / _DAY_S))
+            running = self._cloud.running()
+            if running:
+                self._fail([self._rng.choice(running)], "one of the ordinary day's")
+
+    # ---------------------------------------------------------------- the end
+
+    def _judge(self) -> report.Result:
+        judge = Judge(self._workload, teams(self._settings), self._settings.workers.cancel_s)
+        measures = Measures(self._workload, self._began_us)
+        for event in events.read_events(sorted(self._directory.glob("events-*.jsonl"))):
+            judge.take(event)
+            measures.take(event)
+        outcome = report.Outcome(
+            judge.end(),
+            measures.result(),
+            self._usage,
+            self._hub.counted.values(),
+            dict(self._counts | self._cloud.counts),
+            self._processes.peak_memory_mb,
+            self._processes.peak_count,
+            self._done,
+            self._notes,
+        )
+        return report.put_together(self._settings, outcome)
+
+
+def run(settings: ScaleSettings, path: Path, out: Path, tree: Path | None = None) -> report.Result:
+    """Play a run; its files, and `result.json` at the end, are in the directory `out`, which must be new or empty."""
+    directory = out.resolve()
+    if directory.exists() and any(directory.iterdir()):
+        raise ScaleError(f"{out}: is not empty")
+    directory.mkdir(parents=True, exist_ok=True)
+    result = ScaleRun(settings, path.resolve(), directory, tree).run()
+    (directory / "result.json").write_bytes(report.encode(result))
+    return result
--- /dev/null
+++ b/src/tideusher/scale/host.py
@@ -0,0 +1,343 @@
+"""A process that plays workers: hundreds of hollow ones, or a single one whose own cost is measured.
+
+Each machine reports over a connection of its own to one controller at a time, and is called directly at an address of
+its own. A machine that stopped takes no connections any more: its listener's queue is full, so that they hang.
+"""
+
+import random
+from collections import Counter, defaultdict
+from pathlib import Path
+from typing import Any
+
+import gevent
+import msgspec
+from gevent import socket
+from gevent.event import Event
+from gevent.pywsgi import WSGIHandler, WSGIServer
+
+from tideusher.actors.handler import Handler
+from tideusher.actors.http import CallFailed, HttpClient
+from tideusher.clock import SECOND_US, Clock, to_s, to_us
+from tideusher.scale import events
+from tideusher.scale.endpoint import HubLink, run_role
+from tideusher.scale.layout import Layout, Place
+from tideusher.scale.machine import HollowMachine, next_report_us
+from tideusher.scale.messages import (
+    Booted,
+    Counted,
+    Cut,
+    GangBegins,
+    GangBroken,
+    GangLeft,
+    GangWaits,
+    LeaderIn,
+    Message,
+    Stop,
+    Stopped,
+    Traffic,
+    is_cut,
+)
+from tideusher.scale.settings import ScaleSettings, load_scale_settings
+from tideusher.scale.workload import Workload
+from tideusher.wire import workers
+from tideusher.wire.cloud import MachineType
+from tideusher.wire.jobs import GANG
+
+MACHINE_TYPE = "scale"
+#: As the protocol has it: a worker gives a report up after this, tries the next node after that, and reports changes
+#: at most this often.
+REPORT_TIMEOUT_S, NEXT_NODE_S, CHANGE_PAUSE_US = 4.0, 1.0, SECOND_US // 2
+#: Connections that are kept waiting at the address of a machine that stopped, so that further ones hang.
+_QUEUE_FILLERS = 2
+_LISTEN_BACKLOG = 1024
+
+
+def machine_type(settings: ScaleSettings, zones: list[str]) -> MachineType:
+    """The one type of machine of a run."""
+    one = settings.machine
+    return MachineType(
+        MACHINE_TYPE,
+        one.cpus,
+        one.gpus,
+        one.ram_gb,
+        one.cache_gb,
+        one.fetch_gb_per_s,
+        one.price,
+        one.price / 2,
+        one.boot_s,
+        zones,
+    )
+
+
+class Worker:
+    """A machine with its connection to a controller."""
+
+    def __init__(self, host: "Host", machine: HollowMachine, place: Place) -> None:
+        self._host, self.machine, self.place = host, machine, place
+        self._wake = Event()
+        self._controller = host.rng.randrange(host.controllers)
+        self._client: HttpClient | None = None
+        self.greenlet = gevent.spawn(self._run)
+
+    def wake(self) -> None:
+        """Something changed from outside: a report or a timer may be due."""
+        self._wake.set()
+
+    def _run(self) -> None:
+        clock, rng = self._host.clock, self._host.rng
+        report_s = self._host.settings.workers.report_s
+        due_us = clock.now_us() + round(rng.random() * to_us(report_s))
+        last_us = 0
+        while True:
+            now_us = clock.now_us()
+            self.machine.advance(now_us)
+            if now_us >= due_us or (self.machine.changed and now_us >= last_us + CHANGE_PAUSE_US):
+                last_us = now_us
+                pause_s = self._report(now_us)
+                due_us = clock.now_us() + (to_us(pause_s) if pause_s else next_report_us(report_s, rng.random()))
+                continue
+            next_us = min(due_us, self.machine.due_us())
+            if self.machine.changed:
+                next_us = min(next_us, last_us + CHANGE_PAUSE_US)
+            self._wake.clear()
+            self._wake.wait(max(0.0, to_s(next_us - now_us)))
+
+    def _report(self, sent_us: int) -> float:
+        """One report; returns after how long the next node is to be tried, 0: this one is stayed with."""
+        host, machine = self._host, self.machine
+        report = machine.report()
+        body = workers.encode(report)
+        delay_s, cut = host.way_to(self._controller, self.place)
+        host.traffic["worker-controller"].add(len(body))
+        if cut:
+            gevent.sleep(REPORT_TIMEOUT_S)
+            return self._next_node("cut")
+        gevent.sleep(delay_s)
+        if self._client is None:
+            self._client = HttpClient(
+                host.layout.controller(self._controller), REPORT_TIMEOUT_S - 2 * delay_s, keep=1
+            )
+        try:
+            status, answer = self._client.call("POST", "/checkin", body)
+        except CallFailed:
+            return self._next_node("failed")
+        gevent.sleep(delay_s)
+        host.traffic["controller-worker"].add(len(answer))
+        host.counts[f"reports.{status}"] += 1
+        if status == 200:
+            try:
+                commands = workers.decode_commands(answer)
+            except msgspec.DecodeError:
+                host.counts["reports.bad answer"] += 1
+                return 0.0
+            if not machine.answer(commands, sent_us, report.session, host.clock.now_us()):
+                host.counts["reports.dropped"] += 1
+            return 0.0
+        return self._redirected(answer) if status == 421 else self._next_node("status")
+
+    def _redirected(self, answer: bytes) -> float:
+        try:
+            redirect: workers.Redirect = msgspec.json.decode(answer, type=workers.Redirect)
+        except msgspec.DecodeError:
+            return self._next_node("redirect")
+        number = self._host.controller_number(redirect.node)
+        if number is None or number == self._controller:
+            return self._next_node("redirect")
+        self._controller, self._client = number, None
+        return 0.25
+
+    def _next_node(self, why: str) -> float:
+        self._host.counts[f"next node.{why}"] += 1
+        self._controller, self._client = (self._controller + 1) % self._host.controllers, None
+        return NEXT_NODE_S
+
+
+class AddressedHandler(Handler):
+    """Tells the application at which of its process's addresses a request came."""
+
+    def get_environ(self) -> dict[str, Any]:
+        environ: dict[str, Any] = WSGIHandler.get_environ(self)
+        environ["tideusher.local"] = self.socket.getsockname()[0]
+        return environ
+
+
+class Host:
+    """All machines of one process."""
+
+    def __init__(self, settings: ScaleSettings, number: int, clock: Clock, log: events.EventLog) -> None:
+        self.settings, self.clock, self._number, self._log = settings, clock, number, log
+        self.layout, self.jobs = Layout(settings), Workload(settings)
+        self.controllers = settings.control.controllers
+        self.rng = random.Random(f"{settings.seed}/host/{number}")
+        self.counts: Counter[str] = Counter()
+        self.traffic: dict[str, Traffic] = defaultdict(Traffic)
+        self._kind = machine_type(settings, self.layout.zones)
+        self._names = {self.layout.controller_name(one): one for one in range(self.controllers)}
+        self._places = [self.layout.controller_place(one) for one in range(self.controllers)]
+        self._cut: list[tuple[int, int]] = []
+        self._leader: Place | None = None
+        self._workers: dict[str, Worker] = {}
+        self._by_address: dict[str, Worker] = {}
+        self._gangs: dict[tuple[str, int], set[str]] = defaultdict(set)  # machines with tasks of a gang's attempt
+        self._dead: list[socket.socket] = []
+        self._link = HubLink(self.layout.hub, f"host-{number}")
+
+    def run(self) -> None:
+        """Serve until the hub says that the run is over."""
+        server = WSGIServer(self._listener("0.0.0.0"), self, log=None, error_log=None, handler_class=AddressedHandler)
+        server.start()
+        self._link.serve(self._handle, self._counted)
+        self._log.close()
+
+    def _listener(self, address: str, backlog: int = _LISTEN_BACKLOG) -> socket.socket:
+        """One at an address of its own goes before the one for all addresses, which takes loopback only."""
+        listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+        listener.bind((address, self.layout.worker_port + self._number))
+        listener.listen(backlog)
+        return listener
+
+    # ---------------------------------------------------------------- ways to controllers
+
+    def controller_number(self, name: str) -> int | None:
+        """None for a name that is no controller's."""
+        return self._names.get(name)
+
+    def way_to(self, controller: int, place: Place) -> tuple[float, bool]:
+        """The delay to a controller in seconds, and whether the two are cut off from one another."""
+        target = self._places[controller]
+        return to_s(self.layout.delay_us(place, target)), is_cut(self._cut, place.region, target.region)
+
+    # ---------------------------------------------------------------- the hub
+
+    def _handle(self, message: Message) -> None:
+        match message:
+            case Booted():
+                self._boot(message)
+            case Stop():
+                for name in message.machines:
+                    self._stop(name)
+                self._link.send(Stopped(message.order))
+            case GangBegins():
+                self._tell_gang(message)
+            case GangBroken():
+                self._tell_gang(message)
+            case Cut():
+                self._cut = message.pairs
+            case LeaderIn():
+                self._leader = self.layout.place(message.zone)
+
+    def _boot(self, message: Booted) -> None:
+        now_us = self.clock.now_us()
+        address = self.layout.worker(self._number, message.number)
+        machine = HollowMachine(
+            message.machine,
+            address,
+            self._kind,
+            message.zone,
+            message.spot,
+            self.jobs,
+            self.settings.workers.settings(),
+            self._tell,
+            now_us,
+        )
+        self._log.write(events.MachineUp(now_us, message.machine, message.zone, MACHINE_TYPE, message.spot))
+        worker = Worker(self, machine, self.layout.place_of(message.zone))
+        self._workers[message.machine] = worker
+        self._by_address[address.partition(":")[0]] = worker
+
+    def _stop(self, name: str) -> None:
+        worker = self._workers.pop(name, None)
+        if worker is None:
+            return
+        now_us = self.clock.now_us()
+        worker.greenlet.kill()
+        worker.machine.advance(now_us)
+        worker.machine.lose_all(now_us)
+        self._log.write(events.MachineDown(now_us, name))
+        address = worker.machine.address.partition(":")[0]
+        self._by_address.pop(address, None)
+        self._take_no_calls(address)
+
+    def _take_no_calls(self, address: str) -> None:
+        """Connections to this address hang from now on."""
+        self._dead.append(self._listener(address, 0))
+        for _ in range(_QUEUE_FILLERS):
+            filler = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            filler.setblocking(False)
+            filler.connect_ex((address, self.layout.worker_port + self._number))
+            self._dead.append(filler)
+
+    def _counted(self) -> Counted:
+        return Counted(f"host-{self._number}", dict(self.counts), dict(self.traffic))
+
+    # ---------------------------------------------------------------- tasks
+
+    def _tell(self, event: events.AnyEvent) -> None:
+        """A machine's event: written down, and for gangs told to the hub."""
+        self._log.write(event)
+        if isinstance(event, events.OnMachine) and self._is_gang(event.job):
+            self._gangs[event.job, event.attempt].add(event.machine)
+            self._link.send(GangWaits(event.job, event.index, event.attempt))
+        elif isinstance(event, events.Left) and self._is_gang(event.job):
+            self._link.send(GangLeft(event.job, event.index, event.attempt, event.cause == workers.CAUSE_DONE))
+
+    def _is_gang(self, job: str) -> bool:
+        return self.jobs.spec(job).shape == GANG
+
+    def _tell_gang(self, message: GangBegins | GangBroken) -> None:
+        for name in self._gangs.get((message.job, message.attempt), ()):
+            worker = self._workers.get(name)
+            if worker is None:
+                continue
+            if isinstance(message, GangBegins):
+                worker.machine.gang_begins(message.job, message.attempt, message.at_us)
+            else:
+                worker.machine.gang_broken(message.job, message.attempt, self.clock.now_us())
+            worker.wake()
+
+    # ---------------------------------------------------------------- direct calls
+
+    def __call__(self, environ: dict[str, Any], start: Any) -> list[bytes]:
+        body = environ["wsgi.input"].read()
+        worker = self._by_address.get(environ["tideusher.local"])
+        if worker is None:
+            start("404 Not Found", [("Content-Length", "0")])
+            return []
+        self._wait_for_caller(worker)
+        status, report = self._called(worker, environ["PATH_INFO"], body)
+        data = workers.encode(report)
+        self.traffic["controller-worker"].add(len(body))
+        self.traffic["worker-controller"].add(len(data))
+        self.counts[f"direct.{status}"] += 1
+        reason = {200: "200 OK", 409: "409 Conflict"}[status]
+        start(reason, [("Content-Type", "application/json"), ("Content-Length", str(len(data)))])
+        worker.wake()
+        return [data]
+
+    def _wait_for_caller(self, worker: Worker) -> None:
+        """Nearly all direct calls are the leader's: theirs is the delay, and the cut."""
+        if self._leader is None:
+            return
+        while is_cut(self._cut, worker.place.region, self._leader.region):
+            gevent.sleep(0.2)
+        gevent.sleep(to_s(2 * self.layout.delay_us(worker.place, self._leader)))
+
+    def _called(self, worker: Worker, path: str, body: bytes) -> tuple[int, workers.Report]:
+        now_us = self.clock.now_us()
+        if path == "/do":
+            return worker.machine.direct(msgspec.json.decode(body, type=workers.DirectCommands), now_us)
+        worker.machine.advance(now_us)
+        return 200, worker.machine.report()
+
+
+def main(arguments: list[str]) -> None:
+    """`host FILE NUMBER DIRECTORY`"""
+    path, number, directory = arguments
+    log = events.EventLog(Path(directory) / f"events-host-{number}.jsonl")
+    Host(load_scale_settings(path), int(number), Clock(), log).run()
+
+
+if __name__ == "__main__":
+    run_role(main)
--- /dev/null
+++ b/src/tideusher/scale/state_service.py
@@ -0,0 +1,217 @@
+"""The state service of a scale run, as a process: the stand-in with the limits, errors and delays of the protocol."""
+
+from bisect import bisect_right
+from collections import Counter
+from collections.abc import Callable
+from typing import Any
+
+import gevent
+import msgspec
+from gevent.event import Event
+from gevent.pywsgi import WSGIServer
+
+from tideusher.actors.handler import Handler
+from tideusher.actors.store import Bucket
+from tideusher.clock import Clock, to_s
+from tideusher.config import split_address
+from tideusher.core.picture import keys
+from tideusher.core.picture.records import OPEN
+from tideusher.playground.servers import StateServer
+from tideusher.playground.standins import StateStandIn
+from tideusher.scale.endpoint import HubLink, run_role
+from tideusher.scale.layout import Layout
+from tideusher.scale.messages import Counted, LeaderSeen
+from tideusher.scale.settings import StateLimits, load_scale_settings
+from tideusher.wire.state import Delete, Guard, Put
+
+MAX_ITEMS, MAX_PAGE_BYTES = 1000, 512 * 1024
+MAX_TXN_BYTES = 64 * 1024
+KEPT_CHANGES = 10_000
+MAX_WAIT_MS = 60_000
+#: Four times as many conditions as changes.
+GUARDS_A_WRITE = 4
+_EXPIRE_S = 0.05
+
+REASONS = {200: "200 OK", 400: "400 Bad Request", 404: "404 Not Found", 409: "409 Conflict", 410: "410 Gone"}
+REASONS |= {429: "429 Too Many Requests", 503: "503 Service Unavailable"}
+
+
+class LimitedStateServer(StateServer):
+    """The stand-in with rates and sizes, watches that wait without looking, and counts of what was written."""
+
+    def __init__(self, clock: Clock, limits: StateLimits) -> None:
+        super().__init__(clock, StateStandIn(round(limits.value_kb * 1024)))
+        self._limits = limits
+        self._requests, self._changes = Bucket(limits.rps, clock), Bucket(limits.write_rps, clock)
+        self._changed = Event()
+        self._first_kept = 0  # changes up to this revision are no more in the log
+        self.counts: Counter[str] = Counter()
+        self.on_leader: Callable[[str], None] = lambda node: None
+
+    def __call__(self, environ: dict[str, Any], start: Callable[..., Any]) -> list[bytes]:
+        method, path, body = environ["REQUEST_METHOD"], environ["PATH_INFO"], environ["wsgi.input"].read()
+        query = dict(part.partition("=")[::2] for part in environ["QUERY_STRING"].split("&"))
+        gevent.sleep(self._limits.latency_ms / 1000)
+        status, answer = self._limited(method, path, {name: [value] for name, value in query.items()}, body)
+        data = answer if isinstance(answer, bytes) else msgspec.json.encode(answer)
+        start(REASONS[status], [("Content-Type", "application/json"), ("Content-Length", str(len(data)))])
+        return [data]
+
+    def run(self) -> None:
+        """Let leases end, whoever asks or not."""
+        while True:
+            gevent.sleep(_EXPIRE_S)
+            self._expire()
+
+    # ---------------------------------------------------------------- limits
+
+    def _limited(self, method: str, path: str, query: dict[str, list[str]], body: bytes) -> tuple[int, Any]:
+        kind = path.split("/")[1]
+        self.counts[f"requests.{kind}"] += 1
+        if not _take(self._requests, 1):
+            self.counts["refused.requests"] += 1
+            return 429, {"error": "too many requests"}
+        if kind != "txn":
+            return self._route(method, path, query, body)
+        writes = len(msgspec.json.decode(body)["writes"])
+        if len(body) > MAX_TXN_BYTES or writes > self._limits.txn_ops:
+            return 400, {"error": "too large"}
+        if not _take(self._changes, writes):
+            self.counts["refused.writes"] += 1
+            return 429, {"error": "too many changes"}
+        return self._route(method, path, query, body)
+
+    # ---------------------------------------------------------------- reads
+
+    def _route(self, method: str, path: str, query: dict[str, list[str]], body: bytes) -> tuple[int, Any]:
+        if path == "/watch":
+            return self._watch(query)
+        if path == "/keys":
+            return 200, self._page(query)
+        if path.startswith("/keys/"):
+            return self._one(path[len("/keys/") :])
+        if method == "DELETE" and path.startswith("/holds/"):
+            return self._end_lease(int(path.split("/")[2]))
+        return super()._route(method, path, query, body)
+
+    def _one(self, key: str) -> tuple[int, Any]:
+        if key not in self._state.items:
+            return 404, {"tide": self._state.tide}
+        value, stamp = self._state.items[key]
+        return 200, {"key": key, "value": value, "stamp": stamp}
+
+    def _page(self, query: dict[str, list[str]]) -> dict[str, Any]:
+        under, since = query["under"][0], query.get("since", [""])[0]
+        most = min(MAX_ITEMS, int(query.get("most", [str(MAX_ITEMS)])[0]))
+        names = sorted(key for key in self._state.items if key.startswith(under) and key > since)
+        items: list[dict[str, Any]] = []
+        size = 0
+        for key in names[:most]:
+            value, stamp = self._state.items[key]
+            size += len(msgspec.json.encode(value)) + len(key)
+            if items and size > MAX_PAGE_BYTES:
+                break
+            items.append({"key": key, "value": value, "stamp": stamp})
+        return {"items": items, "truncated": len(items) < len(names), "tide": self._state.tide}
+
+    def _watch(self, query: dict[str, list[str]]) -> tuple[int, Any]:
+        under, since = query.get("under", [""])[0], int(query["since"][0])
+        ends_us = self._clock.now_us() + min(MAX_WAIT_MS, int(query.get("wait_ms", ["0"])[0])) * 1000
+        while True:
+            if since < self._first_kept:
+                return 410, {"error": "too old", "tide": self._state.tide}
+            first = bisect_right(self._log, since, key=lambda change: change["stamp"])
+            log = [one for one in self._log[first:] if (one.get("set") or one["remove"]).startswith(under)]
+            left_us = ends_us - self._clock.now_us()
+            if log or left_us <= 0:
+                return 200, {"tide": self._state.tide, "log": log}
+            self._changed.wait(to_s(left_us))
+
+    # ---------------------------------------------------------------- changes
+
+    def _end_lease(self, number: int) -> tuple[int, Any]:
+        if number not in self._leases:
+            return 404, {}
+        self._leases[number] = (0, 0)
+        self._expire()
+        return 200, {}
+
+    def _txn(self, guards: list[Guard], writes: list[Put | Delete]) -> tuple[int, Any]:
+        for write in writes:
+            if isinstance(write, Put) and write.lease is not None and not self._holds(write.lease):
+                return 400, {"error": "no such lease"}
+            if isinstance(write, Put) and len(msgspec.json.encode(write.value)) > self._state.value_bytes:
+                return 400, {"error": f"the value of {write.key} is too large"}
+        status, answer = super()._txn(guards, writes)
+        if status == 200:
+            for write in writes:
+                self.counts[f"writes.{kind_of(write)}"] += 1
+            self._note_changes()
+        else:
+            self.counts["refused.guards"] += 1
+        return status, answer
+
+    def _holds(self, lease: int) -> bool:
+        return self._leases.get(lease, (0, 0))[0] > self._clock.now_us()
+
+    def _expire(self) -> None:
+        before = self._state.tide
+        super()._expire()
+        if self._state.tide != before:
+            self._note_changes()
+
+    def _note_changes(self) -> None:
+        excess = len(self._log) - KEPT_CHANGES
+        if excess > KEPT_CHANGES // 10:
+            self._first_kept = self._log[excess - 1]["stamp"]
+            del self._log[:excess]
+        self._changed.set()
+        self._changed.clear()
+        leader = self._state.items.get(keys.LEADER)
+        self.on_leader(leader[0]["node"] if leader is not None else "")
+
+
+def _take(bucket: Bucket, amount: float) -> bool:
+    """Is there so much left? What is refused is given back."""
+    if bucket.wait_s(amount):
+        bucket.give_back(amount)
+        return False
+    return True
+
+
+def kind_of(write: Put | Delete) -> str:
+    """What a change is for, by its key and value."""
+    key, removed = write.key, isinstance(write, Delete)
+    if key.startswith(keys.JOB_PREFIX):
+        status = write.value.get("st") if isinstance(write, Put) else "removed"
+        return "job accepted or changed" if status == OPEN else f"job {status}"
+    for prefix, name in (
+        (keys.CHUNK_PREFIX, "tasks of a job"),
+        (keys.RENTAL_PREFIX, "rental"),
+        (keys.FALL_PREFIX, "fall"),
+        (keys.SCRIPT_PREFIX, "script"),
+    ):
+        if key.startswith(prefix):
+            return f"{name} removed" if removed else name
+    return key.rpartition("/")[2]
+
+
+def main(arguments: list[str]) -> None:
+    """`state_service FILE`"""
+    settings = load_scale_settings(arguments[0])
+    layout, server = Layout(settings), LimitedStateServer(Clock(), settings.state)
+    WSGIServer(split_address(layout.state), server, log=None, error_log=None, handler_class=Handler).start()
+    gevent.spawn(server.run)
+    link, last = HubLink(layout.hub, "state"), [""]
+
+    def leader(node: str) -> None:
+        if node != last[0]:
+            last[0] = node
+            link.send(LeaderSeen(node))
+
+    server.on_leader = leader
+    link.serve(lambda message: None, lambda: Counted("state", dict(server.counts)))
+
+
+if __name__ == "__main__":
+    run_role(main)
--- /dev/null
+++ b/tools/measure_capacity.py
@@ -0,0 +1,175 @@
+"""What a leader's work costs by the size of the fleet. Not a test: `python tools/measure_capacity.py --machines 628`.
+
+Everything runs on the tests' stand-ins in one process, `core` alone: the times are this machine's. Prints one line a
+figure, each a time per start, end or report, or the longest piece that holds the loop.
+"""
+
+import gc
+import resource
+import time
+from dataclasses import dataclass
+from pathlib import Path
+
+import click
+import msgspec
+
+from standins import TYPE, Bed, job, make_config
+from tideusher.config import CloudSettings, StateSettings, Team
+from tideusher.core.lead.reports import Reports
+from tideusher.core.picture import keys
+from tideusher.core.picture.picture import Picture
+from tideusher.core.picture.records import UP, Machine
+from tideusher.core.picture.rentals import Rental
+from tideusher.wire.workers import Report, TaskReport
+
+TASKS_OF_A_JOB = 4
+ZONES = ("a", "b")
+#: As the largest of today's deployments has it; the rates do not count here, nothing waits for them.
+VALUE_KB, TXN_OPS = 8.0, 12
+
+
+@dataclass
+class Fleet:
+    """A leader with machines that are up and jobs that fill them."""
+
+    bed: Bed
+    names: list[str]
+    jobs: list[str]
+
+
+def fleet_of(machines: int, teams: int) -> Fleet:
+    """Machines that are up and heard; nothing is submitted yet."""
+    limit = float(4 * machines)
+    config = make_config(
+        teams=[Team(f"t{number}", gpus=limit / teams, gpus_max=limit) for number in range(teams)],
+        state=StateSettings(500.0, 90.0, VALUE_KB, TXN_OPS),
+        cloud=CloudSettings(5.0, 2.0),
+    )
+    bed = Bed(config)
+    bed.state.value_bytes = int(VALUE_KB * 1024)
+    names = [f"host-{number:06d}" for number in range(machines)]
+    for first in range(0, machines, 50):
+        rental = Rental(f"r{first}", TYPE.name, ZONES[0], False, 50, True, names[first : first + 50])
+        bed.cluster.rentals[rental.name] = rental
+        for number, name in enumerate(rental.machines):
+            zone = ZONES[(first + number) % 2]
+            one = Machine(name, TYPE.name, zone, False, rental.name, TYPE.cpus, TYPE.gpus, TYPE.ram_gb, 0)
+            one.phase, one.reported_us, one.own_us, one.session, one.serial = UP, *[bed.clock.now_us()] * 2, 1, 1
+            bed.cluster.machines[name] = one
+    bed.commit()
+    return Fleet(bed, names, [])
+
+
+def submit(fleet: Fleet, count: int, teams: int) -> None:
+    """So many jobs of four tasks, one card each: as many tasks as all machines take."""
+    for number in range(count):
+        spec = job(tasks=TASKS_OF_A_JOB, team=f"t{number % teams}", cpus=1.0, ram_gb=1.0)
+        fleet.bed.state.submit(spec, fleet.bed.clock.wall_us())
+        fleet.jobs.append(spec.id)
+    fleet.bed.see_jobs()
+
+
+def write_all(bed: Bed) -> tuple[float, int, int]:
+    """Seconds spent in the queue itself, transactions, and writes."""
+    queue, spent_s, transactions, writes = bed.cluster.write_queue, 0.0, 0, 0
+    while True:
+        began = time.perf_counter()
+        batch = queue.next_batch(TXN_OPS)
+        spent_s += time.perf_counter() - began
+        if batch is None:
+            return spent_s, transactions, writes
+        transactions, writes = transactions + 1, writes + len(batch.writes)
+        revision = bed.state.txn(batch.guards, batch.writes)
+        assert revision is not None
+        began = time.perf_counter()
+        queue.saved(revision)
+        spent_s += time.perf_counter() - began
+
+
+def place_all(fleet: Fleet) -> tuple[float, float, int]:
+    """Passes until nothing waits: seconds in all, the longest piece, and how many starts."""
+    bed, total_s, longest_s = fleet.bed, 0.0, 0.0
+    while any(one.waits for one in bed.cluster.jobs.values()):
+        the_pass, before = bed.scheduler.pieces(bed.clock.now_us()), starts(bed)
+        while True:
+            began = time.perf_counter()
+            ended = next(the_pass, "end")
+            took_s = time.perf_counter() - began
+            total_s, longest_s = total_s + took_s, max(longest_s, took_s)
+            if ended == "end":
+                break
+        if starts(bed) == before:
+            break
+    return total_s, longest_s, starts(bed)
+
+
+def starts(bed: Bed) -> int:
+    """Tasks that hold a place."""
+    return sum(len(one.live) for one in bed.cluster.jobs.values())
+
+
+def report_all(fleet: Fleet, serial: int, state: str, cause: str | None = None) -> tuple[float, int]:
+    """A report of each machine with all its tasks in this state; seconds, and how many."""
+    bed, reports = fleet.bed, Reports(fleet.bed.cluster)
+    told = []
+    for machine in list(bed.cluster.machines.values()):
+        items = [TaskReport(task.name, task.attempt, state, cause) for task in machine.tasks.values()]
+        token = bed.cluster.token
+        told.append(
+            Report(machine.name, "127.0.0.1:9", TYPE.name, machine.zone, False, 1, serial, token, None, items)
+        )
+    began = time.perf_counter()
+    for one in told:
+        reports.answer(one, bed.clock.now_us())
+    return time.perf_counter() - began, len(told)
+
+
+def resident_mb() -> float:
+    """What this process holds."""
+    gc.collect()
+    pages = int(Path("/proc/self/statm").read_text().split()[1])
+    return pages * resource.getpagesize() / 1e6
+
+
+def takeover(fleet: Fleet) -> float:
+    """Seconds to build a picture of all records from nothing."""
+    bed = fleet.bed
+    picture = Picture(bed.config, bed.cluster.policy, bed.clock.now_us(), bed.clock.wall_us, bed.state.record_of)
+    began = time.perf_counter()
+    picture.build(bed.state.items, bed.clock.now_us())
+    return time.perf_counter() - began
+
+
+@click.command()
+@click.option("--machines", default=628, show_default=True, help="Size of the fleet; as many jobs of four tasks.")
+@click.option("--teams", default=230, show_default=True)
+def main(machines: int, teams: int) -> None:
+    """Measure one size, in a process of its own."""
+    before_mb = resident_mb()
+    fleet = fleet_of(machines, teams)
+    submit(fleet, machines, teams)
+    pass_s, longest_s, count = place_all(fleet)
+    start_s, start_txns, start_writes = write_all(fleet.bed)
+    report_s, reports = report_all(fleet, 2, "running")
+    state_mb = sum(len(msgspec.json.encode(value)) for value, _ in fleet.bed.state.items.values()) / 1e6
+    held_mb, build_s = resident_mb() - before_mb, takeover(fleet)
+    end_report_s, _ = report_all(fleet, 3, "exited", "done")
+    end_s, end_txns, end_writes = write_all(fleet.bed)
+    done = sum(fleet.bed.state.record_of(one)["st"] == "done" for one in fleet.jobs)
+    left = sum(key.startswith(keys.CHUNK_PREFIX) for key in fleet.bed.state.items)
+
+    def each_us(seconds: float, of: int) -> str:
+        return f"{seconds / max(1, of) * 1e6:.1f} us"
+
+    print(f"{machines} machines, {len(fleet.jobs)} jobs, {count} starts, {teams} teams")
+    print(f"  pass: {each_us(pass_s, count)} a start, longest piece {longest_s * 1000:.1f} ms")
+    print(f"  records of starts: {each_us(start_s, count)} a start, {start_txns} transactions, {start_writes} writes")
+    print(f"  records of ends: {each_us(end_s, count)} an end, {end_txns} transactions, {end_writes} writes")
+    print(f"  reports: {each_us(report_s, reports)} each, {each_us(end_report_s, reports)} with all tasks done")
+    print(f"  memory: {held_mb:.0f} MB for leader and records, the records are {state_mb:.2f} MB of JSON")
+    print(f"  takeover: a picture of all records from nothing in {build_s * 1000:.0f} ms")
+    print(f"  {done} jobs done, {left} records of tasks left")
+
+
+if __name__ == "__main__":
+    main()
