--- a/src/tideusher/core/picture/drafts.py
+++ b/src/tideusher/core/picture/drafts.py
@@ -59,9 +59,9 @@
     effects: list[list[Effect]]  # of each entry
     #: Entries that are in records of their own once it is through; the others are in pages, or nowhere.
     own: set[str] = field(default_factory=set)
-    fences: bool | None = (
-        None  # does it write the fence so that older versions are kept out? None: it does not write it
-    )
+    #: Does it write the fence so that older versions are kept out? None: it does not write the fence.
+    fences: bool | None = None
+    #: The pages that it writes, and what each of them holds then.
     pages: list[tuple[Page, dict[str, Any]]] = field(default_factory=list)
 
 
@@ -74,12 +74,13 @@
         self._entries: list[Entry] = []
         self._own: dict[str, tuple[Entry, Any]] = {}  # records of their own: the value, None to remove it
         self._drafts: dict[int, PageDraft] = {}
-        self._shedding: list[
-            PageDraft
-        ] = []  # pages from which something moves to others, in the order in which that began
-        self._moved: dict[str, Page] = {}  # where members are to be that this transaction moves as they are
+        #: Pages from which something moves to others, in the order in which that began.
+        self._shedding: list[PageDraft] = []
+        #: Where members are to be that this transaction moves as they are.
+        self._moved: dict[str, Page] = {}
         self._bytes = 0
-        self.fences: bool | None = None  # does it write the fence so that older versions are kept out?
+        #: As in `Batch`.
+        self.fences: bool | None = None
 
     @property
     def changes(self) -> int:
@@ -103,10 +104,25 @@
         plan = self._plan(entry, value)
         if plan is None:
             return False
-        plan.carry_out(self, entry, value)
+        self._carry_out(plan, entry, value)
         self._entries.append(entry)
         return True
 
+    def _carry_out(self, plan: "_Plan", entry: Entry, value: Any) -> None:
+        self._guards.update((guard.key, guard) for guard in plan.guards)
+        if plan.writes_own:
+            self._own[entry.key] = (entry, value)
+            self._bytes += len(msgspec.json.encode(value))
+        elif plan.clears_own:
+            self._own[entry.key] = (entry, None)
+        if plan.home is not None and plan.home is not plan.target:
+            if plan.target is not None:
+                self._shed(plan.home)
+            self._change(plan.home, entry.member, None)
+        if plan.target is not None:
+            self._begin(plan.target)
+            self._change(plan.target, entry.member, value)
+
     def _plan(self, entry: Entry, value: Any) -> "_Plan | None":
         home = self._home(entry.member)
         to_page = value is not None and bool(entry.member) and self._may_share(entry.member, value)
@@ -145,32 +161,29 @@
         return self._page_for(member_size(member, value), home)
 
     def _page_for(self, size: int, not_this: Page | None) -> Page:
+        return self._drafted_with_room(size, not_this) or self._pages.roomiest(size, self.drafted())
+
+    def _drafted_with_room(self, size: int, not_this: Page | None) -> Page | None:
+        room = FILLED * self._pages.limit - size
         for draft in self._drafts.values():
-            if (
-                draft.page is not not_this
-                and draft not in self._shedding
-                and draft.size + size <= FILLED * self._pages.limit
-            ):
+            if draft.page is not not_this and draft not in self._shedding and draft.size <= room:
                 return draft.page
-        return self._pages.roomiest(size, [draft.page for draft in self._drafts.values()])
+        return None
 
     def _has_room(self, plan: "_Plan", entry: Entry, value: Any) -> bool:
-        more_pages = [p for p in (plan.target,) if p is not None and p.number not in self._drafts]
-        own = int((plan.writes_own or plan.clears_own) and entry.key not in self._own)
+        more_pages = int(plan.target is not None and plan.target.number not in self._drafts)
+        own = int(plan.writes_own or plan.clears_own)
         size = len(msgspec.json.encode(value)) if value is not None else 0
-        size += sum(page.kept_size for page in more_pages)
-        if self.changes + own + len(more_pages) > self._most_changes:
+        if plan.target is not None and more_pages:
+            size += plan.target.kept_size
+        if self.changes + own + more_pages > self._most_changes:
             return False
-        if len(self._guards) + len(plan.guards) + len(more_pages) > self._most_guards:
+        if len(self._guards) + len(plan.guards) + more_pages > self._most_guards:
             return False
         return self.empty or self._bytes + size <= MAX_VALUE_BYTES
 
     # ---------------------------------------------------------------- pages
 
-    def has(self, page: Page) -> bool:
-        """Is the page to be written?"""
-        return page.number in self._drafts
-
     def drafted(self) -> list[Page]:
         """The pages that are to be written."""
         return [draft.page for draft in self._drafts.values()]
@@ -198,6 +211,9 @@
         return True
 
     def _begin(self, page: Page) -> None:
+        """Write the page as it is, less what nobody wants, if it is not to be written already."""
+        if page.number in self._drafts:
+            return
         self._drafts[page.number] = PageDraft(page, page.kept_size)
         self._guards[page.key] = Guard(page.key, page.stamp)
         self._bytes += page.kept_size
@@ -205,9 +221,8 @@
     def _move(self, member: str, value: Any, page: Page) -> None:
         """What is stored of a member goes to another page as it is."""
         self._shed(page)
-        target = self._page_for(member_size(member, value), page)
-        if target.number not in self._drafts:
-            self._begin(target)
+        target = self._drafted_with_room(member_size(member, value), page) or self._pages.fresh(self.drafted())
+        self._begin(target)
         self._change(page, member, None)
         self._change(target, member, value)
         self._moved[member] = target
@@ -226,8 +241,11 @@
     # ---------------------------------------------------------------- the transaction
 
     def batch(self) -> Batch:
-        """The transaction. Of two records that one moves between, the one that gains it comes first: whoever follows
-        the changes one by one never sees it nowhere."""
+        """The transaction.
+
+        Of two keys between which something moves the one that gains it comes first: whoever follows the changes one
+        by one never sees it nowhere.
+        """
         writes: list[Put | Delete] = [Put(e.key, value) for e, value in self._own.values() if value is not None]
         pages = [(draft.page, draft.members()) for draft in self._in_order()]
         writes += [Put(page.key, members) if members else Delete(page.key) for page, members in pages]
@@ -254,21 +272,6 @@
     clears_own: bool = False
     guards: list[Guard] = field(default_factory=list)
 
-    def carry_out(self, draft: Draft, entry: Entry, value: Any) -> None:
-        """Put it into the draft; there is room."""
-        draft._guards.update((guard.key, guard) for guard in self.guards)
-        if self.writes_own or self.clears_own:
-            draft._own[entry.key] = (entry, value if self.writes_own else None)
-            draft._bytes += len(msgspec.json.encode(value)) if self.writes_own else 0
-        if self.home is not None and self.home is not self.target:
-            if self.target is not None:
-                draft._shed(self.home)
-            draft._change(self.home, entry.member, None)
-        if self.target is not None:
-            if not draft.has(self.target):
-                draft._begin(self.target)
-            draft._change(self.target, entry.member, value)
-
 
 def _places_anew(value: dict[str, Any], stored: dict[str, Any] | None) -> bool:
     """Does the value hold a place that is not on record yet? The time at which a task began is no part of a place."""
--- a/src/tideusher/core/picture/pages.py
+++ b/src/tideusher/core/picture/pages.py
@@ -11,6 +11,7 @@
 
 from collections.abc import Callable, Iterable, Mapping, Set
 from dataclasses import dataclass, field
+from itertools import count
 from typing import Any
 
 import msgspec
@@ -152,13 +153,12 @@
         best = min(candidates, key=lambda page: (page.kept_size, page.number), default=None)
         if best is not None and best.kept_size + size <= FILLED * self.limit:
             return best
-        number = next(
-            number for number in range(len(self._pages) + len(excluded) + 1) if self._is_free(number, excluded)
-        )
-        return Page(number)
+        return self.fresh(not_these)
 
-    def _is_free(self, number: int, excluded: set[int]) -> bool:
-        return number not in self._pages and number not in excluded
+    def fresh(self, not_these: Iterable[Page]) -> Page:
+        """A page that is not stored yet, nor one of these."""
+        excluded = {page.number for page in not_these}
+        return Page(next(number for number in count() if number not in self._pages and number not in excluded))
 
     # ---------------------------------------------------------------- what became of a write
 
--- a/tests/test_shared_records.py
+++ b/tests/test_shared_records.py
@@ -389,7 +389,9 @@
     for serial in (3, 4):
         commands = bed.report(first, serial, failed, *listed(first, others))
     assert [(command.op, command.task) for command in commands] == [("forget", failed[0])]
-    bed.clock.pass_s(30.0)
+    bed.clock.pass_s(2.0)
+    for number in range(40):
+        bed.report(f"host-{number}", 5, *listed(f"host-{number}", others))
     place(bed)
     bed.commit()
     assert one.live[0].attempt == 2 and on_record(bed.state)[one.spec.id, 0] == [(2, one.live[0].machine.name)]
