The placing of one job in parts that fit on a screen

Change: who may start, on which terms, and the placing itself are methods of their own; no decision changes.

--- a/src/tideusher/core/lead/scheduler.py
+++ b/src/tideusher/core/lead/scheduler.py
@@ -1,6 +1,7 @@
 """The scheduling pass: place what fits, stop what must yield, rent what is missing, return what idles."""
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Collection, Hashable, Iterator
+from dataclasses import dataclass
 
 from tideusher.clock import SECOND_US, to_s, to_us
 from tideusher.core.decide.failures import at_fault
@@ -26,6 +27,22 @@
 MOVED = "hardly used; its tasks moved to others"
 
 
+@dataclass(frozen=True, slots=True)
+class _Terms:
+    """What decides on which machines a job's next tasks may be placed."""
+
+    kind: Hashable  # the same for all jobs for which the same machines are free
+    avoid: Collection[str]  # machines on which it has failed
+    enough: bool  # may it use the warm room?
+    short: Demand | None  # ordinary machines with so much room are left to those that wait for them
+    beside: bool  # must it leave the CPUs beside free cards alone?
+
+    @property
+    def plain(self) -> bool:
+        """Is no machine kept from it that is free to others of its rights?"""
+        return self.enough and self.short is None
+
+
 class Scheduler:
     """Decides on a Cluster; every change goes through the cluster's own transitions."""
 
@@ -203,53 +220,71 @@
 
     def _place_job(self, job: Job, room: Room, now_us: int) -> tuple[int, bool]:
         """Place what can be placed of a job; returns how many more tasks wait for a machine, and if it looked."""
-        tries = at_fault(job)  # nothing is rented or stopped for it, and one task at a time shows if it still fails
+        count = self._startable(job, now_us)
+        if not count:
+            return 0, False
+        tries = at_fault(job)  # nothing is rented or stopped for it
+        terms = self._terms(job, count, now_us)
+        if self._opened != self._c.opened:
+            self._opened = self._c.opened
+            self._nothing.clear()
+        whole = count if job.is_gang else 1
+        if job.spec.id not in self._favoured and self._nothing.refuses(terms.kind, job.spec, whole):
+            job.waits_for = told_failing(job) if tries else NO_ROOM
+            return (0 if tries else count), False
+        placed = self._place_tasks(job, count, terms, room, now_us)
+        if not placed and not (job.live or terms.avoid):
+            self._nothing.refused(terms.kind, job.spec, whole)
+        left = count - placed
+        if tries:
+            job.waits_for = told_failing(job)
+            return 0, True
+        if left:
+            job.waits_for = NO_ROOM
+        elif job.pending > 0:
+            job.waits_for = _limit_of(job)
+        return left, True
+
+    def _startable(self, job: Job, now_us: int) -> int:
+        """How many tasks of it may start now, if there is room; if none, `waits_for` says why."""
+        tries = at_fault(job)
         if now_us < job.not_before_us:
             job.waits_for = told_failing(job) if tries else "a pause after failed starts"
-            return 0, False
+            return 0
         if job.is_gang and job.live and not job.gathers:
             job.waits_for = "the end of its last attempt"
-            return 0, False
+            return 0
         count = self._quota_room(job)
         if not count or (job.is_gang and count < job.pending):
             job.waits_for = _limit_of(job)
-            return 0, False
-        if tries and not job.is_gang:
+            return 0
+        if tries and not job.is_gang:  # one task at a time shows if it still fails
             if job.live:
                 job.waits_for = told_failing(job)
-                return 0, False
-            count = 1
-        limit = job.zone_limit
+                return 0
+            return 1
+        return count
+
+    def _terms(self, job: Job, count: int, now_us: int) -> _Terms:
+        """On which machines the job's next tasks may be placed."""
+        spec = job.spec
         failed = job.error_machines or ()
         # Of own machines there may be few: where each has failed once, none is avoided.
         most = AVOIDED if self._c.rents else min(AVOIDED, len(self._c.machines))
         avoid = failed if len(failed) < most else ()
-        spec = job.spec
-
-        def usable(machine: Machine) -> bool:
-            return (
-                _usable(machine)
-                and machine.name not in avoid
-                and machine.reserved in ("", spec.id)
-                and self._gathering.may_use(job, machine, self._place)
-            )
-
         # Classes without a claim to the warm room may not eat it up.
         enough = self._c.fleet.is_warm(spec.job_class) or spec.gpus * count <= self._spare_gpus
         # What may run on spot would soon be stopped again on room that others wait for: on one grown
         # deployment every fourth array task was, with all that it had done.
         short = self._ordinary_short if spec.spot and self._c.fleet.spot_available(spec, now_us) else None
-        if self._opened != self._c.opened:
-            self._opened = self._c.opened
-            self._nothing.clear()
         # Tasks without a card would take the CPUs beside free cards, and leave the warm room in name only: a guest's
         # thousands of small ones did. Beside cards in use they find room enough.
         beside = not spec.gpus and bool(self._c.fleet.warm) and not self._c.fleet.is_warm(spec.job_class)
-        kind = (rights(spec), spec.image, beside, enough, short is None)
-        whole = count if job.is_gang else 1
-        if spec.id not in self._favoured and self._nothing.refuses(kind, spec, whole):
-            job.waits_for = told_failing(job) if tries else NO_ROOM
-            return (0 if tries else count), False
+        return _Terms((rights(spec), spec.image, beside, enough, short is None), avoid, enough, short, beside)
+
+    def _free_to(self, job: Job, terms: _Terms) -> Callable[[Machine], bool]:
+        """May the job's tasks be placed on a machine, if they fit there? Asked of most machines for each job."""
+        name, avoid, short, beside = job.spec.id, terms.avoid, terms.short, terms.beside
 
         def free_to_it(machine: Machine) -> bool:
             if beside and not machine.spot and machine.free_gpus > 0:
@@ -257,37 +292,39 @@
             if short is not None and not machine.spot:
                 if short.fits(machine.free_cpus, machine.free_gpus, machine.free_ram):
                     return False
-            return usable(machine)
+            return (
+                _usable(machine)
+                and machine.name not in avoid
+                and machine.reserved in ("", name)
+                and self._gathering.may_use(job, machine, self._place)
+            )
+
+        return free_to_it
+
+    def _place_tasks(self, job: Job, count: int, terms: _Terms, room: Room, now_us: int) -> int:
+        """Give up to so many tasks their places; returns how many have one now."""
+        spec, limit, before = job.spec, job.zone_limit, 0
+        free_to_it = self._free_to(job, terms)
 
         def not_warm(machine: Machine) -> bool:
             return free_to_it(machine) and (machine.spot or self._gathering.held.get(machine.name) is job)
 
-        shelved = self._shelf.place(job, count) if self._shelf is not None and enough and short is None else None
+        shelved = self._shelf.place(job, count) if self._shelf is not None and terms.plain else None
         if shelved is not None:
             machines = shelved
         else:
-            machines = room.place(job, count, job.is_gang, free_to_it if enough else not_warm, limit)
-        partly = not (enough or job.is_gang) and len(machines) < count
+            machines = room.place(job, count, job.is_gang, free_to_it if terms.enough else not_warm, limit)
+        partly = not (terms.enough or job.is_gang) and len(machines) < count
         if partly and self._spare_gpus >= spec.gpus > 0:
             part = min(count - len(machines), int(self._spare_gpus / spec.gpus))
             if machines:
                 self._assign(job, machines, now_us)
-                count -= len(machines)
+                before = len(machines)
             machines = room.place(job, part, False, lambda m: free_to_it(m) and not m.spot, limit)
         self._spare_gpus -= spec.gpus * sum(not m.spot for m in machines)
         if machines:
             self._assign(job, machines, now_us)
-        elif not (job.live or avoid):
-            self._nothing.refused(kind, spec, whole)
-        left = count - len(machines)
-        if tries:
-            job.waits_for = told_failing(job)
-            return 0, True
-        if left:
-            job.waits_for = NO_ROOM
-        elif job.pending > 0:
-            job.waits_for = _limit_of(job)
-        return left, True
+        return before + len(machines)
 
     def _assign(self, job: Job, machines: list[Machine], now_us: int) -> None:
         self._c.assign(job, machines, now_us)
