Figures of each process in the result of a scale run, slopes with shared pages

Change: the result names each process; tools/measure_capacity.py measures with pages or with keys of their own.

--- a/src/tideusher/scale/coordinator.py
+++ b/src/tideusher/scale/coordinator.py
@@ -41,7 +41,7 @@
     Stop,
     Stopped,
 )
-from tideusher.scale.processes import Processes, Usage, controller_command, role_command
+from tideusher.scale.processes import Processes, ProcessUsage, Usage, controller_command, role_command
 from tideusher.scale.settings import Fault, ScaleSettings
 from tideusher.scale.workload import Workload
 from tideusher.wire import cloud as cloud_wire
@@ -76,6 +76,7 @@
         self._notes: list[str] = []
         self._counts: Counter[str] = Counter()
         self._usage: dict[str, Usage] = {}
+        self._each: dict[str, ProcessUsage] = {}
 
     def run(self) -> report.Result:
         """Play the run and judge it. Raises ScaleError if it cannot be made; all processes are ended in any case."""
@@ -83,7 +84,8 @@
             self._start()
             self._play()
             self._finish()
-            self._usage = self._processes.usage(to_s(self._clock.now_us()))
+            now_s = to_s(self._clock.now_us())
+            self._usage, self._each = self._processes.usage(now_s), self._processes.each(now_s)
         finally:
             self._processes.end_all()
             self._hub.stop()
@@ -343,6 +345,7 @@
             judge.end(),
             measures.result(),
             self._usage,
+            self._each,
             self._hub.counted.values(),
             dict(self._counts | self._cloud.counts),
             self._processes.peak_memory_mb,
--- a/src/tideusher/scale/processes.py
+++ b/src/tideusher/scale/processes.py
@@ -27,6 +27,16 @@
     peak_memory_mb: float = 0.0  # of any process
 
 
+class ProcessUsage(msgspec.Struct):
+    """What one process took in its last life."""
+
+    role: str
+    lived_s: float
+    cpu_s: float
+    peak_core_share: float
+    peak_memory_mb: float
+
+
 @dataclass(slots=True)
 class _Watched:
     name: str
@@ -124,6 +134,13 @@
             usage.peak_memory_mb = max(usage.peak_memory_mb, one.peak_mb)
         return found
 
+    def each(self, now_s: float) -> dict[str, ProcessUsage]:
+        """By process; of those that were restarted, what the present life took."""
+        return {
+            one.name: ProcessUsage(one.role, now_s - one.began_at_s, one.cpu_s, one.peak_share, one.peak_mb)
+            for one in self._watched.values()
+        }
+
     def end_all(self) -> None:
         """End whatever still runs."""
         for one in self._watched.values():
--- a/src/tideusher/scale/report.py
+++ b/src/tideusher/scale/report.py
@@ -9,7 +9,7 @@
 from tideusher.scale.judge import RULES, Broken, Verdict
 from tideusher.scale.measures import Measured, Summary
 from tideusher.scale.messages import Counted, Traffic
-from tideusher.scale.processes import Usage
+from tideusher.scale.processes import ProcessUsage, Usage
 from tideusher.scale.settings import ScaleSettings
 
 
@@ -47,6 +47,7 @@
     broken: list[Broken]
     measured: Measured
     roles: dict[str, Usage]
+    processes: dict[str, ProcessUsage]
     real_worker: WorkerCost | None
     peak_memory_mb: float
     peak_processes: int
@@ -71,6 +72,7 @@
     verdict: Verdict
     measured: Measured
     roles: dict[str, Usage]
+    processes: dict[str, ProcessUsage]
     counted: Iterable[Counted]
     cloud: dict[str, int]
     peak_memory_mb: float
@@ -109,6 +111,7 @@
         broken=verdict.broken,
         measured=measured,
         roles=outcome.roles,
+        processes=outcome.processes,
         real_worker=_worker_cost(settings, outcome.roles, by_name),
         peak_memory_mb=outcome.peak_memory_mb,
         peak_processes=outcome.peak_processes,
--- a/tests/test_compound_faults.py
+++ b/tests/test_compound_faults.py
@@ -574,8 +574,8 @@
         assert sim.told.get(spec.id) or poll(sim, spec) == "done"
     assert counts["writes"] <= 40 * LIMITS[site].write_rps
     per_job = counts["writes"] / len(specs)
-    print("per job", per_job, counts)
-    assert per_job <= 5.5, counts
+    # Accepted, cancelled or done, and a share of the pages that hold its place and end; and the machines'.
+    assert per_job <= 3.6, counts
 
 
 def test_a_gang_of_whole_machines_begins_though_small_work_is_spread_over_all_of_them(sim):
--- a/tests/test_scale_run.py
+++ b/tests/test_scale_run.py
@@ -466,7 +466,7 @@
     measured.task_starts = 4
     counted = [Counted("state", {"writes.ratios": 2, "requests.txn": 9}), Counted("host-0", {"reports.200": 5})]
     roles = {"controller": Usage(3, 1.0, 0.1, 0.2, 40.0), "real worker": Usage(2, 0.5, 0.01, 0.02, 30.0)}
-    outcome = report.Outcome(verdict, measured, roles, counted, {}, 400.0, 12, [], ["a note"])
+    outcome = report.Outcome(verdict, measured, roles, {}, counted, {}, 400.0, 12, [], ["a note"])
     result = report.put_together(settings, outcome)
     assert result.total_broken == 1 and result.writes_per_start == 0.5 and result.reports == {"reports.200": 5}
     text = "\n".join(report.table(result))
--- a/tools/measure_capacity.py
+++ b/tools/measure_capacity.py
@@ -37,7 +37,7 @@
     jobs: list[str]
 
 
-def fleet_of(machines: int, teams: int) -> Fleet:
+def fleet_of(machines: int, teams: int, shared: bool) -> Fleet:
     """Machines that are up and heard; nothing is submitted yet."""
     limit = float(4 * machines)
     config = make_config(
@@ -45,7 +45,7 @@
         state=StateSettings(500.0, 90.0, VALUE_KB, TXN_OPS),
         cloud=CloudSettings(5.0, 2.0),
     )
-    bed = Bed(config)
+    bed = Bed(config, shared)
     bed.state.value_bytes = int(VALUE_KB * 1024)
     names = [f"host-{number:06d}" for number in range(machines)]
     for first in range(0, machines, 50):
@@ -143,10 +143,11 @@
 @click.command()
 @click.option("--machines", default=628, show_default=True, help="Size of the fleet; as many jobs of four tasks.")
 @click.option("--teams", default=230, show_default=True)
-def main(machines: int, teams: int) -> None:
+@click.option("--shared/--own", default=True, show_default=True, help="Do the jobs' records share pages?")
+def main(machines: int, teams: int, shared: bool) -> None:
     """Measure one size, in a process of its own."""
     before_mb = resident_mb()
-    fleet = fleet_of(machines, teams)
+    fleet = fleet_of(machines, teams, shared)
     submit(fleet, machines, teams)
     pass_s, longest_s, count = place_all(fleet)
     start_s, start_txns, start_writes = write_all(fleet.bed)
@@ -156,7 +157,7 @@
     end_report_s, _ = report_all(fleet, 3, "exited", "done")
     end_s, end_txns, end_writes = write_all(fleet.bed)
     done = sum(fleet.bed.state.record_of(one)["st"] == "done" for one in fleet.jobs)
-    left = sum(key.startswith(keys.CHUNK_PREFIX) for key in fleet.bed.state.items)
+    left = sum(key.startswith((keys.CHUNK_PREFIX, keys.PAGE_PREFIX)) for key in fleet.bed.state.items)
 
     def each_us(seconds: float, of: int) -> str:
         return f"{seconds / max(1, of) * 1e6:.1f} us"
