A standby reads pages in pieces of so many records

Cause: following and auditing are bounded in keys a piece; a page holds some hundred jobs, so that after a start one piece held the loop for as long as thousands of records take. Change: what was there and what is audited count by the records in them.

--- a/src/tideusher/core/lead/standby.py
+++ b/src/tideusher/core/lead/standby.py
@@ -12,6 +12,7 @@
 from typing import Any, Protocol
 
 from tideusher.config import Config, Policy
+from tideusher.core.picture import keys
 from tideusher.core.picture.picture import Picture, RecordOf, in_order
 from tideusher.core.picture.values import is_final
 
@@ -98,8 +99,10 @@
         picture = self._picture
         if picture is None:
             return False
-        for _ in range(min(PIECE, len(self._changes))):
+        left = PIECE
+        while self._changes and left > 0:
             key, value, stamp, was_there = self._changes.popleft()
+            left -= _records_in(key, value) if was_there else 1  # of a page that changes, few records do
             picture.building = was_there  # of what was there already nobody knows since when
             picture.apply(key, value, stamp, now_us)
         picture.building = False
@@ -114,10 +117,11 @@
             return []  # with changes to come it may differ
         if not self._to_audit:
             self._to_audit.extend(mirror)
-        wrong = []
-        for _ in range(min(AUDITED, len(self._to_audit))):
+        wrong, left = [], AUDITED
+        while self._to_audit and left > 0:
             key = self._to_audit.popleft()
             stored = mirror.get(key)
+            left -= 1 if stored is None else _records_in(key, stored.value)
             if stored is not None and not picture.says(key, stored.value):
                 wrong.append(key)
         stray = [
@@ -175,3 +179,8 @@
     def _true(picture: Picture, mirror: Mapping[str, Record]) -> bool:
         """After records that were not told in their order: does the picture say what all of them say?"""
         return all(picture.says(key, stored.value) for key, stored in mirror.items())
+
+
+def _records_in(key: str, value: Any) -> int:
+    """How many records a key holds: a page has those of many jobs."""
+    return max(1, len(value)) if key.startswith(keys.PAGE_PREFIX) and value else 1
--- a/tests/test_shared_records.py
+++ b/tests/test_shared_records.py
@@ -10,13 +10,14 @@
 from hypothesis import strategies as st
 
 from standins import TYPE, Bed, Harness, job, make_config
-from test_standby import Follower, rebuilt
+from test_standby import Follower, Node, rebuilt
 from test_storm import random_job
 from tideusher.clock import SECOND_US
 from tideusher.config import Policy, StateSettings, Team
 from tideusher.core.decide.succession import Standing, all_read, cannot_read
 from tideusher.core.lead.cluster import Cluster
 from tideusher.core.lead.scheduler import Scheduler
+from tideusher.core.lead.standby import PIECE
 from tideusher.core.picture import drafts, keys
 from tideusher.core.picture.entries import Entry
 from tideusher.core.picture.pages import NULL, Pages, member_size
@@ -553,6 +554,23 @@
     assert not placements.is_over("req-1")
 
 
+def test_a_standby_reads_pages_in_pieces_of_so_many_records_not_of_so_many_keys():
+    bed = large()
+    placed = small(bed, 300)
+    place(bed)
+    bed.commit()
+    assert len(pages_of(bed.state)) < 10
+    node = Node(bed.state, bed.clock)
+    node.config.settings.teams = bed.config.settings.teams
+    node.read()
+    node.standby.begin(bed.clock.now_us())
+    pieces = 1
+    while node.standby.piece(bed.clock.now_us()):
+        pieces += 1
+    assert pieces >= (300 + 300) / 2 / PIECE and len(node.standby.picture.jobs) == len(placed)
+    assert not any(node.standby.audit(bed.clock.now_us()) for _ in range(10))
+
+
 # -------------------------------------------------------------------- older versions
 
 
