An interrupted scale run ends in one line

Cause: started in the background of a shell, a run inherits an ignored interrupt and went on to its end; SIGTERM ended it without a word. Change: both signals end the run, its processes and say so in one line, exit 1.

--- a/src/tideusher/cli_scale.py
+++ b/src/tideusher/cli_scale.py
@@ -26,7 +26,8 @@
     from tideusher.scale.report import table
     from tideusher.scale.settings import load_scale_settings
 
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
+    for number in (signal.SIGINT, signal.SIGTERM):
+        signal.signal(number, _interrupt)
     try:
         result = coordinator.run(load_scale_settings(str(file)), file, out, tree)
     except ScaleError as error:
@@ -37,3 +38,7 @@
         click.echo(line)
     if result.total_broken:
         sys.exit(1)
+
+
+def _interrupt(*_: object) -> None:
+    raise KeyboardInterrupt
