Changes of shared records are not collected after all

Cause: the try to wait up to 0.4 s between transactions saved next to nothing and cost service. Change: taken out.

--- a/src/tideusher/actors/leader.py
+++ b/src/tideusher/actors/leader.py
@@ -52,9 +52,6 @@
 CALLED_AGAIN_US = 2 * SECOND_US
 #: A timer that fires so much later than it should tells that the whole process stood still, its clocks running on.
 STILL_US = 2_000_000
-#: While the state service's writes are all wanted, changes of records that share pages are collected for so long: the
-#: fewer transactions there are, the fewer times each page is written. Less, as less of the writes is wanted.
-COLLECT_US = 400_000
 #: How long a gateway waits for the answer to a report before it answers alone.
 REPORT_WAITS_US = 1_000_000
 
@@ -91,7 +88,6 @@
         self._beat_us: int | None = None
         self._loading = False
         self._probing: set[str] = set()
-        self._wrote_us = 0  # when our last transaction began
         self._listed_us = 0  # when the cloud's list was asked for
         self._deaf_zones: Callable[[], set[str]] = set
         self._reads: Callable[[str], bool] = lambda node: True
@@ -503,10 +499,8 @@
 
     def _act(self, engine: Engine) -> None:
         """Write what changed, and carry out what may be done. Rentals and returns get here only when persisted."""
-        now_us = self._clock.now_us()
-        batch = engine.batch() if now_us - self._wrote_us >= self._collects_us(engine.cluster) else None
+        batch = engine.batch()
         if batch is not None:
-            self._wrote_us = now_us
             self.spawn(self._commit, engine, batch)
         token, orders = engine.token, engine.orders()
         for rental in orders.rent:
@@ -528,10 +522,6 @@
                 else:
                     self.spawn(self._send_all, machine, token, commands)
 
-    def _collects_us(self, cluster: Cluster) -> int:
-        """For how long after a transaction changes are collected for the next one."""
-        return round(COLLECT_US * min(1.0, self._store.pressure())) if cluster.pages.open else 0
-
     def _rent(self, token: int, rental: Rental) -> None:
         request = cloud_wire.RentRequest(rental.name, rental.type, rental.zone, rental.spot, rental.count)
         self._cloud.submit(
--- a/src/tideusher/actors/store.py
+++ b/src/tideusher/actors/store.py
@@ -177,10 +177,6 @@
         """What this node wants to write a second, for the others to know."""
         return self._wanted.rate()
 
-    def pressure(self) -> float:
-        """What all nodes that are heard want to write, as a part of what may be written: above 1 somebody waits."""
-        return (self._wanted.rate() + sum(self._told().values())) / self._limits.write_rps
-
     def _share_writes(self) -> None:
         """Our share of the writes, and part of what others leave unused.
 
