--- a/tests/simulated_cluster.py
+++ b/tests/simulated_cluster.py
@@ -4,6 +4,7 @@
 and the cloud's answers, the links between controllers, and the workers: nothing waits for real, a seed decides all.
 """
 
+import contextlib
 import heapq
 import io
 import itertools
@@ -35,12 +36,22 @@
 SPAWN, YIELD = gevent.spawn, gevent.sleep
 
 
+def owner():
+    """The controller whose process the running greenlet belongs to; empty: none."""
+    return getattr(gevent.getcurrent(), "owner", "")
+
+
 class SimulatedTime:
-    """Simulated time for gevent: greenlets that sleep or wait with a limit are woken when the clock gets there."""
+    """Simulated time for gevent: greenlets that sleep or wait with a limit are woken when the clock gets there.
+
+    A greenlet belongs to the controller that spawned it. While that one's process is stopped (`stopped_until`), its
+    greenlets do not wake: what was due meanwhile comes all at once when the process goes on, in the order in which it
+    was due.
+    """
 
     def __init__(self, monkeypatch):
         self.clock, self._due, self._count = FakeClock(), [], itertools.count()
-        self._all = []
+        self._all, self.stopped_until = [], {}
         time = self
 
         class Timeout(BaseException):
@@ -50,7 +61,8 @@
             def __enter__(self):
                 mine = gevent.getcurrent()
                 if self._seconds is not None:
-                    time.later(self._seconds, lambda: self._on and mine.throw(self))
+                    call = lambda: self._on and mine.throw(self)  # noqa: E731
+                    time.later(self._seconds, lambda name=owner(): time.when_awake(name, call))
                 return self
 
             def __exit__(self, kind, value, trace):
@@ -64,6 +76,7 @@
 
     def spawn(self, function, *args):
         self._all.append(SPAWN(function, *args))
+        self._all[-1].owner = owner()
         return self._all[-1]
 
     def _after(self, seconds, function, *args):
@@ -77,10 +90,48 @@
         event = Event()
         self.later(seconds, event.set)
         event.wait()
+        self.wait_awake(owner())
+
+    # processes that are stopped
+
+    def stop(self, name, for_s):
+        """The whole process stands still, as with SIGSTOP; its clocks run on."""
+        until_us = self.clock.us + round(for_s * SECOND_US)
+        self.stopped_until[name] = max(until_us, self.stopped_until.get(name, 0))
+
+    def is_stopped(self, name):
+        return self.stopped_until.get(name, 0) > self.clock.us
+
+    def wait_awake(self, name):
+        """What happens to a stopped process does so when it goes on."""
+        while self.is_stopped(name):
+            event = Event()
+            self._at(self.stopped_until[name], event.set)
+            event.wait()
+
+    def when_awake(self, name, call):
+        """Call a function of a process at once, or when it goes on."""
+        if self.is_stopped(name):
+            self._at(self.stopped_until[name], lambda: self.when_awake(name, call))
+        else:
+            call()
+
+    @contextlib.contextmanager
+    def inside(self, name):
+        """The running greenlet works in this process for a while: it stands still with it."""
+        self.wait_awake(name)
+        mine, before = gevent.getcurrent(), owner()
+        mine.owner = name
+        try:
+            yield
+        finally:
+            mine.owner = before
 
     def later(self, seconds, call):
-        due = self.clock.us + max(1, round(seconds * SECOND_US))
-        heapq.heappush(self._due, (due, next(self._count), call))
+        self._at(self.clock.us + max(1, round(seconds * SECOND_US)), call)
+
+    def _at(self, due_us, call):
+        heapq.heappush(self._due, (due_us, next(self._count), call))
 
     def run(self, seconds):
         end_us = self.clock.us + round(seconds * SECOND_US)
@@ -151,9 +202,13 @@
     def put(self, frame):
         if not self._town.cut(*self._ends):
             messages = peers.Unframer().feed(frame)
-            self._town.time.later(self._town.delay_s, lambda: gevent.spawn(self._take, messages))
+            self._town.time.later(self._town.delay_s, lambda: gevent.spawn(self._arrives, messages))
         return True
 
+    def _arrives(self, messages):
+        with self._town.time.inside(self._ends[1]):
+            self._take(messages)
+
 
 class SimulatedCluster:
     """`nodes` controllers in two zones, and machines that are up from the start."""
@@ -163,7 +218,7 @@
         self.clock = self.time.clock
         self.service = Service(self)
         self.delay_s, self.tick_s, self.report_s = 0.001, tick_s, 1.0
-        self.cuts, self.frozen, self.deaf = set(), {}, set()  # pairs or nodes; nodes; machines
+        self.cuts, self.deaf = set(), set()  # pairs or nodes; machines
         self.mute, self.hung = set(), {}  # machines that reach no controller; that hang, with calls that wait there
         self.capacity = 1000  # of the cloud
         self.boot_s, self.for_next, self.kept = 3.0, 0.0, []  # the share of reports copied for the next leader
@@ -213,18 +268,23 @@
         config.peers = [Peer(other, self.zone_of[other], "127.0.0.1:9") for other in self.names if other != name]
         first = len(self.time._all)
         node = self.nodes[name] = Node(config, Policy(), self.clock)
-        node.cloud.submit = lambda kind, call, then: self.time.later(0.1, lambda: then(call()))
+        node.cloud.submit = lambda kind, call, then: self.time.later(0.1, lambda: self._cloud_answers(name, call, then))
         node.cloud.types = lambda: [TYPE]
         node.cloud.machines = self._listed
         node.cloud.rent = lambda wish: self.rent(wish.name, wish.zone, wish.spot, wish.count)
         node.cloud.give_back = self._give_back
-        for part in (node.store, node.election, node.leader):
-            part.start()
-        for other, link in node.peers.links.items():
-            self.time.spawn(self._link, node, name, other, link)
+        with self.time.inside(name):
+            for part in (node.store, node.election, node.leader):
+                part.start()
+            for other, link in node.peers.links.items():
+                self.time.spawn(self._link, node, name, other, link)
         node.peers._handler, node.peers._reports = node._answer, node._answer_reports
         self.lives[name] = self.time._all[first:]
 
+    def _cloud_answers(self, name, call, then):
+        answer = call()
+        self.time.when_awake(name, lambda: then(answer))
+
     def _link(self, node, name, other, link):
         while self.nodes.get(name) is node:
             peer = self.nodes.get(other)
@@ -244,10 +304,16 @@
     def end(self, name, back_s=None):
         """The process is killed; it may be back after a while."""
         self.nodes.pop(name)
+        self.time.stopped_until.pop(name, None)
         self.time.end(self.lives[name])
         if back_s is not None:
             self.time.later(back_s, lambda: self.begin(name))
 
+    def pause(self, name, for_s):
+        """The process stands still, if there is one."""
+        if name in self.nodes:
+            self.time.stop(name, for_s)
+
     def cut(self, one, other):
         if one in self.cuts or other in self.cuts or frozenset((one, other)) in self.cuts:
             return True
@@ -390,9 +456,10 @@
         """A report's way to a controller: nothing comes of it while that one is away or stands still."""
         if node not in self.nodes or ("workers", node) in self.cuts:
             gevent.sleep(9.0)
-        while self.frozen.get(node, 0) > self.clock.now_us():
-            gevent.sleep(0.1)
-        return self.nodes[node].gateway.handle(body)
+        with self.time.inside(node):
+            while node not in self.nodes:  # it ended while it stood still
+                gevent.sleep(9.0)
+            return self.nodes[node].gateway.handle(body)
 
     def _copy(self, body):
         node = self.rng.choice(self.names)
@@ -405,7 +472,10 @@
         """What a user of that controller is told, as (status, what it says); None: nothing in five seconds."""
         with gevent.Timeout(5.0, False):
             if node in self.nodes and self.reaches(self.zone_of[node], ""):
-                reply = self.nodes[node].web._route(method, path, {"wsgi.input": io.BytesIO(body)})
+                with self.time.inside(node):
+                    if node not in self.nodes:
+                        return None
+                    reply = self.nodes[node].web._route(method, path, {"wsgi.input": io.BytesIO(body)})
                 said = reply.body if isinstance(reply.body, bytes) else msgspec.json.encode(reply.body)
                 return reply.status, msgspec.json.decode(said)
         return None
--- a/tests/test_random_faults.py
+++ b/tests/test_random_faults.py
@@ -93,8 +93,8 @@
 
 
 def frozen(sim, rng, for_s):
-    """Reports that a controller has taken wait there, and their answers come late."""
-    sim.frozen[sim.leader() or sim.names[0]] = sim.clock.us + round(min(for_s, 12.0) * 1e6)
+    """The leader's whole process stands still: all that it was about to do comes late, and at once."""
+    sim.pause(sim.leader() or sim.names[0], min(for_s, 12.0))
 
 
 def die(sim, rng, for_s):
