A leadership that was let go of is never led with again

Cause: a leader that stood still for longer than its lease lets go of its token until a read shows its key; where an outage kept the lease alive the key was still there, and it led on under the same token with a new engine. That one counted its rentals from 1 again: the cloud answered with the machines of the first ones, and the record that said spot said ordinary from then on. It also renewed no lease, so this second leadership ended some 18 s later. Change: Election holds the highest token it led with. A key of ours under a token that was let go of is taken anew in its own place: one lease and one transaction guarded by the old token, so that all that was under way under it is refused.

--- a/src/tideusher/actors/election.py
+++ b/src/tideusher/actors/election.py
@@ -2,6 +2,10 @@
 
 Nothing here relies on clocks for safety: every transaction of a leader guards the key's stamp, and
 workers drop what carries a lower token. The lease only decides how soon another node may try.
+
+A token is held once: a controller that has let go of a leadership never leads under its token again, also where the
+key is still there. What a leader counts (rentals), keeps in memory and has under way is unique by its token only as
+long as one engine has it; a second one under the same token named other rentals alike (docs/safety.md, 1).
 """
 
 import random
@@ -45,6 +49,7 @@
         self._nonce = f"{rng.getrandbits(64):x}"
         #: Our token while we lead, else None.
         self.token: int | None = None
+        self._last_token = 0  # the highest that we ever led with
         #: When we were elected last (steady time).
         self.elected_us = 0
         self._reign: Reign | None = None  # of another
@@ -69,11 +74,20 @@
             self._leads(stamp)
 
     def _leads(self, token: int) -> None:
+        """Lead under a token from now on, or go on; under one that we let go of, never again."""
         self._free_us, self._reign = None, None
-        if self.token != token:
-            self.log.info("%s leads with token %d", self._node, token)
-            self.elected_us, self.token = self._clock.now_us(), token
-            self._elected(token)
+        if token <= self._last_token:
+            return
+        self.log.info("%s leads with token %d", self._node, token)
+        self.elected_us, self.token, self._last_token = self._clock.now_us(), token, token
+        self._elected(token)
+
+    def _still_there(self, token: int) -> None:
+        """The key holds our name: we lead, or stand anew in place of a leadership of ours that we let go of."""
+        self._leads(token)
+        if self.token is None:
+            self.log.info("stand anew: token %d is ours and was let go of", token)
+            self._stand(token, 0)
 
     def hear(
         self, ours: Callable[[], Standing], others: Callable[[], list[Standing]], elected: Callable[[int], None]
@@ -130,7 +144,7 @@
                 elif stored is None:
                     self._nobody_leads()
                 elif stored.value.get("nonce") == self._nonce:
-                    self._leads(stored.stamp)
+                    self._still_there(stored.stamp)
                     gevent.sleep(0.1)
                 else:
                     self._free_us = self.token = None
@@ -186,7 +200,10 @@
             self.log.info("leadership not ended: %s", error)
 
     def _stand(self, instead_of: int, early: int) -> None:
-        """Run for the leadership: `instead_of` 0 if nobody has it, else the token of whom we take it from."""
+        """Run for the leadership: `instead_of` 0 if nobody has it, else the token of whom we take it from.
+
+        That may be a leadership of our own that we let go of. Whatever was under way under its token is refused then.
+        """
         if self._lease is None:
             body = state.LeaseRequest(round(self._ttl_s * 1000))
             status, answer = self._store.call("POST", "/holds", body, budget=False)
--- a/tests/simulated_cluster.py
+++ b/tests/simulated_cluster.py
@@ -61,8 +61,8 @@
             def __enter__(self):
                 mine = gevent.getcurrent()
                 if self._seconds is not None:
-                    call = lambda: self._on and mine.throw(self)  # noqa: E731
-                    time.later(self._seconds, lambda name=owner(): time.when_awake(name, call))
+                    name = owner()
+                    time.later(self._seconds, lambda: time.when_awake(name, lambda: self._on and mine.throw(self)))
                 return self
 
             def __exit__(self, kind, value, trace):
@@ -268,7 +268,7 @@
         config.peers = [Peer(other, self.zone_of[other], "127.0.0.1:9") for other in self.names if other != name]
         first = len(self.time._all)
         node = self.nodes[name] = Node(config, Policy(), self.clock)
-        node.cloud.submit = lambda kind, call, then: self.time.later(0.1, lambda: self._cloud_answers(name, call, then))
+        node.cloud.submit = lambda kind, *asked: self.time.later(0.1, lambda: self._cloud_answers(name, *asked))
         node.cloud.types = lambda: [TYPE]
         node.cloud.machines = self._listed
         node.cloud.rent = lambda wish: self.rent(wish.name, wish.zone, wish.spot, wish.count)
--- a/tests/test_back.py
+++ b/tests/test_back.py
@@ -19,7 +19,7 @@
 from tideusher.metrics import Metrics
 from tideusher.playground.standins import StateStandIn
 from tideusher.wire.peers import Soft
-from tideusher.wire.state import Delete, Put
+from tideusher.wire.state import Delete, Guard, Put
 
 DELETE = Delete(keys.LEADER)
 
@@ -95,7 +95,8 @@
         if stored is None:
             one._nobody_leads()
         elif stored.value.get("nonce") == one._nonce:
-            one._free_us, one._reign, one.token = None, None, stored.stamp
+            one._still_there(stored.stamp)
+            stored = self.view.mirror[keys.LEADER]
             self.service.leases[stored.value["lease"]][0] = self.service.clock.now_us() + 3 * SECOND_US
         else:
             one._free_us = one.token = None
@@ -301,6 +302,57 @@
     assert not one._doubted()
 
 
+def paused_life(service, for_s=8):
+    """A leader that let go of its leadership, whose key is still there: an outage kept its lease alive."""
+    life = Life(service, "n0", 1)
+    run(service, {"n0": life}, 3, lambda: life.leads)
+    for lease in service.leases.values():
+        lease[0] += for_s * SECOND_US
+    service.clock.pass_s(for_s)
+    life.election.stood_still(for_s * SECOND_US, service.clock.now_us())
+    return life
+
+
+def test_a_token_that_was_let_go_of_is_never_led_with_again():
+    service = Service(Bed().clock)
+    led = []
+    life = paused_life(service)
+    before = life.election._last_token
+    life.election.hear(life.election._ours, life.election._others, led.append)
+    life.view.sync()
+    stored = life.view.mirror[keys.LEADER]
+    assert (stored.stamp, stored.value["nonce"]) == (before, life.election._nonce)
+    life.election._on_change(keys.LEADER, stored.value, stored.stamp)  # the read shows it, as it was
+    assert not life.leads
+    life.step()
+    assert life.leads and life.election.token > before and led == [life.election.token]
+    life.step()
+    assert led == [life.election.token]
+
+
+def test_what_was_under_way_under_a_token_that_was_let_go_of_does_nothing():
+    service = Service(Bed().clock)
+    life = paused_life(service)
+    late = [Guard(keys.LEADER, life.election._last_token)], [Put("t/m/late", {})]
+    life.step()
+    assert life.leads and service.state.txn(*late) is None
+
+
+def test_a_request_to_stand_anew_that_lands_late_is_led_with_once():
+    service = Service(Bed().clock)
+    life = paused_life(service)
+    life.view.sync()
+    life.view.slow = True
+    life.election._still_there(service.state.stamp_of(keys.LEADER))
+    assert not life.leads and len(service.held) == 1
+    life.view.slow = False
+    life.step()  # and asks again
+    token = life.election.token
+    assert [service.state.txn(*one) for one in service.held] == [None]
+    life.step()
+    assert life.election.token == token
+
+
 def test_all_controllers_still_at_once_return_no_machine():
     """Clocks ran on for thirty seconds in which nobody listened: every machine of the fleet looked silent."""
     region = Region(a=12, b=12)
