One decision on whether a task may start, invariants asserted at run time, and terms that end with a failed pass

Cause: the placing rules were asked when machines were chosen, by each way of choosing, and never when run was told; a rental's record could be written over another's; a leader whose passes ended with an exception went on leading and placed nothing (5.4 s in the incident, until its lease ended). Log lines: terms by token and engine with the revision read and its age, places with rental and kind, machines that a rental brought.

--- a/src/tideusher/actors/base.py
+++ b/src/tideusher/actors/base.py
@@ -48,6 +48,9 @@
 
         gevent.spawn(beat)
 
+    def failed(self, message: str, error: Exception) -> None:
+        """The handler of a message ended with this; for actors that have to do more about it than log it."""
+
     def _guarded(self, function: Callable[..., Any], *args: Any) -> None:
         try:
             function(*args)
@@ -61,6 +64,7 @@
                 result = getattr(self, "on_" + message)(*args)
             except Exception as error:
                 self.log.exception("message %s failed", message)
+                self.failed(message, error)
                 if answer is not None:
                     answer.set_exception(error)
                 continue
--- a/src/tideusher/actors/election.py
+++ b/src/tideusher/actors/election.py
@@ -83,9 +83,14 @@
         self._elected(token)
 
     def _still_there(self, token: int) -> None:
-        """The key holds our name: we lead, or stand anew in place of a leadership of ours that we let go of."""
+        """The key holds our name: we lead, or it is of a leadership of ours that we let go of.
+
+        That one we stand anew in place of, or end it if another is to lead.
+        """
         self._leads(token)
-        if self.token is None:
+        if self.token is None and self.rests():
+            self._remove(token)
+        elif self.token is None:
             self.log.info("stand anew: token %d is ours and was let go of", token)
             self._stand(token, 0)
 
@@ -116,6 +121,12 @@
             return ""
         return gives_way(self._ours(), self._others(), self._clock.now_us() - self.elected_us)
 
+    def end_term(self, leave: bool = False) -> None:
+        """End our leadership: whatever is decided next is decided under another token, or elsewhere if we `leave`."""
+        if leave:
+            self._rests_until_us = self._clock.now_us() + RESTS_US
+        self.token = None
+
     def give_up(self) -> None:
         """Leave the leadership to another; whoever is next stands at once."""
         token, self._rests_until_us = self.token, self._clock.now_us() + RESTS_US
--- a/src/tideusher/actors/leader.py
+++ b/src/tideusher/actors/leader.py
@@ -16,10 +16,12 @@
 from tideusher.config import Config, Policy
 from tideusher.core.decide import hearing
 from tideusher.core.decide.bounds import may_answer
+from tideusher.core.decide.failing import PassFailures, Remedy
 from tideusher.core.decide.succession import Lag, Standing, all_read
 from tideusher.core.lead import explain
 from tideusher.core.lead.cluster import Cluster
 from tideusher.core.lead.engine import Engine
+from tideusher.core.lead.invariants import Invariants, Rule
 from tideusher.core.lead.soft import Told, newer, take_sightings
 from tideusher.core.lead.soft import refusal as soft_refusal
 from tideusher.core.lead.soft import take as take_soft
@@ -52,6 +54,8 @@
 CALLED_AGAIN_US = 2 * SECOND_US
 #: A timer that fires so much later than it should tells that the whole process stood still, its clocks running on.
 STILL_US = 2_000_000
+#: Messages whose handlers make passes or tell what they decided: after an exception the picture may be half changed.
+DECIDING = frozenset({"tick", "beat", "go_on", "take_over", "saved", "not_saved"})
 #: How long a gateway waits for the answer to a report before it answers alone.
 REPORT_WAITS_US = 1_000_000
 
@@ -82,6 +86,9 @@
         self._soft: Soft | None = None  # what we tell as a leader, made anew twice a second
         self._soft_us = 0
         self._tokens: list[int] = []  # of the last two leaderships
+        self._terms = 0  # how many engines this process has had
+        self._last_token = 0  # of the last of them
+        self._failures, self._invariants = PassFailures(), Invariants(metrics)
         self._phases: list[str] = []  # of our takeover, those still to come
         #: How late our timers fire.
         self.lag = Lag(PASS_US)
@@ -191,11 +198,8 @@
         token = self._election.token
         engine = self._engine
         if engine is not None and engine.token != token:
-            self.log.info("stepped down from token %d", engine.token)
-            self._engine = engine = None
-            self._standby.begin(self._clock.now_us())
-            self._follow()
-            self._store.lead(False)
+            self._step_down(engine)
+            engine = None
         if engine is None:
             if token is not None and not self._loading:
                 self._loading = True
@@ -207,6 +211,26 @@
         self._look_after(engine, now_us)
         self._after_piece(engine, engine.tick(now_us))
 
+    def _step_down(self, engine: Engine) -> None:
+        """Forget what was decided and not written, and follow the records again."""
+        self.log.info("stepped down from token %d, engine %d", engine.token, self._terms)
+        self._engine = None
+        self._standby.begin(self._clock.now_us())
+        self._follow()
+        self._store.lead(False)
+
+    def failed(self, message: str, error: Exception) -> None:
+        """A leader whose picture may be half changed does not decide on it any more."""
+        if message not in DECIDING or self._election.token is None:
+            return
+        remedy = self._failures.failed(error, self._clock.now_us())
+        kind = type(error.__cause__ or error).__name__
+        self._metrics.count("pass_failures", kind)
+        self.log.error("%s ended with %s (%s): %s", message, kind, error, remedy.name.lower().replace("_", " "))
+        if self._engine is not None:
+            self._step_down(self._engine)
+        self._election.end_term(leave=remedy is Remedy.GIVE_WAY)
+
     def _share_records(self, cluster: Cluster) -> None:
         """Small jobs' records share pages once all controllers read them."""
         shared = cluster.pages.open or cluster.pages.fenced
@@ -325,6 +349,12 @@
             gevent.spawn_later(0, self.tell, "take_over", token)
             return
         self._loading = False
+        if token <= self._last_token:
+            # The election sees to that (`Election._leads`); whatever else might lead here again does not.
+            self._invariants.broken(Rule.ONE_TERM, f"token {token} again, after engine {self._terms} led with it")
+            self._election.end_term()
+            return
+        self._terms, self._last_token = self._terms + 1, token
         self._engine = Engine(
             self._config,
             self._policy,
@@ -340,10 +370,12 @@
         take_sightings(self._engine, self._sightings, now_us)
         self._use_soft(self._engine, token, now_us)
         cluster = self._engine.cluster
+        cluster.failures = self._failures
         self._metrics.count("leaderships")
         self.log.info(
-            "took over with token %d: %d jobs, %d machines, %d records late",
-            token, len(cluster.jobs), len(cluster.machines), caught.late,
+            "took over with token %d, engine %d: %d jobs, %d machines, %d records late; revision %d read %.2f s ago",
+            token, self._terms, len(cluster.jobs), len(cluster.machines), caught.late, self._store.revision,
+            to_s(now_us - (self._store.contact_us or 0)),
         )  # fmt: skip
         self.on_survey()
         self.on_tick()
@@ -537,9 +569,9 @@
         if names is None:
             gevent.spawn_later(1.0, self.tell, "rent_again", token, rental)
         elif names:
-            engine.cluster.rented(rental, names, now_us)
+            engine.cluster.renting.rented(rental, names, now_us)
         else:
-            engine.cluster.refused(rental, now_us)
+            engine.cluster.renting.refused(rental, now_us)
         self._act(engine)
 
     def on_rent_again(self, token: int, rental: Rental) -> None:
--- /dev/null
+++ b/src/tideusher/core/decide/starts.py
@@ -0,0 +1,82 @@
+"""May a task start on a machine? The one decision, asked when it is placed and again when `run` is told. Pure.
+
+Passes choose among machines by the same rules, in ways that are fast for thousands of them; this is what counts.
+Between the two questions a machine may have begun to drain, or turn out to be another than its record said.
+"""
+
+from collections.abc import Sequence
+from enum import StrEnum
+from typing import NamedTuple
+
+from tideusher.core.picture.records import UP, Job, Machine, Task
+
+
+class Refusal(StrEnum):
+    """Why a task may not start on a machine."""
+
+    TYPE = "its job does not run on this type of machine"
+    ZONE = "its job does not run in this zone"
+    SPOT = "its job does not run on spot machines"
+    ONE_ZONE = "others of its job are in another zone, and all must be in one"
+    SPREAD = "this zone would hold more than half of its job"
+    RETURNING = "the machine's return was asked"
+    NOT_UP = "the machine is not up"
+    DRAINING = "the machine gets no new work"
+
+
+#: What may come true between a task's place and its start, by nobody's fault; all others break a rule of ours.
+MAY_CHANGE = frozenset({Refusal.RETURNING, Refusal.NOT_UP, Refusal.DRAINING, Refusal.SPREAD})
+
+
+class Kind(NamedTuple):
+    """What a machine is for good: it never changes while the machine lives."""
+
+    type: str
+    zone: str
+    spot: bool
+
+    def __str__(self) -> str:
+        return f"{'spot' if self.spot else 'ordinary'} {self.type} in {self.zone}"
+
+
+def kind_of(machine: Machine) -> Kind:
+    """The machine as the leader knows it."""
+    return Kind(machine.type, machine.zone, machine.spot)
+
+
+def refusal(
+    job: Job, machine: Machine, task: Task | None = None, beside: Sequence[Machine] = ()
+) -> Refusal | None:
+    """Why a task of the job may not start on the machine; None: it may.
+
+    `task`: the task itself, if it holds its place there already; it is none of the others of its job then.
+    `beside`: where others of the job are about to get their places.
+    """
+    spec = job.spec
+    if spec.types is not None and machine.type not in spec.types:
+        return Refusal.TYPE
+    if spec.zone is not None and machine.zone != spec.zone:
+        return Refusal.ZONE
+    if machine.spot and not spec.spot:
+        return Refusal.SPOT
+    return _condition(machine) or _beside_others(job, machine.zone, task, beside)
+
+
+def _condition(machine: Machine) -> Refusal | None:
+    if machine.phase != UP:
+        return Refusal.NOT_UP if not machine.draining else Refusal.RETURNING
+    return Refusal.DRAINING if machine.draining else None
+
+
+def _beside_others(job: Job, zone: str, task: Task | None, beside: Sequence[Machine]) -> Refusal | None:
+    """Where the job's other tasks hold their places. Asked of huge arrays too, which have no such rule."""
+    if not (job.spec.one_zone or job.spec.spread):
+        return None
+    others = [other.machine.zone for other in job.live.values() if other is not task]
+    others += [machine.zone for machine in beside]
+    if job.spec.one_zone and any(other != zone for other in others):
+        return Refusal.ONE_ZONE
+    limit = job.zone_limit
+    if limit is not None and others.count(zone) >= limit:
+        return Refusal.SPREAD
+    return None
--- a/src/tideusher/core/lead/cluster.py
+++ b/src/tideusher/core/lead/cluster.py
@@ -17,13 +17,17 @@
 from tideusher.config import Config, Policy
 from tideusher.core.decide import failures, hearing
 from tideusher.core.decide.conditions import Conditions
+from tideusher.core.decide.failing import PassFailures
 from tideusher.core.decide.falls import MANY, Falls, Look
-from tideusher.core.decide.fleet import Fleet, Wish
+from tideusher.core.decide.fleet import Fleet
 from tideusher.core.decide.health import Health
 from tideusher.core.decide.limits import Limits
 from tideusher.core.decide.preempt import Standing
 from tideusher.core.decide.recovery import Recovery
+from tideusher.core.decide.starts import Kind, kind_of, refusal
 from tideusher.core.decide.truth import Truth
+from tideusher.core.lead.invariants import Invariants, Rule
+from tideusher.core.lead.renting import Renting
 from tideusher.core.picture import keys
 from tideusher.core.picture.pages import NULL, Pages, ReadValue
 from tideusher.core.picture.picture import Picture, RecordOf
@@ -44,7 +48,7 @@
     Task,
     chunk_value,
 )
-from tideusher.core.picture.rentals import Rental
+from tideusher.core.picture.rentals import ADOPTED, Rental
 from tideusher.core.picture.values import MAX_STOPS_KEPT, final_value, holder, over_limit_reason
 from tideusher.core.picture.write_queue import Effect, Entry, WriteQueue
 from tideusher.metrics import Metrics
@@ -105,19 +109,22 @@
         #: Records of small jobs that share values; none until `share_records`.
         self.pages = Pages(lambda: int(settings.state.value_kb * 1024), value_of)
         self._fence = Entry(keys.FENCE, self._fence_value, 0)
-        self.write_queue = WriteQueue(keys.LEADER, token, settings.state.txn_ops, self._fence, self.pages)
+        self._value_of = value_of
+        self.write_queue: WriteQueue = WriteQueue(keys.LEADER, token, settings.state.txn_ops, self._fence, self.pages)
         self._entries: dict[str, Entry] = {}
         self.direct: list[Direct] = []
         self.to_rent: list[Rental] = []
         self.to_return: list[Machine] = []
-        self._rental_count = 0
         self._types_value: Any = None
-        self.rents = True  # false: the machines are the program's own, and neither rented nor given back
+        self.invariants = Invariants(self.metrics)
+        self.failures = PassFailures()  # whoever drives passes may have one that outlives this picture
+        self.renting = Renting(self, self.invariants, value_of)
+        self.rents: bool = True  # false: the machines are the program's own, and neither rented nor given back
         #: Own machines for which there may be a command: they are not waited for until they report.
         self.touched: dict[str, Machine] = {}
         self.writable = True  # did the state service answer our last write?
         self.saved_us = 0  # when the state service last took a write of ours
-        self.dirty = True
+        self.dirty: bool = True
         self.opened = 0  # counts what may have opened room: places that came free, fetches that ended
 
     # ---------------------------------------------------------------- loading
@@ -192,13 +199,22 @@
         """While there are pages, or may be at once, versions that do not read them are kept out."""
         return NULL if self.pages.open or self.pages.any else {"by": self.token}
 
-    def _entry(self, key: str, value: Callable[[], Any], also: Callable[[], list[Guard]] = list) -> Entry:
+    def entry(self, key: str, value: Callable[[], Any], also: Callable[[], list[Guard]] = list) -> Entry:
+        """The entry of a key that this leader writes, made when first needed."""
         entry = self._entries.get(key)
         if entry is None:
             # Of a key that is new to this leader; from here on the entry itself keeps the stamp.
             entry = self._entries[key] = Entry(key, value, self.picture.stamps.pop(key, 0), also)
         return entry
 
+    def forget_entry(self, key: str) -> Entry | None:
+        """Nothing more is written under the key, but for what waits already; returns its entry."""
+        return self._entries.pop(key, None)
+
+    def knows_key(self, key: str) -> bool:
+        """Is there such a record, as far as this leader can tell?"""
+        return key in self._entries or key in self.picture.stamps or self._value_of(key) is not None
+
     def _chunk_entry(self, job: Job, chunk: Chunk) -> Entry:
         key = keys.chunk_key(job.spec.id, chunk.number)
         entry = self._entries.get(key)
@@ -214,7 +230,7 @@
                     return None
                 return chunk_value(job, chunk)
 
-            entry = self._entry(key, value, also)
+            entry = self.entry(key, value, also)
             # What `done` waits for is that all chunks are written, whichever is the last. It once hung on the writes
             # of completions alone: where one that is not urgent (a stop, a place that came free) was still waiting
             # behind them, nobody looked again, and a job of 25,000 tasks that were all done was never called so.
@@ -223,9 +239,6 @@
                 entry.member = job.spec.id
         return entry
 
-    def _rental_entry(self, rental: Rental) -> Entry:
-        return self._entry(keys.rental_key(rental.name), rental.value)
-
     def is_saved(self, job: Job, index: int) -> bool:
         """Is what we know of the task's chunk in the state service?"""
         return self.write_queue.clean(self._chunk_entry(job, job.chunk_of(index)))
@@ -495,7 +508,7 @@
 
     # ---------------------------------------------------------------- machines
 
-    def _add_machine(self, name: str, rental: Rental, now_us: int) -> Machine:
+    def add_machine(self, name: str, rental: Rental, now_us: int) -> Machine:
         self.dirty = True
         return self.picture.add_machine(name, rental, now_us)
 
@@ -505,7 +518,7 @@
         for name, kind, zone in machines:
             rental = Rental(f"own-{name}", kind, zone, False, 1, True, [name])
             self.rentals[rental.name] = rental
-            self._add_machine(name, rental, now_us)
+            self.add_machine(name, rental, now_us)
 
     def withdraw(self, name: str, reason: str, grace_s: float) -> None:
         """An own machine is not to be used any more: what runs there is stopped, and it leaves when all is gone."""
@@ -537,7 +550,7 @@
         first = not self.picture.types
         self.picture.learn_types(types)
         value = msgspec.to_builtins(list(self.picture.types.values()))
-        entry = self._entry(keys.TYPES, lambda: msgspec.to_builtins(list(self.picture.types.values())))
+        entry = self.entry(keys.TYPES, lambda: msgspec.to_builtins(list(self.picture.types.values())))
         if first or value != self._types_value:
             self._types_value = value
             self.write_queue.touch(entry, urgent=False)
@@ -558,10 +571,10 @@
 
     def _add_unnamed(self, name: str, told: Report | Listed, rented_us: int) -> Machine:
         """Keep a machine that no rental of ours names under a rental of its own."""
-        rental = Rental(f"adopted-{name}", told.type, told.zone, told.spot, 1, True, [name])
+        rental = Rental(f"{ADOPTED}{name}", told.type, told.zone, told.spot, 1, True, [name])
         self.rentals[rental.name] = rental
-        self.write_queue.touch(self._rental_entry(rental), urgent=False)
-        return self._add_machine(name, rental, rented_us)
+        self.renting.touch(rental, urgent=False)
+        return self.add_machine(name, rental, rented_us)
 
     def drain(self, machine: Machine, reason: str) -> None:
         """Stop what runs on a machine that does harm, and return it."""
@@ -588,7 +601,7 @@
             return
         self.set_returning(machine, reason)
         rental = self.rentals[machine.rental]
-        self.write_queue.touch(self._rental_entry(rental), lambda: self.to_return.append(machine))
+        self.renting.touch(rental, lambda: self.to_return.append(machine))
 
     def set_returning(self, machine: Machine, reason: str) -> None:
         """No work goes there from now on. Whoever calls this has it persisted before the cloud hears of it."""
@@ -638,60 +651,9 @@
             rental = self.rentals[machine.rental]
             rental.machines.remove(name)
             rental.returning.remove(name)
-            self._settle(rental)
-        self.ledger.set_fleet(self.machines.values())
-
-    def _settle(self, rental: Rental) -> None:
-        self.write_queue.touch(self._rental_entry(rental), urgent=False)
-        if rental.value() is None:
-            self.rentals.pop(rental.name, None)
-            self._entries.pop(keys.rental_key(rental.name), None)
-
-    def rented(self, rental: Rental, names: list[str], now_us: int) -> None:
-        """A rental request was answered with machines."""
-        if rental.answered:
-            return
-        rental.answered = True
-        rental.machines = [name for name in names if name not in self.gone]
-        self.fleet.granted((rental.type, rental.zone, rental.spot))
-        for name in rental.machines:
-            known = self.machines.get(name)
-            if known is not None:  # it reported before the answer came
-                self.rentals.pop(known.rental, None)
-                entry = self._entries.pop(keys.rental_key(known.rental), None)
-                known.rental = rental.name
-                if known.phase == RETURNING:
-                    rental.returning.append(name)
-                if entry is not None:
-                    # A return that has yet to be persisted waits for the record that names the machine from now on:
-                    # the record of the adoption may never be written.
-                    effects, entry.effects = entry.effects, []
-                    for effect in effects:
-                        self.write_queue.touch(self._rental_entry(rental), effect)
-                    entry.value = lambda: None
-                    self.write_queue.touch(entry, urgent=False)
-            else:
-                self._add_machine(name, rental, now_us)
-        self._settle(rental)
-        if len(names) < rental.count:
-            self.fleet.refused((rental.type, rental.zone, rental.spot), now_us)
-        self.log.info("rental %s brought %d of %d machines", rental.name, len(names), rental.count)
+            self.renting.settle(rental)
         self.ledger.set_fleet(self.machines.values())
 
-    def refused(self, rental: Rental, now_us: int) -> None:
-        """No capacity of this kind."""
-        self.log.info(
-            "rental %s refused: no %s %s in %s",
-            rental.name,
-            "spot" if rental.spot else "ordinary",
-            rental.type,
-            rental.zone,
-        )
-        self.fleet.refused((rental.type, rental.zone, rental.spot), now_us)
-        rental.given_up = True
-        self._settle(rental)
-        self.dirty = True
-
     def listed(self, listing: list[Listed], now_us: int) -> None:
         """The cloud's (lagging) list: failed machines are returned, unknown ones adopted in time."""
         self.health.surveyed(now_us)
@@ -703,6 +665,7 @@
                     self.log.info("adopt %s: the cloud lists it and no rental names it", item.name)
                     self._add_unnamed(item.name, item, now_us - to_us(item.age_s))
                 continue
+            self.check_kind(machine, Kind(item.type, item.zone, item.spot), "the cloud's list")
             machine.listed = item.status
             machine.address = machine.address or item.address
             machine.rented_us = min(machine.rented_us, now_us - to_us(item.age_s))
@@ -718,14 +681,20 @@
         spec = job.spec
         return self.policy.min_run_us(spec.shape, spec.estimate_s, spec.min_run_s)
 
-    def assign(self, job: Job, machines: list[Machine], now_us: int) -> None:
-        """Give the job's next waiting tasks places on these machines; persisted before anyone hears."""
+    def assign(self, job: Job, machines: list[Machine], now_us: int) -> int:
+        """Give the job's next waiting tasks places on these machines; persisted before anyone hears.
+
+        Returns how many have one now: fewer than machines only if one was chosen on which they may not start.
+        """
+        machines = self._allowed(job, machines)
+        if not machines:
+            return 0
         indexes = job.pick(len(machines))
         chunks = {index // CHUNK_TASKS: job.chunk_of(index) for index in indexes}
         attempt = 1 + max(chunk.attempts for chunk in (job.chunks if job.is_gang else chunks).values())
         if job.is_gang and job.live:
             attempt = next(iter(job.live.values())).attempt  # a replacement joins the gang that gathers
-        self._write_rentals_of(machines)
+        self.renting.write_those_of(machines)
         tasks = []
         for index, machine in zip(indexes, machines, strict=True):
             chunk = job.chunk_of(index)
@@ -751,19 +720,32 @@
 
             self.write_queue.touch(self._chunk_entry(job, chunk), persisted)
         self.recovery.placed(job, len(tasks))
-        self.log.debug("place %s: %s", job.spec.id, ", ".join(f"{t.index}@{t.machine.name}" for t in tasks[:8]))
-
-    def _write_rentals_of(self, machines: Iterable[Machine]) -> None:
-        """No task is on record on a machine that is not: the record of the machine is written before, or with it.
-
-        A later leader takes a machine that no record names for one that is gone, and what was on it with it. Records
-        of rentals wait behind urgent ones; a leader that died in between left tasks that were started again elsewhere
-        while they ran.
-        """
-        for rental in {machine.rental: self.rentals[machine.rental] for machine in machines}.values():
-            entry = self._rental_entry(rental)
-            if self.rents and not self.write_queue.clean(entry):
-                self.write_queue.touch(entry)
+        if self.log.isEnabledFor(logging.DEBUG):
+            places = ", ".join(f"{task.index}@{told_machine(task.machine)}" for task in tasks[:8])
+            self.log.debug("place %s: %s", job.spec.id, places)
+        return len(tasks)
+
+    def _allowed(self, job: Job, machines: list[Machine]) -> list[Machine]:
+        """Those on which the job's tasks may start, one after the other. Of a gang all or none."""
+        allowed: list[Machine] = []
+        for machine in machines:
+            why = refusal(job, machine, beside=allowed)
+            if why is None:
+                allowed.append(machine)
+                continue
+            self.invariants.broken(Rule.PLACE, f"{job.spec.id} on {told_machine(machine)}: {why}")
+            if job.is_gang:
+                return []
+        return allowed
+
+    def check_kind(self, machine: Machine, told: Kind, whose: str) -> None:
+        """The machine, or the cloud, says what it is. That counts, whatever its record says."""
+        if told == kind_of(machine):
+            return
+        self.invariants.broken(Rule.MACHINE_KIND, f"{told_machine(machine)} is a {told}, {whose} says")
+        machine.zone, machine.spot = told.zone, told.spot
+        if told.type != machine.type:
+            self.drain(machine, f"it is a {told.type}, not a {machine.type}")
 
     def is_guest(self, team_name: str) -> bool:
         """Has the team no guarantee, so that it runs on what others leave?"""
@@ -792,26 +774,6 @@
         """Is the state service taking our writes right now? What we stop then starts again at once."""
         return self.writable and now_us - self.saved_us < 2 * to_us(self.policy.ledger__gather_s)
 
-    def rent(self, wish: Wish) -> None:
-        """Persist the intent; the cloud hears of it after that. The name holds our token: never reused."""
-        self._rental_count += 1
-        rental = Rental(f"{self.token}-{self._rental_count}", wish.type, wish.zone, wish.spot, min(50, wish.count))
-        self.rentals[rental.name] = rental
-        self.log.info(
-            "rent %d %s %s in %s as %s: %s",
-            rental.count,
-            "spot" if wish.spot else "ordinary",
-            wish.type,
-            wish.zone,
-            rental.name,
-            wish.reason,
-        )
-        self.write_queue.touch(self._rental_entry(rental), lambda: self.to_rent.append(rental))
-
-    def rentals_asked(self) -> list[Rental]:
-        """Rentals whose answer has yet to come."""
-        return [rental for rental in self.rentals.values() if not rental.answered]
-
     def gather(self, now_us: int) -> None:
         """Charge what ran; the ratios go out as one value."""
         self.ledger.set_fleet(m for m in self.machines.values() if m.phase != RETURNING)
@@ -824,4 +786,9 @@
         self.ledger.gather(
             ((t, self.min_run_us(t.job)) for m in self.machines.values() for t in m.tasks.values()), now_us
         )
-        self.write_queue.touch(self._entry(keys.RATIOS, lambda: self.ledger.to_value(now_us)), urgent=False)
+        self.write_queue.touch(self.entry(keys.RATIOS, lambda: self.ledger.to_value(now_us)), urgent=False)
+
+
+def told_machine(machine: Machine) -> str:
+    """A machine as the log tells of it: with its rental, and what it is."""
+    return f"{machine.name} ({machine.rental}: {kind_of(machine)})"
--- /dev/null
+++ b/src/tideusher/core/lead/renting.py
@@ -0,0 +1,207 @@
+"""Rentals: asked for under names that are never used again, and the machines that they brought.
+
+A rental's record is its intent first, then its machines. What it asks for never changes: the next leader takes each
+machine for what the record of its rental says.
+"""
+
+import logging
+from collections.abc import Callable, Iterable
+from functools import partial
+from typing import Any, Protocol
+
+from tideusher.core.decide.fleet import Fleet, Wish
+from tideusher.core.decide.starts import Kind, kind_of
+from tideusher.core.lead.invariants import Invariants, Rule
+from tideusher.core.picture import keys
+from tideusher.core.picture.entries import Effect, Entry
+from tideusher.core.picture.ledger import Ledger
+from tideusher.core.picture.pages import ReadValue
+from tideusher.core.picture.records import RETURNING, Machine
+from tideusher.core.picture.rentals import Rental
+from tideusher.core.picture.write_queue import WriteQueue
+
+#: A rental asks for so many machines at the most.
+MOST_A_RENTAL = 50
+#: So many machines of a rental are named in the log.
+NAMED = 8
+
+
+class Fleets(Protocol):
+    """What this needs of the leader's picture: rentals, machines, and the way to their records."""
+
+    token: int
+    rentals: dict[str, Rental]
+    machines: dict[str, Machine]
+    gone: set[str]
+    fleet: Fleet
+    ledger: Ledger
+    write_queue: WriteQueue
+    to_rent: list[Rental]
+    rents: bool
+    dirty: bool
+
+    def entry(self, key: str, value: Callable[[], Any]) -> Entry:
+        """The entry of a key that this leader writes."""
+
+    def forget_entry(self, key: str) -> Entry | None:
+        """Nothing more is written under the key, but for what waits already."""
+
+    def knows_key(self, key: str) -> bool:
+        """Is there such a record, as far as this leader can tell?"""
+
+    def add_machine(self, name: str, rental: Rental, now_us: int) -> Machine:
+        """A machine is known from now on."""
+
+
+class Renting:
+    """The transitions of rentals in a cluster's picture."""
+
+    def __init__(self, cluster: Fleets, invariants: Invariants, value_of: ReadValue) -> None:
+        """`value_of`: a key's value as the newest read has it."""
+        self._c, self._invariants, self._value_of = cluster, invariants, value_of
+        self.log = logging.getLogger("cluster")
+        self._count = 0
+
+    # ---------------------------------------------------------------- records
+
+    def entry(self, rental: Rental) -> Entry:
+        """The rental's record; it is written only if what is on record under its name is the same rental."""
+        entry = self._c.entry(keys.rental_key(rental.name), rental.value)
+        entry.valid = partial(self._is_same, rental)
+        return entry
+
+    def touch(self, rental: Rental, effect: Effect | None = None, urgent: bool = True) -> None:
+        """The rental changed."""
+        self._c.write_queue.touch(self.entry(rental), effect, urgent)
+
+    def _is_same(self, rental: Rental) -> bool:
+        """Asked whenever the record is about to be written. A rental that stands against another is given up."""
+        stored = self._value_of(keys.rental_key(rental.name))
+        if not stored or (_asked(stored) == _kind(rental) and rental.answered >= stored["answered"]):
+            return True
+        self._invariants.broken(
+            Rule.RENTAL_KIND,
+            f"rental {rental.name} of token {self._c.token} is {_kind(rental)}; on record under that name is "
+            f"{_asked(stored)} with {stored['machines']}",
+        )
+        entry = self.entry(rental)
+        entry.effects, entry.dirty = [], False
+        if not rental.answered:
+            self._c.rentals.pop(rental.name, None)
+        return False
+
+    def write_those_of(self, machines: Iterable[Machine]) -> None:
+        """No task is on record on a machine that is not: the record of the machine is written before, or with it.
+
+        A later leader takes a machine that no record names for one that is gone, and what was on it with it. Records
+        of rentals wait behind urgent ones; a leader that died in between left tasks that were started again elsewhere
+        while they ran.
+        """
+        for rental in {machine.rental: self._c.rentals[machine.rental] for machine in machines}.values():
+            if self._c.rents and not self._c.write_queue.clean(self.entry(rental)):
+                self.touch(rental)
+
+    def settle(self, rental: Rental) -> None:
+        """Write what is left of the rental; one of which nothing is left is forgotten."""
+        self.touch(rental, urgent=False)
+        if rental.value() is None:
+            self._c.rentals.pop(rental.name, None)
+            self._c.forget_entry(keys.rental_key(rental.name))
+
+    # ---------------------------------------------------------------- asking
+
+    def rent(self, wish: Wish) -> None:
+        """Persist the intent; the cloud hears of it after that. The name holds our token: never reused."""
+        count = min(MOST_A_RENTAL, wish.count)
+        rental = Rental(self._new_name(), wish.type, wish.zone, wish.spot, count)
+        self._c.rentals[rental.name] = rental
+        self.log.info("rent %d %s as %s: %s", rental.count, _told(rental), rental.name, wish.reason)
+        self.touch(rental, lambda: self._c.to_rent.append(rental))
+
+    def _new_name(self) -> str:
+        while True:
+            self._count += 1
+            name = f"{self._c.token}-{self._count}"
+            if name not in self._c.rentals and not self._c.knows_key(keys.rental_key(name)):
+                return name
+            found = f"a rental {name} is there already, and token {self._c.token} would name another so"
+            self._invariants.broken(Rule.RENTAL_NAME, found)
+
+    def asked(self) -> list[Rental]:
+        """Rentals whose answer has yet to come."""
+        return [rental for rental in self._c.rentals.values() if not rental.answered]
+
+    # ---------------------------------------------------------------- answers
+
+    def rented(self, rental: Rental, names: list[str], now_us: int) -> None:
+        """A rental request was answered with machines."""
+        if rental.answered:
+            return
+        rental.answered = True
+        self._c.fleet.granted(_kind(rental))
+        for name in names:
+            if name not in self._c.gone and self._takes(rental, name, now_us):
+                rental.machines.append(name)
+        self.settle(rental)
+        if len(names) < rental.count:
+            self._c.fleet.refused(_kind(rental), now_us)
+        told = ", ".join(names[:NAMED])
+        self.log.info("rental %s brought %d of %d machines: %s", rental.name, len(names), rental.count, told)
+        self._c.ledger.set_fleet(self._c.machines.values())
+
+    def _takes(self, rental: Rental, name: str, now_us: int) -> bool:
+        """Is a machine that the answer names the rental's from now on?"""
+        machine = self._c.machines.get(name)
+        if machine is None:
+            self._c.add_machine(name, rental, now_us)
+            return True
+        known = self._c.rentals.get(machine.rental)
+        if known is not None and known.adopted:
+            self._replace(known, rental, machine)  # it reported before the answer came
+            return True
+        self._invariants.broken(
+            Rule.RENTAL_MACHINES,
+            f"rental {rental.name} ({_kind(rental)}) brought {name}, which is of rental {machine.rental} "
+            f"({kind_of(machine)})",
+        )
+        if known is None:
+            machine.rental = rental.name
+        return known is None
+
+    def _replace(self, adopted: Rental, rental: Rental, machine: Machine) -> None:
+        """The machine was adopted; from now on it is the rental's that brought it."""
+        self._c.rentals.pop(adopted.name, None)
+        entry = self._c.forget_entry(keys.rental_key(adopted.name))
+        machine.rental = rental.name
+        if machine.phase == RETURNING:
+            rental.returning.append(machine.name)
+        if entry is None:
+            return
+        # A return that has yet to be persisted waits for the record that names the machine from now on:
+        # the record of the adoption may never be written.
+        effects, entry.effects = entry.effects, []
+        for effect in effects:
+            self.touch(rental, effect)
+        entry.value = lambda: None
+        self._c.write_queue.touch(entry, urgent=False)
+
+    def refused(self, rental: Rental, now_us: int) -> None:
+        """No capacity of this kind."""
+        self.log.info("rental %s refused: no %s", rental.name, _told(rental))
+        self._c.fleet.refused(_kind(rental), now_us)
+        rental.given_up = True
+        self.settle(rental)
+        self._c.dirty = True
+
+
+def _kind(rental: Rental) -> Kind:
+    return Kind(rental.type, rental.zone, rental.spot)
+
+
+def _asked(record: dict[str, Any]) -> Kind:
+    """What a rental on record asked for."""
+    return Kind(record["type"], record["zone"], record["spot"])
+
+
+def _told(rental: Rental) -> str:
+    return str(_kind(rental))
--- a/src/tideusher/core/lead/reports.py
+++ b/src/tideusher/core/lead/reports.py
@@ -4,9 +4,13 @@
 from here (safety 4). What becomes of a task is the cluster's to do; this decides what a report says.
 """
 
+import logging
+
 from tideusher.clock import SECOND_US, to_s, to_us
 from tideusher.core.decide import failures, hearing
-from tideusher.core.lead.cluster import Cluster
+from tideusher.core.decide.starts import MAY_CHANGE, Kind, refusal
+from tideusher.core.lead.cluster import Cluster, told_machine
+from tideusher.core.lead.invariants import Rule
 from tideusher.core.picture.records import ASSIGNED, BOOTING, COMMITTING, OPEN, SEEN, UP, Job, Machine, Task
 from tideusher.wire import workers
 from tideusher.wire.workers import Command, Report, TaskReport
@@ -69,6 +73,7 @@
         machine.reported_us, machine.probes_failed, machine.found = heard_us, 0, ""
         self._c.health.heard(machine.zone, now_us)
         machine.address = report.address
+        self._c.check_kind(machine, Kind(report.type, report.zone, report.spot), "its own report")
         if machine.phase == BOOTING:
             machine.phase = UP
             machine.idle_since_us = now_us
@@ -220,13 +225,28 @@
                 if task.phase == SEEN or task.inherited or task.sent is not None:
                     out.append(workers.halt(task.name, task.attempt, task.halt_grace_s))
             elif task.phase == ASSIGNED and task.sent is None and machine.phase == UP and task.job.status == OPEN:
-                if self._comes_too_soon(task):
+                if self._comes_too_soon(task) or not self._may_start(task):
                     continue
                 # The only place where `run` is ever sent (safety 4).
                 task.sent = (machine.session, machine.serial)
                 out.append(workers.run(task.name, task.attempt))
         return out
 
+    def _may_start(self, task: Task) -> bool:
+        """Asked last before `run` is told. A task that may not start there, and never was told to, goes elsewhere."""
+        why = refusal(task.job, task.machine, task)
+        if why is None:
+            if self.log.isEnabledFor(logging.DEBUG):
+                told = told_machine(task.machine)
+                self.log.debug("start %s attempt %d on %s, token %d", task.name, task.attempt, told, self._c.token)
+            return True
+        if why not in MAY_CHANGE:
+            found = f"{task.name} attempt {task.attempt} on {told_machine(task.machine)}: {why}"
+            self._c.invariants.broken(Rule.START, found)
+        self._c.metrics.count("starts_withheld", why.name.lower())
+        self._c.lost(task, f"it may not start there: {why}", task.placed_us)
+        return False
+
     def _comes_too_soon(self, task: Task) -> bool:
         """Would this member of a gang give up waiting before others have their image?
 
--- a/src/tideusher/core/lead/scheduler.py
+++ b/src/tideusher/core/lead/scheduler.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from tideusher.clock import SECOND_US, to_s, to_us
+from tideusher.core.decide.failing import PassFailed
 from tideusher.core.decide.failures import at_fault
 from tideusher.core.decide.falls import TAKEN
 from tideusher.core.decide.gather import Gathering, Request
@@ -24,6 +25,7 @@
 #: After a pass the next one rests so long for each piece beyond the first few, and for each job that waited: in a
 #: flood passes in a row would take all of a core, and find again and again what they found before.
 REST_FREE, REST_PIECE_US, REST_JOB_US = 50, 3_000, 400
+SET_ASIDE = "its next try: a pass failed on it"
 MOVED = "hardly used; its tasks moved to others"
 
 
@@ -147,7 +149,7 @@
         for job in queue:
             if not job.waits:
                 continue
-            left, looked = self._place_job(job, room, now_us)
+            left, looked = self._place_or_fail(job, room, now_us)
             if left:
                 unplaced.append((job, left))
             looks += len(holding) if looked else 1
@@ -218,6 +220,16 @@
             room.append(int((team.gpus_max - usage[1] + 1e-6) / job.spec.gpus))
         return max(0, min(room))
 
+    def _place_or_fail(self, job: Job, room: Room, now_us: int) -> tuple[int, bool]:
+        """`_place_job` for all but jobs that are set aside; raises PassFailed, which names the job, for any error."""
+        if self._c.failures.set_aside(job.spec.id, now_us):
+            job.waits_for = SET_ASIDE
+            return 0, False
+        try:
+            return self._place_job(job, room, now_us)
+        except Exception as error:
+            raise PassFailed(job.spec.id) from error
+
     def _place_job(self, job: Job, room: Room, now_us: int) -> tuple[int, bool]:
         """Place what can be placed of a job; returns how many more tasks wait for a machine, and if it looked."""
         count = self._startable(job, now_us)
@@ -318,18 +330,16 @@
         if partly and self._spare_gpus >= spec.gpus > 0:
             part = min(count - len(machines), int(self._spare_gpus / spec.gpus))
             if machines:
-                self._assign(job, machines, now_us)
-                before = len(machines)
+                before = self._assign(job, machines, now_us)
             machines = room.place(job, part, False, lambda m: free_to_it(m) and not m.spot, limit)
         self._spare_gpus -= spec.gpus * sum(not m.spot for m in machines)
-        if machines:
-            self._assign(job, machines, now_us)
-        return before + len(machines)
+        return before + (self._assign(job, machines, now_us) if machines else 0)
 
-    def _assign(self, job: Job, machines: list[Machine], now_us: int) -> None:
-        self._c.assign(job, machines, now_us)
+    def _assign(self, job: Job, machines: list[Machine], now_us: int) -> int:
+        placed = self._c.assign(job, machines, now_us)
         if self._shelf is not None:
             self._shelf.changed(machines)
+        return placed
 
     def _preempt(self, unplaced: list[tuple[Job, int]], now_us: int) -> None:
         if not unplaced:
@@ -476,7 +486,7 @@
         return targets
 
     def _plan_fleet(self, requests: list[Request], now_us: int) -> None:
-        asked = [(r.type, r.zone, r.spot, r.count) for r in self._c.rentals_asked()]
+        asked = [(r.type, r.zone, r.spot, r.count) for r in self._c.renting.asked()]
         # What the cloud takes in a second is asked at a time. A queue of many small rentals reached it
         # half a minute late when a whole fleet was wanted; what has to wait is asked for in one.
         room = max(2, int(self._c.config.settings.cloud.rps)) - len(asked)
@@ -492,7 +502,7 @@
                 if not late(m, now_us) and (m.phase != UP or m.found == TAKEN or not doubted(m, now_us))
             ]
             for wish in self._c.fleet.plan(now_us, requests, machines, asked)[:room]:
-                self._c.rent(wish)
+                self._c.renting.rent(wish)
 
     def _thin_out(self, now_us: int) -> None:
         """Give back what is hardly used or idles."""
--- a/src/tideusher/core/picture/picture.py
+++ b/src/tideusher/core/picture/picture.py
@@ -31,7 +31,7 @@
     Task,
     read_chunk,
 )
-from tideusher.core.picture.rentals import Rental
+from tideusher.core.picture.rentals import ADOPTED, Rental
 from tideusher.core.picture.sightings import Zones
 from tideusher.core.picture.values import holder, is_final
 from tideusher.wire.cloud import MachineType
@@ -536,4 +536,4 @@
 
 
 def _owner(names: set[str]) -> str:
-    return min(names, key=lambda name: (name.startswith("adopted-"), name))
+    return min(names, key=lambda name: (name.startswith(ADOPTED), name))
--- a/src/tideusher/core/picture/rentals.py
+++ b/src/tideusher/core/picture/rentals.py
@@ -3,6 +3,9 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+#: With the name of a machine that no rental named: the rental that it is kept under.
+ADOPTED = "adopted-"
+
 
 @dataclass(slots=True, eq=False)
 class Rental:
@@ -18,6 +21,11 @@
     returning: list[str] = field(default_factory=list)
     given_up: bool = False
 
+    @property
+    def adopted(self) -> bool:
+        """Was no rental of ours known to have brought its machine?"""
+        return self.name.startswith(ADOPTED)
+
     def value(self) -> dict[str, Any] | None:
         """As persisted; None once nothing of it is left."""
         if self.given_up or (self.answered and not self.machines):
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -4,6 +4,7 @@
 
 from known_red import pytest_collection_modifyitems, pytest_terminal_summary  # noqa: F401
 from simulated_cluster import SimulatedCluster
+from tideusher.core.lead.invariants import LOGGER
 from tideusher.embed.disk import Disk
 
 
@@ -15,6 +16,17 @@
         monkeypatch.setattr(Disk, "sync_directory", lambda self, path: None)
 
 
+@pytest.fixture(autouse=True)
+def no_violations(request, caplog):
+    """A breach of an invariant that is asserted at run time fails the test, unless it plants one."""
+    yield
+    if "breaks_invariants" in request.keywords:
+        return
+    for when in ("setup", "call"):
+        found = [record.getMessage() for record in caplog.get_records(when) if record.name == LOGGER]
+        assert not found, "\n".join(found[:5])
+
+
 @pytest.fixture
 def sim(monkeypatch):
     """Makes a simulated cluster whose controllers have found their leader."""
--- a/tests/region.py
+++ b/tests/region.py
@@ -163,14 +163,14 @@
         cluster = self.cluster
         for rental in list(cluster.to_rent):
             if (rental.zone, rental.spot) in self.none_left:
-                cluster.refused(rental, now)
+                cluster.renting.refused(rental, now)
                 cluster.to_rent.remove(rental)
         for rental in cluster.to_rent:
             if rental.name not in self.rented:
                 self.rented[rental.name] = [f"new-{rental.name}-{n:02d}" for n in range(rental.count)]
                 for name in self.rented[rental.name]:
                     self.booting.append((now + round(self.boot_s * 1e6), name, rental.zone, rental.spot))
-            cluster.rented(rental, self.rented[rental.name], now)
+            cluster.renting.rented(rental, self.rented[rental.name], now)
         cluster.to_rent.clear()
         if not self.cloud_answers:
             return
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -258,7 +258,7 @@
                     for name in names:
                         worker = WorkerStandIn(name, rental.zone, rental.spot, self.specs, answered_us=now)
                         self.booting.append((now + self.rng.randrange(1, 9) * SECOND_US, worker))
-                cluster.rented(rental, self.rented[rental.name], now)
+                cluster.renting.rented(rental, self.rented[rental.name], now)
             cluster.to_rent.clear()
             gone, cluster.to_return = cluster.to_return, []
             for machine in gone:
--- a/tests/test_failing_pass.py
+++ b/tests/test_failing_pass.py
@@ -3,7 +3,18 @@
 import logging
 
 from standins import job
+from tideusher.actors.leader import Leader
+from tideusher.core.decide.failing import (
+    FIRST_PAUSE_US,
+    LAST_PAUSE_US,
+    MOST,
+    WINDOW_US,
+    PassFailed,
+    PassFailures,
+    Remedy,
+)
 from tideusher.core.lead.scheduler import Scheduler
+from tideusher.core.picture import keys
 
 
 def fail_for(monkeypatch, wanted):
@@ -30,3 +41,54 @@
     assert [len(sim.on_machines(spec.id)) for spec in others] == [2, 2, 2]
     assert not sim.on_machines(bad.id)
     assert bad.id in caplog.text
+
+
+def test_a_leader_whose_passes_fail_with_nothing_to_blame_leaves_the_leadership(sim, monkeypatch):
+    sim = sim()
+    before = sim.leader()
+    failing = {id(sim.nodes[before].leader)}
+    original = Leader.on_tick
+
+    def planted(self):
+        if id(self) in failing and self._engine is not None:
+            self._engine.scheduler._plan_fleet = fail
+        original(self)
+
+    def fail(requests, now_us):
+        raise KeyError("planted")
+
+    monkeypatch.setattr(Leader, "on_tick", planted)
+    sim.run(10.0)
+    assert sim.leader() not in ("", before)
+    assert sim.nodes[before].metrics.counts["pass_failures", "KeyError"] == MOST
+    specs = [sim.submit(job("batch", 2, estimate_s=900.0, team=team)) for team in ("red", "blue")]
+    sim.run(10.0)
+    assert [len(sim.on_machines(spec.id)) for spec in specs] == [2, 2]
+
+
+def test_each_term_after_a_failed_pass_has_a_token_of_its_own(sim, monkeypatch):
+    sim = sim()
+    bad = job("service", 1, estimate_s=0.0, priority="critical", team="red")
+    fail_for(monkeypatch, bad.id)
+    before = sim.service.state.stamp_of(keys.LEADER)
+    sim.submit(bad)
+    sim.run(5.0)
+    assert sim.service.state.stamp_of(keys.LEADER) > before
+    assert sim.nodes[sim.leader()].metrics.counts["leaderships", ""] == 2
+
+
+def test_a_job_is_set_aside_for_twice_as_long_each_time():
+    failures, now_us, paused = PassFailures(), 0, []
+    for _ in range(10):
+        assert failures.failed(PassFailed("req-1"), now_us) is Remedy.READ_ANEW
+        assert failures.set_aside("req-1", now_us) and not failures.set_aside("req-2", now_us)
+        paused.append(failures.jobs["req-1"].until_us - now_us)
+        now_us = failures.jobs["req-1"].until_us
+        assert not failures.set_aside("req-1", now_us)
+    assert paused[:3] == [FIRST_PAUSE_US, 2 * FIRST_PAUSE_US, 4 * FIRST_PAUSE_US] and paused[-1] == LAST_PAUSE_US
+
+
+def test_failures_far_apart_are_no_reason_to_leave():
+    failures = PassFailures()
+    assert {failures.failed(KeyError(), n * WINDOW_US) for n in range(9)} == {Remedy.READ_ANEW}
+    assert [failures.failed(KeyError(), 99 * WINDOW_US) for _ in range(MOST)][-1] is Remedy.GIVE_WAY
--- a/tests/test_leader_faults.py
+++ b/tests/test_leader_faults.py
@@ -257,13 +257,13 @@
     """It reported before its rental was answered, and its adoption was dropped unwritten: the return was asked for
     with nothing on record."""
     cluster = bed.cluster
-    cluster.rent(Wish("m4", "a", False, 1, "a test"))
+    cluster.renting.rent(Wish("m4", "a", False, 1, "a test"))
     bed.commit()
     (rental,) = cluster.to_rent
     cluster.to_rent.clear()
     bed.report("host-9", 1)
     cluster.give_back(cluster.machines["host-9"], "it is idle")
-    cluster.rented(rental, ["host-9"], bed.clock.now_us())
+    cluster.renting.rented(rental, ["host-9"], bed.clock.now_us())
     batch = cluster.write_queue.next_batch(8)
     assert not cluster.to_return
     assert bed.state.txn(batch.guards, batch.writes) is not None
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -57,11 +57,11 @@
     for _ in range(3):
         region.scheduler.schedule(region.clock.now_us())
     placed = len(region.cluster.jobs[small.id].live)
-    assert 1000 < placed < 6000 and not region.cluster.rentals_asked()
+    assert 1000 < placed < 6000 and not region.cluster.renting.asked()
     long = job(tasks=60, cpus=8.0, gpus=2.0, ram_gb=30.0, estimate_s=70.0, team="poor", spot=True)
     region.submit(long)
     region.scheduler.schedule(region.clock.now_us())
-    assert region.cluster.rentals_asked()
+    assert region.cluster.renting.asked()
 
 
 def failing(bed, spec, host, serial, session=1):
@@ -195,7 +195,7 @@
     wide = job("gang", 1, cpus=16.0, gpus=4.0, ram_gb=60.0, team="poor", priority="urgent")
     cluster, clock = region.cluster, region.clock
     rental = cluster.rentals["1-900"] = Rental("1-900", TYPE.name, "a", False, 1, True, ["host-900"])
-    late = cluster._add_machine("host-900", rental, clock.now_us())
+    late = cluster.add_machine("host-900", rental, clock.now_us())
     for number in range(4):
         young = Machine(f"host-95{number}", TYPE.name, "a", False, "r", 16, 4, 64, clock.now_us() + SECOND_US)
         cluster.health.boots.came_up(young, clock.now_us() + 21 * SECOND_US)
@@ -203,12 +203,12 @@
         cluster.machines[machine].draining = "a test takes it"
     region.submit(wide)
     region.scheduler.schedule(clock.now_us())
-    assert not cluster.rentals_asked()  # it boots, and will hold the gang
+    assert not cluster.renting.asked()  # it boots, and will hold the gang
     clock.pass_s(31)
     assert cluster.health.boots.late(late, clock.now_us())
     region.scheduler.schedule(clock.now_us())
     region.scheduler.schedule(clock.now_us())
-    assert sum(rental.count for rental in cluster.rentals_asked()) == 1
+    assert sum(rental.count for rental in cluster.renting.asked()) == 1
     told = explain.explain_job(cluster, wide.id, clock.now_us())["reasons"]
     assert any("1 of them are late" in reason for reason in told), told
 
@@ -222,7 +222,7 @@
     new_bin = Fleet._new_bin
     monkeypatch.setattr(Fleet, "_new_bin", lambda *words: made.append(1) or new_bin(*words))
     bed.scheduler.schedule(bed.clock.now_us())
-    asked = bed.cluster.rentals_asked()
+    asked = bed.cluster.renting.asked()
     assert MOST_PLANNED <= len(made) < MOST_PLANNED + 401 and asked and max(rental.count for rental in asked) == 50
 
 
@@ -232,23 +232,23 @@
     for team, ordinary in (("poor", False), ("red", True)):
         sweep = bed.submit(job("batch", 8, team=team, cpus=16.0, gpus=4.0, spot=True))
         bed.scheduler.schedule(bed.clock.now_us())
-        for rental in bed.cluster.rentals_asked():
-            bed.cluster.refused(rental, bed.clock.now_us())
+        for rental in bed.cluster.renting.asked():
+            bed.cluster.renting.refused(rental, bed.clock.now_us())
         bed.scheduler.schedule(bed.clock.now_us())
         bed.scheduler.schedule(bed.clock.now_us())
-        assert any(not rental.spot for rental in bed.cluster.rentals_asked()) is ordinary
+        assert any(not rental.spot for rental in bed.cluster.renting.asked()) is ordinary
         if team == "poor":
             bed.clock.pass_s(GUEST_BOOTS * TYPE.boot_s + 1)
             for _ in range(3):
                 bed.scheduler.schedule(bed.clock.now_us())
-                for rental in bed.cluster.rentals_asked():
+                for rental in bed.cluster.renting.asked():
                     if rental.spot:
-                        bed.cluster.refused(rental, bed.clock.now_us())
-            assert any(not rental.spot for rental in bed.cluster.rentals_asked())
+                        bed.cluster.renting.refused(rental, bed.clock.now_us())
+            assert any(not rental.spot for rental in bed.cluster.renting.asked())
             assert bed.state.cancel(sweep.spec.id)
             bed.see_jobs()
-            for rental in bed.cluster.rentals_asked():
-                bed.cluster.refused(rental, bed.clock.now_us())
+            for rental in bed.cluster.renting.asked():
+                bed.cluster.renting.refused(rental, bed.clock.now_us())
             bed.clock.pass_s(60)
 
 
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -298,7 +298,7 @@
     asked = sum(rental.count for rental in cluster.rentals.values())
     assert len(cluster.rentals) <= cloud_rps
     for rental in list(cluster.rentals.values()):
-        cluster.rented(rental, [f"{rental.name}-{n}" for n in range(rental.count)], clock.now_us())
+        cluster.renting.rented(rental, [f"{rental.name}-{n}" for n in range(rental.count)], clock.now_us())
     bed.scheduler.schedule(clock.now_us())
     rest = [rental for rental in cluster.rentals.values() if not rental.answered]
     assert 0 < len(rest) <= 2 and asked + sum(rental.count for rental in rest) == 3 * cloud_rps
--- a/tests/test_shared_records.py
+++ b/tests/test_shared_records.py
@@ -49,7 +49,7 @@
         one.phase, one.reported_us, one.own_us, one.session, one.serial = UP, *[bed.clock.now_us()] * 2, 1, 1
         one.idle_since_us = bed.clock.now_us()
         bed.cluster.machines[name] = one
-    bed.cluster.write_queue.touch(bed.cluster._rental_entry(bed.cluster.rentals["r"]))
+    bed.cluster.write_queue.touch(bed.cluster.renting.entry(bed.cluster.rentals["r"]))
     bed.commit()
 
 
--- a/tests/test_standby.py
+++ b/tests/test_standby.py
@@ -10,8 +10,8 @@
 from standins import Bed, Harness, job, make_config
 from tideusher.clock import SECOND_US
 from tideusher.config import Policy, Team
-from tideusher.core.lead.cluster import Cluster
 from tideusher.core.lead.engine import Engine
+from tideusher.core.lead.renting import Renting
 from tideusher.core.lead.standby import Standby
 from tideusher.core.picture import keys
 from tideusher.core.picture.ledger import Ledger
@@ -211,7 +211,7 @@
     bed.scheduler.schedule(bed.clock.now_us())
     batch = bed.cluster.write_queue.next_batch(1)  # only one write a transaction goes through
     assert [write.key for write in batch.writes] == [keys.rental_key("adopted-late-1")]
-    monkeypatch.setattr(Cluster, "_write_rentals_of", lambda self, machines: None)
+    monkeypatch.setattr(Renting, "write_those_of", lambda self, machines: None)
     bed = Bed()
     bed.report("late-1", 1)
     bed.submit(job("batch", 3))
