Scale runs: pauses, cuts, state service troubles, machines that hang, are deaf or mute; answers and waiting judged

Cause: scale runs killed processes and machines and cut regions; the incident came of a process that stood still inside an outage of the state service, which no run of ours on real processes could bring about. Change: scale/faults.py (taken out of coordinator.py) brings about kill, pause (SIGSTOP), cut (state, peers, cloud, workers, users; refuse or hold), state_out, state_refuse, state_slow, state_late, state_lost, hang, deaf, mute, recall, copies and late_calls, whichever overlap. Users may ask and repeat at all controllers within milliseconds (scale/answers.py judges what they are told), cancel at once and everywhere. The judge knows not_done, left_waiting, went_back, forgotten, unasked and unanswered too; a return is answered only once its machines have stopped.

--- a/src/tideusher/scale/coordinator.py
+++ b/src/tideusher/scale/coordinator.py
@@ -23,6 +23,7 @@
 from tideusher.scale.cloud import Cloud, Rental
 from tideusher.scale.control_config import controller_config, teams
 from tideusher.scale.errors import ScaleError
+from tideusher.scale.faults import Faults, Stage
 from tideusher.scale.gangs import Gangs
 from tideusher.scale.host import machine_type
 from tideusher.scale.hub import Hub
@@ -32,24 +33,26 @@
 from tideusher.scale.messages import (
     Begin,
     Booted,
-    Cut,
     Finish,
     GangLeft,
     GangWaits,
     LeaderIn,
     LeaderSeen,
     Message,
+    Quiet,
     Stop,
     Stopped,
 )
 from tideusher.scale.processes import Processes, ProcessUsage, Usage, controller_command, role_command
-from tideusher.scale.settings import Fault, ScaleSettings
+from tideusher.scale.settings import ScaleSettings
+from tideusher.scale.waiting import Waiting
 from tideusher.scale.workload import Workload
 from tideusher.wire import cloud as cloud_wire
 
 _READY_S, _FINISH_S, _STOP_S = 60.0, 30.0, 10.0
 _SAMPLE_S, _PROGRESS_S = 1.0, 5.0
-_DAY_S = 86_400.0
+#: With all faults over, a task that waits for so long beside room for it is left waiting.
+LEFT_WAITING_S = 25.0
 _MB = 1e6
 #: The users' bound.
 MEMORY_SHARE = 0.5
@@ -62,7 +65,7 @@
     def __init__(self, settings: ScaleSettings, path: Path, directory: Path, tree: Path | None = None) -> None:
         self._settings, self._path, self._directory, self._tree = settings, path, directory, tree
         self._clock, self._layout, self._workload = Clock(), Layout(settings), Workload(settings)
-        self._rng = random.Random(f"{settings.seed}/faults")
+        self._rng = random.Random(f"{settings.seed}/boots")
         self._processes = Processes(directory)
         self._hub = Hub(self._layout.hub, self._said)
         self._gangs = Gangs(self._workload)
@@ -70,16 +73,34 @@
         self._cloud = Cloud(settings, self._layout, self._kind, self._clock)
         self._log = events.EventLog(directory / "events-run.jsonl")
         self._orders: dict[int, AsyncResult] = {}
+        self._stopping: dict[str, AsyncResult] = {}  # machines that were told to stop
         self._order_numbers = count(1)
-        self._cuts: list[tuple[int, int]] = []
         self._leader = ""
         self._began_us = 0
-        self._done: list[report.FaultDone] = []
+        self._faults = Faults(self._stage())
         self._notes: list[str] = []
         self._counts: Counter[str] = Counter()
         self._usage: dict[str, Usage] = {}
         self._each: dict[str, ProcessUsage] = {}
 
+    def _stage(self) -> Stage:
+        return Stage(
+            self._settings,
+            self._layout,
+            self._processes,
+            self._hub,
+            self._cloud,
+            self._log,
+            self._at_s,
+            self._clock.now_us,
+            self._leader_number,
+            self._stop,
+            self._start_controller,
+        )
+
+    def _leader_number(self) -> int | None:
+        return int(self._leader[1:]) if self._leader else None
+
     def run(self) -> report.Result:
         """Play the run and judge it. Raises ScaleError if it cannot be made; all processes are ended in any case."""
         try:
@@ -135,6 +156,8 @@
 
     def _start_controller(self, number: int) -> None:
         name = self._layout.controller_name(number)
+        if self._processes.runs(name):
+            return  # it was killed twice before it was back
         command = controller_command(self._tree, self._directory / f"{name}.toml")
         self._processes.start(name, CONTROLLER, command, to_s(self._clock.now_us()))
 
@@ -143,8 +166,9 @@
     def _play(self) -> None:
         self._began_us = self._clock.now_us()
         self._hub.broadcast(Begin(self._began_us))
-        tasks = [gevent.spawn(self._bring_about, fault) for fault in self._settings.faults if fault.kind != "burst"]
-        tasks.append(gevent.spawn(self._keep_list))
+        self._faults.start()
+        keeper = gevent.spawn(self._keep_list)
+        quiet = gevent.spawn_later(self._settings.duration_s - self._settings.quiet_s, self._hub.broadcast, Quiet())
         next_progress_s = _PROGRESS_S
         while (at_s := self._at_s()) < self._settings.duration_s:
             gevent.sleep(min(_SAMPLE_S, self._settings.duration_s - at_s))
@@ -152,7 +176,8 @@
             if self._at_s() >= next_progress_s:
                 next_progress_s += _PROGRESS_S
                 self._show_progress()
-        gevent.killall(tasks)
+        self._faults.stop()
+        gevent.killall([keeper, quiet])
 
     def _at_s(self) -> float:
         return to_s(self._clock.now_us() - self._began_us)
@@ -167,7 +192,7 @@
                 raise ScaleError(f"{name} has ended: {self._processes.log_tail(name)}")
             self._notes.append(f"{name} ended by itself at {self._at_s():.1f} s: {self._processes.log_tail(name, 1)}")
             self._processes.kill(name)
-            self._back(int(name[1:]))
+            self._faults.bring_back(int(name[1:]))
 
     def _show_progress(self) -> None:
         machines, memory_mb = len(self._cloud.running()), self._processes.peak_memory_mb
@@ -219,8 +244,11 @@
         if path == "/machine_types":
             return "200 OK", cloud_wire.MachineTypes([self._kind])
         if path == "/rentals/return":
-            returned = self._cloud.give_back(cloud_module.parse_names(body))
+            names = cloud_module.parse_names(body)
+            returned = self._cloud.give_back(names)
             self._stop([one for one in returned if one.up])
+            if not self._have_stopped(names):
+                return "503 Service Unavailable", {"error": "not returned yet"}
             return "200 OK", {}
         if method == "POST":
             request = cloud_module.parse_rent(body)
@@ -245,101 +273,40 @@
             self._cloud.describe()
             gevent.sleep(_SAMPLE_S)
 
-    def _stop(self, machines: list[Rental]) -> None:
-        """They and all that is on them stop; returns once they have."""
-        waiting = []
+    def _stop(self, machines: list[Rental]) -> bool:
+        """They and all that is on them stop; returns once they have, False if that takes too long."""
         by_process: dict[int, list[str]] = {}
         for one in machines:
             by_process.setdefault(one.process, []).append(one.name)
         for process, names in by_process.items():
-            order = next(self._order_numbers)
-            self._orders[order] = AsyncResult()
-            waiting.append(self._orders[order])
+            order, stopped = next(self._order_numbers), AsyncResult()
+            self._orders[order] = stopped
+            self._stopping.update(dict.fromkeys(names, stopped))
             self._hub.send(f"host-{process}", Stop(order, names))
-        gevent.wait(waiting, timeout=_STOP_S)
-
-    # ---------------------------------------------------------------- faults
-
-    def _bring_about(self, fault: Fault) -> None:
-        gevent.sleep(max(0.0, fault.at_s - self._at_s()))
-        match fault.kind:
-            case "machine":
-                running = self._cloud.running()
-                self._fail(self._rng.sample(running, min(fault.count, len(running))), "machines")
-            case "rack":
-                zone = self._layout.zones[fault.zone]
-                self._fail(
-                    self._cloud.in_rack(zone, self._rng.randrange(self._settings.fleet.racks_per_zone)), "rack"
-                )
-            case "zone":
-                self._lose_zone(self._layout.zones[fault.zone], fault.for_s)
-            case "controller":
-                for number in self._rng.sample(range(self._settings.control.controllers), fault.count):
-                    self._kill_controller(number)
-            case "leader":
-                if self._leader:
-                    self._kill_controller(int(self._leader[1:]))
-            case "regions":
-                self._cut_regions(fault)
-            case "replace":
-                self._replace(fault.per_day)
-
-    def _note(self, what: str) -> None:
-        self._done.append(report.FaultDone(round(self._at_s(), 2), what))
-        print(f"{self._at_s():6.1f} s: {what}", file=sys.stderr, flush=True)
-
-    def _fail(self, machines: list[Rental], what: str) -> None:
-        self._note(f"{len(machines)} machines stop ({what})")
-        self._cloud.fail(machines)
-        self._stop(machines)
-
-    def _lose_zone(self, zone: str, for_s: float) -> None:
-        machines = self._cloud.in_zone(zone)
-        self._note(f"zone {zone} is lost with {len(machines)} machines and its controllers")
-        self._log.write(events.ZoneLost(self._clock.now_us(), zone, [one.name for one in machines]))
-        self._cloud.lose_zone(zone, to_us(for_s))
-        there = self._layout.zones.index(zone)
-        for number in range(self._settings.control.controllers):
-            if self._layout.controller_place(number).zone == there:
-                self._kill_controller(number, for_s)
-        self._cloud.fail(machines)
-        self._stop(machines)
+        return self._have_stopped([one.name for one in machines])
 
-    def _kill_controller(self, number: int, for_s: float | None = None) -> None:
-        name = self._layout.controller_name(number)
-        self._note(f"controller {name} is killed{', the leader' if name == self._leader else ''}")
-        self._processes.kill(name)
-        self._back(number, for_s)
-
-    def _back(self, number: int, after_s: float | None = None) -> None:
-        gevent.spawn_later(after_s or self._settings.control.restart_s, self._start_controller, number)
-
-    def _cut_regions(self, fault: Fault) -> None:
-        pair = (fault.region, fault.other)
-        self._note(f"regions {pair[0]} and {pair[1]} lose each other for {fault.for_s:g} s")
-        self._cuts.append(pair)
-        self._hub.broadcast(Cut(list(self._cuts)))
-        gevent.sleep(fault.for_s)
-        self._cuts.remove(pair)
-        self._hub.broadcast(Cut(list(self._cuts)))
-        self._note(f"regions {pair[0]} and {pair[1]} find each other")
-
-    def _replace(self, per_day: float) -> None:
-        """Machines that are restarted or replaced one by one, at the rate of an ordinary day."""
-        while True:
-            gevent.sleep(self._rng.expovariate(per_day / _DAY_S))
-            running = self._cloud.running()
-            if running:
-                self._fail([self._rng.choice(running)], "one of the ordinary day's")
+    def _have_stopped(self, names: list[str]) -> bool:
+        """Is nothing of these on a machine any more? Waits for a while."""
+        waiting = [self._stopping[name] for name in names if name in self._stopping]
+        return len(gevent.wait(waiting, timeout=_STOP_S)) == len(waiting)
 
     # ---------------------------------------------------------------- the end
 
     def _judge(self) -> report.Result:
         judge = Judge(self._workload, teams(self._settings), self._settings.workers.cancel_s)
         measures = Measures(self._workload, self._began_us)
+        waiting = Waiting(self._workload, self._kind, teams(self._settings))
+        look_us = self._began_us + to_us(self._settings.duration_s - LEFT_WAITING_S)
+        early: set[tuple[str, int]] | None = None
         for event in events.read_events(sorted(self._directory.glob("events-*.jsonl"))):
+            if early is None and event.at_us > look_us:
+                early = waiting.beside_room()
             judge.take(event)
             measures.take(event)
+            waiting.take(event)
+        if self._settings.quiet_s > LEFT_WAITING_S:
+            for job in sorted({job for job, _ in (early or set()) & waiting.beside_room()}):
+                judge.left_waiting(job)
         outcome = report.Outcome(
             judge.end(),
             measures.result(),
@@ -349,7 +316,7 @@
             dict(self._counts | self._cloud.counts),
             self._processes.peak_memory_mb,
             self._processes.peak_count,
-            self._done,
+            self._faults.done,
             self._notes,
         )
         return report.put_together(self._settings, outcome)
--- a/src/tideusher/scale/events.py
+++ b/src/tideusher/scale/events.py
@@ -78,6 +78,18 @@
     job: str = msgspec.field(name="j")
 
 
+#: A job about which nobody is answered any more.
+UNANSWERED = "unanswered"
+
+
+class AnswerBroken(Event, tag="answer"):
+    """An answer to a user that broke a rule, or that never came."""
+
+    job: str = msgspec.field(name="j")
+    rule: str = msgspec.field(name="r")
+    what: str = msgspec.field(name="w")
+
+
 class ZoneLost(Event, tag="zone-lost"):
     """A zone was lost with these machines."""
 
@@ -86,7 +98,17 @@
 
 
 AnyEvent = (
-    MachineUp | MachineDown | Ordered | OnMachine | Started | Left | Accepted | CancelTold | DoneTold | ZoneLost
+    MachineUp
+    | MachineDown
+    | Ordered
+    | OnMachine
+    | Started
+    | Left
+    | Accepted
+    | CancelTold
+    | DoneTold
+    | AnswerBroken
+    | ZoneLost
 )
 _decode: Callable[[bytes], AnyEvent] = msgspec.json.Decoder(AnyEvent).decode
 _encode = msgspec.json.Encoder().encode
--- a/src/tideusher/scale/host.py
+++ b/src/tideusher/scale/host.py
@@ -23,6 +23,7 @@
 from tideusher.scale.layout import Layout, Place
 from tideusher.scale.machine import HollowMachine, next_report_us
 from tideusher.scale.messages import (
+    Afflict,
     Booted,
     Counted,
     Cut,
@@ -31,7 +32,9 @@
     GangLeft,
     GangWaits,
     LeaderIn,
+    LinkCuts,
     Message,
+    MessageTroubles,
     Stop,
     Stopped,
     Traffic,
@@ -50,6 +53,10 @@
 #: Connections that are kept waiting at the address of a machine that stopped, so that further ones hang.
 _QUEUE_FILLERS = 2
 _LISTEN_BACKLOG = 1024
+_HANG_LOOK_S = 0.1
+HANG, DEAF, MUTE, RECALL = "hang", "deaf", "mute", "recall"
+#: How much later a copy of a report comes, and a direct call that is held up.
+COPY_S, CALL_LATE_S = (2.0, 20.0), (2.0, 12.0)
 
 
 def machine_type(settings: ScaleSettings, zones: list[str]) -> MachineType:
@@ -77,8 +84,31 @@
         self._wake = Event()
         self._controller = host.rng.randrange(host.controllers)
         self._client: HttpClient | None = None
+        self._ails: dict[str, int] = {}  # until when
         self.greenlet = gevent.spawn(self._run)
 
+    # ---------------------------------------------------------------- what ails it
+
+    def afflict(self, kind: str, until_us: int) -> None:
+        """It hangs, is deaf or mute, or is told that the cloud takes it back, until then."""
+        self._ails[kind] = until_us
+        if kind == RECALL:
+            self.machine.changed = True
+        self.wake()
+
+    def ails(self, kind: str) -> bool:
+        """Does it still?"""
+        return self._ails.get(kind, 0) > self._host.clock.now_us()
+
+    def wait_while_hanging(self) -> None:
+        """What comes to a machine that hangs waits there."""
+        while self.ails(HANG):
+            gevent.sleep(_HANG_LOOK_S)
+
+    def _recall_s(self) -> float | None:
+        left_us = self._ails.get(RECALL, 0) - self._host.clock.now_us()
+        return to_s(left_us) if left_us > 0 else None
+
     def wake(self) -> None:
         """Something changed from outside: a report or a timer may be due."""
         self._wake.set()
@@ -89,6 +119,7 @@
         due_us = clock.now_us() + round(rng.random() * to_us(report_s))
         last_us = 0
         while True:
+            self.wait_while_hanging()
             now_us = clock.now_us()
             self.machine.advance(now_us)
             if now_us >= due_us or (self.machine.changed and now_us >= last_us + CHANGE_PAUSE_US):
@@ -105,9 +136,11 @@
     def _report(self, sent_us: int) -> float:
         """One report; returns after how long the next node is to be tried, 0: this one is stayed with."""
         host, machine = self._host, self.machine
-        report = machine.report()
+        report = msgspec.structs.replace(machine.report(), recall_s=self._recall_s())
         body = workers.encode(report)
         delay_s, cut = host.way_to(self._controller, self.place)
+        cut = cut or self.ails(MUTE)
+        host.copy_later(body)
         host.traffic["worker-controller"].add(len(body))
         if cut:
             gevent.sleep(REPORT_TIMEOUT_S)
@@ -122,6 +155,9 @@
         except CallFailed:
             return self._next_node("failed")
         gevent.sleep(delay_s)
+        self.wait_while_hanging()
+        if self.ails(DEAF):
+            return self._next_node("deaf")
         host.traffic["controller-worker"].add(len(answer))
         host.counts[f"reports.{status}"] += 1
         if status == 200:
@@ -175,6 +211,7 @@
         self._names = {self.layout.controller_name(one): one for one in range(self.controllers)}
         self._places = [self.layout.controller_place(one) for one in range(self.controllers)]
         self._cut: list[tuple[int, int]] = []
+        self._link_cuts, self._messages = LinkCuts([]), MessageTroubles()
         self._leader: Place | None = None
         self._workers: dict[str, Worker] = {}
         self._by_address: dict[str, Worker] = {}
@@ -207,7 +244,22 @@
     def way_to(self, controller: int, place: Place) -> tuple[float, bool]:
         """The delay to a controller in seconds, and whether the two are cut off from one another."""
         target = self._places[controller]
-        return to_s(self.layout.delay_us(place, target)), is_cut(self._cut, place.region, target.region)
+        cut = is_cut(self._cut, place.region, target.region)
+        cut = cut or self._link_cuts.find(controller, "workers") is not None
+        return to_s(self.layout.delay_us(place, target)), cut
+
+    def copy_later(self, body: bytes) -> None:
+        """Of some reports a copy arrives again, at any controller."""
+        if self.rng.random() < self._messages.copies:
+            self.counts["reports copied"] += 1
+            after_s = COPY_S[0] + (COPY_S[1] - COPY_S[0]) * self.rng.random()
+            gevent.spawn_later(after_s, self._send_copy, body, self.rng.randrange(self.controllers))
+
+    def _send_copy(self, body: bytes, controller: int) -> None:
+        try:
+            HttpClient(self.layout.controller(controller), REPORT_TIMEOUT_S, keep=0).call("POST", "/checkin", body)
+        except CallFailed:
+            pass
 
     # ---------------------------------------------------------------- the hub
 
@@ -225,6 +277,15 @@
                 self._tell_gang(message)
             case Cut():
                 self._cut = message.pairs
+            case LinkCuts():
+                self._link_cuts = message
+            case MessageTroubles():
+                self._messages = message
+            case Afflict():
+                until_us = self.clock.now_us() + to_us(message.for_s)
+                for name in message.machines:
+                    if name in self._workers:
+                        self._workers[name].afflict(message.affliction, until_us)
             case LeaderIn():
                 self._leader = self.layout.place(message.zone)
 
@@ -306,6 +367,13 @@
             start("404 Not Found", [("Content-Length", "0")])
             return []
         self._wait_for_caller(worker)
+        worker.wait_while_hanging()
+        if self.rng.random() < self._messages.late_calls:
+            self.counts["direct.late"] += 1
+            gevent.sleep(CALL_LATE_S[0] + (CALL_LATE_S[1] - CALL_LATE_S[0]) * self.rng.random())
+        if worker.ails(DEAF):
+            start("503 Service Unavailable", [("Content-Length", "0")])
+            return []
         status, report = self._called(worker, environ["PATH_INFO"], body)
         data = workers.encode(report)
         self.traffic["controller-worker"].add(len(body))
--- a/src/tideusher/scale/judge.py
+++ b/src/tideusher/scale/judge.py
@@ -1,4 +1,4 @@
-"""Judges a run by what happened on the workers: the rules of the protocol that a placement can break. Pure."""
+"""Judges a run by what happened on the workers and to the users: the rules of the protocol. Pure."""
 
 from collections import Counter, defaultdict
 from collections.abc import Iterable
@@ -7,12 +7,27 @@
 from tideusher.clock import to_us
 from tideusher.config import Team
 from tideusher.core.picture.records import allowed_on
-from tideusher.scale import events
+from tideusher.scale import answers, events
 from tideusher.scale.machine import Jobs
-from tideusher.wire.jobs import JobSpec
+from tideusher.wire.jobs import GANG, JobSpec
+from tideusher.wire.workers import CAUSE_DONE
 
 RAN_TWICE, QUOTA, WRONG_PLACE, RAN_CANCELLED = "ran_twice", "quota", "wrong_place", "ran_cancelled"
-RULES = (RAN_TWICE, QUOTA, WRONG_PLACE, RAN_CANCELLED)
+NOT_DONE, LEFT_WAITING = "not_done", "left_waiting"
+RULES = (
+    RAN_TWICE,
+    QUOTA,
+    WRONG_PLACE,
+    RAN_CANCELLED,
+    NOT_DONE,
+    LEFT_WAITING,
+    answers.WENT_BACK,
+    answers.FORGOTTEN,
+    answers.UNASKED,
+    events.UNANSWERED,
+)
+#: What may be broken on a machine that is too busy to play the run in time.
+TIMED = frozenset({RAN_CANCELLED, LEFT_WAITING, events.UNANSWERED})
 #: So many broken rules are told in full.
 TOLD = 20
 _ROUNDING = 1e-6
@@ -60,6 +75,7 @@
         self._zones: dict[str, Counter[str]] = defaultdict(Counter)  # tasks of a job by zone
         self._use: dict[str, _Use] = defaultdict(_Use)
         self._cancelled_us: dict[str, int] = {}
+        self._done: dict[str, set[int]] = defaultdict(set)  # tasks that have ended well
         self._until_us = 0
         self.verdict = Verdict()
 
@@ -75,6 +91,10 @@
                 self._left(event)
             case events.CancelTold():
                 self._cancelled_us.setdefault(event.job, event.at_us)
+            case events.DoneTold():
+                self._told_done(event)
+            case events.AnswerBroken():
+                self._break(event.rule, event.at_us, f"{event.job}: {event.what}")
 
     def end(self) -> Verdict:
         """Nothing more comes: what is still on a machine is judged as well."""
@@ -105,6 +125,9 @@
         self._take_quota(spec, name, event.at_us)
 
     def _left(self, event: events.Left) -> None:
+        if event.cause == CAUSE_DONE:
+            spec = self._jobs.spec(event.job)
+            self._done[event.job].update(range(spec.tasks) if spec.shape == GANG else (event.index,))
         places = self._on[event.job, event.index]
         if not event.was_on or places.pop((event.machine, event.attempt), None) is None:
             return
@@ -129,6 +152,15 @@
             if limit and used > limit + _ROUNDING:
                 self._break(QUOTA, at_us, f"{name}: {spec.team} uses {used:g} {kind} of {limit:g}")
 
+    def _told_done(self, event: events.DoneTold) -> None:
+        spec, done = self._jobs.spec(event.job), self._done[event.job]
+        if len(done) < spec.tasks:
+            self._break(NOT_DONE, event.at_us, f"{event.job} is told done with {len(done)} of {spec.tasks} done")
+
+    def left_waiting(self, job: str) -> None:
+        """The job waited for long beside room for it, with all troubles over (`waiting`)."""
+        self._break(LEFT_WAITING, self._until_us, f"{job} waits while a machine has room for it")
+
     def _wrong_place(self, spec: JobSpec, machine: events.MachineUp) -> str:
         if not allowed_on(spec, machine.type, machine.zone, machine.spot):
             return f"a {machine.type} {'spot' if machine.spot else 'ordinary'} machine in {machine.zone}"
--- a/src/tideusher/scale/layout.py
+++ b/src/tideusher/scale/layout.py
@@ -7,6 +7,7 @@
 
 from dataclasses import dataclass
 
+from tideusher.config import split_address
 from tideusher.scale.settings import ScaleSettings
 
 HUB_HOST = "127.0.0.1"
@@ -32,6 +33,10 @@
     source: Place
     target: Place
     name: str  # the roles at its ends, for the count of bytes
+    controller: int  # whose link it is
+    link: str  # as faults name it: state, cloud or peers
+    other: int | None = None  # the controller at its other end
+    speaks_from: str = ""  # the address that the far end sees; empty: any
 
 
 class Layout:
@@ -98,6 +103,10 @@
         """Where users and workers find a controller."""
         return f"127.1.0.{number + 1}:{self._port + 3}"
 
+    def controller_at(self, host: str) -> int | None:
+        """Which controller has this host address; None: no controller."""
+        return int(host.rpartition(".")[2]) - 1 if host.startswith("127.1.0.") else None
+
     def controller_peers(self, number: int) -> str:
         """Where a controller listens for the others."""
         return f"127.1.0.{number + 1}:{self._port + 4}"
@@ -136,8 +145,11 @@
         count, found = self._settings.control.controllers, []
         for source in range(count):
             place = self.controller_place(source)
-            found.append(Forward(self.state_link(source), self.state, place, self.services, "controller-state"))
-            found.append(Forward(self.cloud_link(source), self.cloud, place, self.services, "controller-cloud"))
+            ways = ((self.state_link(source), self.state, "state"), (self.cloud_link(source), self.cloud, "cloud"))
+            for listen, to, link in ways:
+                own = split_address(self.controller(source))[0]
+                role = f"controller-{link}"
+                found.append(Forward(listen, to, place, self.services, role, source, link, speaks_from=own))
             for target in range(count):
                 if target != source:
                     found.append(
@@ -147,6 +159,9 @@
                             place,
                             self.controller_place(target),
                             "controller-controller",
+                            source,
+                            "peers",
+                            target,
                         )
                     )
         return found
--- a/src/tideusher/scale/links.py
+++ b/src/tideusher/scale/links.py
@@ -15,7 +15,7 @@
 from tideusher.config import split_address
 from tideusher.scale.endpoint import HubLink, run_role
 from tideusher.scale.layout import Forward, Layout
-from tideusher.scale.messages import Counted, Cut, Message, Traffic, is_cut
+from tideusher.scale.messages import Counted, Cut, LinkCut, LinkCuts, Message, Traffic, is_cut
 from tideusher.scale.settings import load_scale_settings
 
 _CHUNK_BYTES = 1 << 16
@@ -27,6 +27,8 @@
     def __init__(self, layout: Layout, clock: Clock) -> None:
         self._layout, self._clock = layout, clock
         self._cut: list[tuple[int, int]] = []
+        self._link_cuts = LinkCuts([])
+        self._open: dict[socket.socket, Forward] = {}
         self._changed = Event()
         self.traffic: dict[str, Traffic] = defaultdict(Traffic)
 
@@ -41,28 +43,49 @@
         """Regions lose or find each other."""
         if isinstance(message, Cut):
             self._cut = message.pairs
-            self._changed.set()
-            self._changed.clear()
+        elif isinstance(message, LinkCuts):
+            self._link_cuts = message
+            for sock in [sock for sock, forward in self._open.items() if self._refuses(forward)]:
+                sock.close()
+        self._changed.set()
+        self._changed.clear()
 
     def counted(self) -> Counted:
         """What was carried, by the roles at the ends."""
         return Counted("links", traffic=dict(self.traffic))
 
+    def _found_cut(self, forward: Forward) -> LinkCut | None:
+        ends = [forward.controller, *([forward.other] if forward.other is not None else [])]
+        return next((cut for end in ends if (cut := self._link_cuts.find(end, forward.link)) is not None), None)
+
+    def _refuses(self, forward: Forward) -> bool:
+        cut = self._found_cut(forward)
+        return cut is not None and not cut.hold
+
+    def _holds(self, forward: Forward) -> bool:
+        cut = self._found_cut(forward)
+        return cut is not None and cut.hold
+
     def _wait_for_way(self, forward: Forward) -> None:
-        while is_cut(self._cut, forward.source.region, forward.target.region):
+        while is_cut(self._cut, forward.source.region, forward.target.region) or self._holds(forward):
             self._changed.wait()
 
     def _carry(self, near: socket.socket, forward: Forward) -> None:
         self._wait_for_way(forward)
+        if self._refuses(forward):
+            near.close()
+            return
         try:
-            far = socket.create_connection(split_address(forward.to))
+            far = socket.create_connection(split_address(forward.to), source_address=_source(forward))
         except OSError:
             near.close()
             return
+        self._open[near], self._open[far] = forward, forward
         near.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         far.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         ways = [gevent.spawn(self._one_way, near, far, forward), gevent.spawn(self._one_way, far, near, forward)]
         gevent.joinall(ways)
+        del self._open[near], self._open[far]
         near.close()
         far.close()
 
@@ -105,6 +128,10 @@
                     return
 
 
+def _source(forward: Forward) -> tuple[str, int] | None:
+    return (forward.speaks_from, 0) if forward.speaks_from else None
+
+
 def main(arguments: list[str]) -> None:
     """`links FILE`"""
     layout = Layout(load_scale_settings(arguments[0]))
--- a/src/tideusher/scale/messages.py
+++ b/src/tideusher/scale/messages.py
@@ -115,6 +115,53 @@
     pairs: list[tuple[int, int]]
 
 
+class LinkCut(msgspec.Struct, frozen=True):
+    """One link of a controller, or of all (`controller` None): `hold` keeps what is sent for later, else refused."""
+
+    controller: int | None
+    link: str
+    hold: bool = False
+
+
+class LinkCuts(HubMessage, tag="link-cuts"):
+    """Which links of controllers are cut from now on."""
+
+    cuts: list[LinkCut]
+
+    def find(self, controller: int, link: str) -> LinkCut | None:
+        """The cut of this controller's link, if there is one."""
+        return next((one for one in self.cuts if one.link == link and one.controller in (None, controller)), None)
+
+
+class StateTroubles(HubMessage, tag="state-troubles"):
+    """What is wrong with the state service from now on; shares are of transactions."""
+
+    out: bool = False
+    refused: list[int] = []
+    slow_s: float = 0.0
+    late: float = 0.0
+    lost: float = 0.0
+
+
+class Afflict(HubMessage, tag="afflict"):
+    """What ails machines for so long: they hang, are deaf or mute, or are told that the cloud takes them."""
+
+    machines: list[str]
+    affliction: str
+    for_s: float
+
+
+class MessageTroubles(HubMessage, tag="message-troubles"):
+    """The share of reports of which a copy comes later, and of direct calls that are held up."""
+
+    copies: float = 0.0
+    late_calls: float = 0.0
+
+
+class Quiet(HubMessage, tag="quiet"):
+    """All faults are over: nothing is submitted or cancelled any more."""
+
+
 class LeaderIn(HubMessage, tag="leader-in"):
     """In which zone the leader is."""
 
@@ -138,6 +185,11 @@
     | GangBegins
     | GangBroken
     | Cut
+    | LinkCuts
+    | StateTroubles
+    | Afflict
+    | MessageTroubles
+    | Quiet
     | LeaderIn
     | Finish
 )
--- a/src/tideusher/scale/processes.py
+++ b/src/tideusher/scale/processes.py
@@ -93,6 +93,23 @@
         past.peak_share = max(past.peak_share, one.peak_share)
         past.peak_mb = max(past.peak_mb, one.peak_mb)
 
+    def runs(self, name: str) -> bool:
+        """Was it started, and not killed since?"""
+        return name in self._watched
+
+    def pause(self, name: str) -> bool:
+        """Let it stand still, its clocks running on; False if there is none."""
+        one = self._watched.get(name)
+        if one is not None:
+            one.popen.send_signal(signal.SIGSTOP)
+        return one is not None
+
+    def go_on(self, name: str) -> None:
+        """Let one that stands still go on."""
+        one = self._watched.get(name)
+        if one is not None:
+            one.popen.send_signal(signal.SIGCONT)
+
     def ended(self) -> list[str]:
         """Names of those that ended by themselves."""
         return [one.name for one in self._watched.values() if one.popen.poll() is not None]
@@ -145,6 +162,7 @@
         """End whatever still runs."""
         for one in self._watched.values():
             if one.popen.poll() is None:
+                one.popen.send_signal(signal.SIGCONT)
                 one.popen.terminate()
         for one in self._watched.values():
             try:
--- a/src/tideusher/scale/settings.py
+++ b/src/tideusher/scale/settings.py
@@ -153,6 +153,14 @@
     save_s: NotNegative = 0.0
 
 
+#: Faults of the state service.
+STATE_FAULTS = ("state_out", "state_refuse", "state_slow", "state_late", "state_lost")
+#: Faults of machines that stay where they are.
+MACHINE_FAULTS = ("hang", "deaf", "mute", "recall")
+#: Faults of what workers and controllers send each other.
+MESSAGE_FAULTS = ("copies", "late_calls")
+
+
 class Fault(Strict, frozen=True):
     """What goes wrong, or comes at once, at a time.
 
@@ -160,10 +168,42 @@
     is to be had there for `for_s`; controller: `count` of them are killed and come back; leader: the one that leads
     is; regions: `region` and `other` lose each other for `for_s`; replace: from then on machines stop at a rate of
     `per_day`; burst: `count` jobs of a class are submitted.
+
+    Of controllers, `target` says which: kill, and back after `back_s`; pause: stopped by a signal for `for_s`; cut:
+    one `link` of theirs refuses connections or holds what is sent (`mode`).
+    Of the state service: state_out (503 for all), state_refuse (503 for the target), state_slow (up to `delay_s` for
+    each request), state_late (that `share` of transactions gets no answer and is carried out later), state_lost (only
+    their answers are lost).
+    Of `count` machines: hang (no report, calls wait), deaf (they hear nothing), mute (they reach no controller),
+    recall (spot ones: taken after `for_s`). Of messages: copies (of that `share` of reports one comes again later),
+    late_calls (that share of direct calls is held up).
     """
 
     at_s: NotNegative
-    kind: Literal["machine", "rack", "zone", "controller", "leader", "regions", "replace", "burst"]
+    kind: Literal[
+        "machine",
+        "rack",
+        "zone",
+        "controller",
+        "leader",
+        "regions",
+        "replace",
+        "burst",
+        "kill",
+        "pause",
+        "cut",
+        "state_out",
+        "state_refuse",
+        "state_slow",
+        "state_late",
+        "state_lost",
+        "hang",
+        "deaf",
+        "mute",
+        "recall",
+        "copies",
+        "late_calls",
+    ]
     count: AtLeastOne = 1
     for_s: Positive = 30.0
     zone: Count = 0
@@ -171,6 +211,27 @@
     other: Count = 1
     per_day: Positive = 1.0
     job_class: str = msgspec.field(name="class", default="")
+    target: Literal["leader", "one", "all"] = "leader"  # at that moment; that of `number`; each of them
+    number: Count = 0
+    back_s: NotNegative = 1.0
+    link: Literal["state", "peers", "cloud", "workers", "users"] = "state"
+    mode: Literal["refuse", "hold"] = "refuse"
+    share: Share = 0.3
+    delay_s: NotNegative = 0.5
+
+
+class UserSettings(Strict, frozen=True):
+    """What users do besides submitting, polling and cancelling once.
+
+    close_looks: after that share of answers that tell of something new, the user asks at all controllers within
+    milliseconds, and repeats the submission there; hasty: that share of cancellations follows the acceptance within
+    fifty milliseconds; repeats: that share of cancellations is given at all controllers.
+    """
+
+    close_looks: Share = 0.0
+    hasty: Share = 0.0
+    repeats: Share = 0.0
+    poll_s: Positive = 5.0
 
 
 class Allowance(Strict, frozen=True):
@@ -197,6 +258,8 @@
     cloud: CloudLimits = CloudLimits()
     workers: WorkerTimes = WorkerTimes()
     teams: TeamSettings = TeamSettings()
+    users: UserSettings = UserSettings()
+    quiet_s: NotNegative = 0.0  # at the end, when all faults are over and nothing is submitted or cancelled any more
     faults: list[Fault] = []
     allowance: Allowance = Allowance()
 
@@ -290,6 +353,8 @@
             found.append(f"{where}: region = {fault.region} and other = {fault.other} are no two regions")
         if fault.kind == "controller" and fault.count > settings.control.controllers:
             found.append(f"{where}: count = {fault.count}, there are {settings.control.controllers}")
+        if fault.number >= settings.control.controllers:
+            found.append(f"{where}: number = {fault.number}, there are {settings.control.controllers} controllers")
         if fault.kind == "burst" and fault.job_class not in names:
             found.append(f"{where}: class = {fault.job_class!r} is none of the classes")
     return found
--- a/src/tideusher/scale/state_service.py
+++ b/src/tideusher/scale/state_service.py
@@ -1,5 +1,6 @@
 """The state service of a scale run, as a process: the stand-in with the limits, errors and delays of the protocol."""
 
+import random
 from bisect import bisect_right
 from collections import Counter
 from collections.abc import Callable
@@ -20,7 +21,7 @@
 from tideusher.playground.standins import StateStandIn
 from tideusher.scale.endpoint import HubLink, run_role
 from tideusher.scale.layout import Layout
-from tideusher.scale.messages import Counted, LeaderSeen
+from tideusher.scale.messages import Counted, LeaderSeen, Message, StateTroubles
 from tideusher.scale.settings import StateLimits, load_scale_settings
 from tideusher.wire.state import Delete, Guard, Put
 
@@ -31,6 +32,8 @@
 #: Four times as many conditions as changes.
 GUARDS_A_WRITE = 4
 _EXPIRE_S = 0.05
+#: A late transaction is carried out after so long; callers have given it up by then, as one without an answer.
+LATE_S, NO_ANSWER_S = (2.0, 12.0), 5.0
 
 REASONS = {200: "200 OK", 400: "400 Bad Request", 404: "404 Not Found", 409: "409 Conflict", 410: "410 Gone"}
 REASONS |= {429: "429 Too Many Requests", 503: "503 Service Unavailable"}
@@ -39,7 +42,11 @@
 class LimitedStateServer(StateServer):
     """The stand-in with rates and sizes, watches that wait without looking, and counts of what was written."""
 
-    def __init__(self, clock: Clock, limits: StateLimits) -> None:
+    def __init__(
+        self, clock: Clock, limits: StateLimits, controller_at: Callable[[str], int | None] = lambda host: None
+    ) -> None:
+        """`controller_at`: whose request it is, by the address that it comes from."""
+        self._controller_at = controller_at
         super().__init__(clock, StateStandIn(round(limits.value_kb * 1024)))
         self._limits = limits
         self._requests, self._changes = Bucket(limits.rps, clock), Bucket(limits.write_rps, clock)
@@ -47,16 +54,52 @@
         self._first_kept = 0  # changes up to this revision are no more in the log
         self.counts: Counter[str] = Counter()
         self.on_leader: Callable[[str], None] = lambda node: None
+        self._troubles, self._rng = StateTroubles(), random.Random("state troubles")
 
     def __call__(self, environ: dict[str, Any], start: Callable[..., Any]) -> list[bytes]:
         method, path, body = environ["REQUEST_METHOD"], environ["PATH_INFO"], environ["wsgi.input"].read()
         query = dict(part.partition("=")[::2] for part in environ["QUERY_STRING"].split("&"))
-        gevent.sleep(self._limits.latency_ms / 1000)
-        status, answer = self._limited(method, path, {name: [value] for name, value in query.items()}, body)
+        gevent.sleep(self._limits.latency_ms / 1000 + self._troubles.slow_s * self._rng.random())
+        if self._refuses(environ.get("REMOTE_ADDR", "")):
+            self.counts["refused.troubles"] += 1
+            status, answer = 503, {"error": "unavailable"}
+        else:
+            asked = {name: [value] for name, value in query.items()}
+            status, answer = self._in_trouble(method, path, asked, body)
         data = answer if isinstance(answer, bytes) else msgspec.json.encode(answer)
         start(REASONS[status], [("Content-Type", "application/json"), ("Content-Length", str(len(data)))])
         return [data]
 
+    # ---------------------------------------------------------------- troubles
+
+    def trouble(self, troubles: StateTroubles) -> None:
+        """What is wrong from now on. An outage that ends gives all leases their full time again."""
+        if self._troubles.out and not troubles.out:
+            now_us = self._clock.now_us()
+            self._leases = {number: (now_us + ttl_us, ttl_us) for number, (_, ttl_us) in self._leases.items()}
+        self._troubles = troubles
+
+    def _refuses(self, host: str) -> bool:
+        return self._troubles.out or self._controller_at(host) in self._troubles.refused
+
+    def _in_trouble(self, method: str, path: str, query: dict[str, list[str]], body: bytes) -> tuple[int, Any]:
+        """One request; a transaction may be carried out late, or without its answer."""
+        drawn = self._rng.random()
+        if path != "/txn" or drawn >= self._troubles.late + self._troubles.lost:
+            return self._limited(method, path, query, body)
+        if drawn < self._troubles.late:
+            self.counts["txn late"] += 1
+            gevent.spawn_later(LATE_S[0] + (LATE_S[1] - LATE_S[0]) * self._rng.random(), self._late, body)
+        else:
+            self.counts["txn without answer"] += 1
+            self._limited(method, path, query, body)
+        gevent.sleep(NO_ANSWER_S)
+        return 503, {"error": "unavailable"}  # nobody waits for it any more
+
+    def _late(self, body: bytes) -> None:
+        if not self._troubles.out:
+            self._limited("POST", "/txn", {}, body)
+
     def run(self) -> None:
         """Let leases end, whoever asks or not."""
         while True:
@@ -155,6 +198,8 @@
         return self._leases.get(lease, (0, 0))[0] > self._clock.now_us()
 
     def _expire(self) -> None:
+        if self._troubles.out:
+            return  # they get their full time again
         before = self._state.tide
         super()._expire()
         if self._state.tide != before:
@@ -200,7 +245,8 @@
 def main(arguments: list[str]) -> None:
     """`state_service FILE`"""
     settings = load_scale_settings(arguments[0])
-    layout, server = Layout(settings), LimitedStateServer(Clock(), settings.state)
+    layout = Layout(settings)
+    server = LimitedStateServer(Clock(), settings.state, layout.controller_at)
     WSGIServer(split_address(layout.state), server, log=None, error_log=None, handler_class=Handler).start()
     gevent.spawn(server.run)
     link, last = HubLink(layout.hub, "state"), [""]
@@ -210,8 +256,12 @@
             last[0] = node
             link.send(LeaderSeen(node))
 
+    def handle(message: Message) -> None:
+        if isinstance(message, StateTroubles):
+            server.trouble(message)
+
     server.on_leader = leader
-    link.serve(lambda message: None, lambda: Counted("state", dict(server.counts)))
+    link.serve(handle, lambda: Counted("state", dict(server.counts)))
 
 
 if __name__ == "__main__":
