tideusher soak: scale runs with faults drawn from a seed, judged from outside

Cause: nothing played random faults on real processes, where pauses, sockets and clocks are the system's. Change: scale/soak_schedule.py draws a run from its seed alone (groups of faults that overlap, leaders that change in series, pauses inside outages, work of every kind, 300 workers for every tenth seed); scale/soak.py plays seeds side by side on free ports, each as a scale run of its own; scale/soak_findings.py and soak_report.py tell broken rules with the events round them, violated invariants, tracebacks, processes that ended by themselves, and how to play a seed again. LOG_TIME writes the time before each line of a controller's log, for where no platform does.

--- a/src/tideusher/cli.py
+++ b/src/tideusher/cli.py
@@ -6,7 +6,7 @@
 
 from tideusher.cli_ask import JSON, NODE, ask, fail, show_explanation, show_status
 from tideusher.cli_pbs import pbs
-from tideusher.cli_scale import scale_run
+from tideusher.cli_scale import scale_run, soak
 
 CONFIG = click.option("--config", "config_path", required=True, type=click.Path(), help="The platform's TOML file.")
 PROPERTIES = click.option("--properties", "properties_path", type=click.Path(), help="The operators' properties.")
@@ -19,6 +19,7 @@
 
 main.add_command(pbs)
 main.add_command(scale_run)
+main.add_command(soak)
 
 
 @main.command()
--- a/src/tideusher/node.py
+++ b/src/tideusher/node.py
@@ -43,7 +43,8 @@
         self, config: Config, policy: Policy, clock: Clock | None = None, profile: "Profile | None" = None
     ) -> None:
         level = {"error": logging.ERROR, "debug": logging.DEBUG}.get(os.environ.get("LOG_LEVEL", ""), logging.INFO)
-        logging.basicConfig(stream=sys.stderr, level=level, format="%(levelname).1s %(name)s: %(message)s")
+        time = "%(created).3f " if os.environ.get("LOG_TIME") else ""  # the platform writes its own before each line
+        logging.basicConfig(stream=sys.stderr, level=level, format=f"{time}%(levelname).1s %(name)s: %(message)s")
         self.log = logging.getLogger("node")
         self._config, self._clock = config, clock or Clock()
         rng = random.Random()
--- a/src/tideusher/scale/faults.py
+++ b/src/tideusher/scale/faults.py
@@ -189,7 +189,7 @@
     def _tell(self) -> None:
         """Tell all processes what is wrong now."""
         now, hub = list(self._now.values()), self._stage.hub
-        hub.send("state", _state_troubles(now, self._settings.control.controllers))
+        hub.send("state", state_troubles(now, self._settings.control.controllers))
         cuts = [
             LinkCut(None if one.target == "all" else one.number, one.link, one.mode == "hold")
             for one in now
@@ -222,7 +222,8 @@
     return max((one.share for one in now if one.kind == kind), default=0.0)
 
 
-def _state_troubles(now: list[Fault], controllers: int) -> StateTroubles:
+def state_troubles(now: list[Fault], controllers: int) -> StateTroubles:
+    """What is wrong with the state service, of all faults that last now."""
     refused: set[int] = set()
     for one in now:
         if one.kind == "state_refuse":
--- a/src/tideusher/scale/settings.py
+++ b/src/tideusher/scale/settings.py
@@ -24,6 +24,11 @@
 Positive = Annotated[float, msgspec.Meta(gt=0)]
 NotNegative = Annotated[float, msgspec.Meta(ge=0)]
 Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
+Shape = Literal["batch", "gang", "service"]
+Priority = Literal["critical", "urgent", "standard", "best_effort"]
+Target = Literal["leader", "one", "all"]
+Link = Literal["state", "peers", "cloud", "workers", "users"]
+Mode = Literal["refuse", "hold"]
 Count = Annotated[int, msgspec.Meta(ge=0)]
 AtLeastOne = Annotated[int, msgspec.Meta(ge=1)]
 
@@ -133,8 +138,8 @@
     """Jobs of one class: their shape, how many come, and how long their tasks run."""
 
     name: Annotated[str, msgspec.Meta(min_length=1)]
-    shape: Literal["batch", "gang", "service"]
-    priority: Literal["critical", "urgent", "standard", "best_effort"]
+    shape: Shape
+    priority: Priority
     sizes: Annotated[list[AtLeastOne], msgspec.Meta(min_length=1)]
     weights: list[Positive] = []
     cpus: Positive = 1.0
@@ -147,6 +152,7 @@
     per_minute: NotNegative = 0.0
     cancelled: Share = 0.0
     one_zone: bool = False
+    in_a_zone: bool = False  # each job names a zone that it may run in
     spread: bool = False
     spot: bool = False
     checkpoint_s: NotNegative = 0.0
@@ -161,6 +167,32 @@
 MESSAGE_FAULTS = ("copies", "late_calls")
 
 
+FaultKind = Literal[
+    "machine",
+    "rack",
+    "zone",
+    "controller",
+    "leader",
+    "regions",
+    "replace",
+    "burst",
+    "kill",
+    "pause",
+    "cut",
+    "state_out",
+    "state_refuse",
+    "state_slow",
+    "state_late",
+    "state_lost",
+    "hang",
+    "deaf",
+    "mute",
+    "recall",
+    "copies",
+    "late_calls",
+]
+
+
 class Fault(Strict, frozen=True):
     """What goes wrong, or comes at once, at a time.
 
@@ -180,30 +212,7 @@
     """
 
     at_s: NotNegative
-    kind: Literal[
-        "machine",
-        "rack",
-        "zone",
-        "controller",
-        "leader",
-        "regions",
-        "replace",
-        "burst",
-        "kill",
-        "pause",
-        "cut",
-        "state_out",
-        "state_refuse",
-        "state_slow",
-        "state_late",
-        "state_lost",
-        "hang",
-        "deaf",
-        "mute",
-        "recall",
-        "copies",
-        "late_calls",
-    ]
+    kind: FaultKind
     count: AtLeastOne = 1
     for_s: Positive = 30.0
     zone: Count = 0
@@ -211,11 +220,11 @@
     other: Count = 1
     per_day: Positive = 1.0
     job_class: str = msgspec.field(name="class", default="")
-    target: Literal["leader", "one", "all"] = "leader"  # at that moment; that of `number`; each of them
+    target: Target = "leader"  # at that moment; that of `number`; each of them
     number: Count = 0
     back_s: NotNegative = 1.0
-    link: Literal["state", "peers", "cloud", "workers", "users"] = "state"
-    mode: Literal["refuse", "hold"] = "refuse"
+    link: Link = "state"
+    mode: Mode = "refuse"
     share: Share = 0.3
     delay_s: NotNegative = 0.5
 
--- a/src/tideusher/scale/state_service.py
+++ b/src/tideusher/scale/state_service.py
@@ -55,6 +55,7 @@
         self.counts: Counter[str] = Counter()
         self.on_leader: Callable[[str], None] = lambda node: None
         self._troubles, self._rng = StateTroubles(), random.Random("state troubles")
+        self._out_since_us = 0
 
     def __call__(self, environ: dict[str, Any], start: Callable[..., Any]) -> list[bytes]:
         method, path, body = environ["REQUEST_METHOD"], environ["PATH_INFO"], environ["wsgi.input"].read()
@@ -73,10 +74,14 @@
     # ---------------------------------------------------------------- troubles
 
     def trouble(self, troubles: StateTroubles) -> None:
-        """What is wrong from now on. An outage that ends gives all leases their full time again."""
-        if self._troubles.out and not troubles.out:
-            now_us = self._clock.now_us()
-            self._leases = {number: (now_us + ttl_us, ttl_us) for number, (_, ttl_us) in self._leases.items()}
+        """What is wrong from now on. An outage that ends gives all leases that it met their full time again."""
+        now_us = self._clock.now_us()
+        if troubles.out and not self._troubles.out:
+            self._out_since_us = now_us
+        elif self._troubles.out and not troubles.out:
+            for number, (ends_us, ttl_us) in self._leases.items():
+                if ends_us > self._out_since_us:
+                    self._leases[number] = (now_us + ttl_us, ttl_us)
         self._troubles = troubles
 
     def _refuses(self, host: str) -> bool:
--- a/src/tideusher/scale/workload.py
+++ b/src/tideusher/scale/workload.py
@@ -7,6 +7,7 @@
 import xxhash
 
 from tideusher.clock import to_us
+from tideusher.scale.layout import Layout
 from tideusher.scale.settings import JobClass, ScaleSettings
 from tideusher.wire.jobs import GANG, SERVICE, JobSpec
 
@@ -30,13 +31,14 @@
     tasks: int
     team: int
     image: int
+    zone: int
 
 
 class Workload:
     """Jobs by their id, and when which of them come."""
 
     def __init__(self, settings: ScaleSettings) -> None:
-        self._settings = settings
+        self._settings, self._zones = settings, Layout(settings).zones
         self._specs: dict[str, JobSpec] = {}
 
     def job_class(self, job: str) -> JobClass:
@@ -96,6 +98,7 @@
             image=f"{one.name}-{drawn.image}",
             image_gb=one.image_gb,
             one_zone=one.one_zone,
+            zone=self._zones[drawn.zone] if one.in_a_zone else None,
             spread=one.spread,
             spot=one.spot,
             estimate_s=0.0 if one.shape == SERVICE else one.run_s,
@@ -106,7 +109,8 @@
     def _draw(self, job: str, one: JobClass) -> _Draw:
         rng = random.Random(f"{self._settings.seed}/{job}")
         tasks = rng.choices(one.sizes, one.weights or None)[0]
-        return _Draw(tasks, rng.randrange(self._settings.teams.count), rng.randrange(one.images))
+        team, image = rng.randrange(self._settings.teams.count), rng.randrange(one.images)
+        return _Draw(tasks, team, image, rng.randrange(len(self._zones)))
 
     def _uniform(self, job: str, index: int) -> float:
         return xxhash.xxh64_intdigest(f"{job}/{index}".encode(), self._settings.seed) / 2**64
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,249 @@
+"""The pure parts of the soak: its schedules, what users are told, what is left waiting, and what a run shows."""
+
+import msgspec
+import pytest
+from click.testing import CliRunner
+
+from test_scale_run import KIND, Clock, jobs_of, spec_of
+from tideusher.cli import main
+from tideusher.clock import SECOND_US
+from tideusher.config import Team
+from tideusher.scale import events, soak
+from tideusher.scale.answers import FORGOTTEN, UNASKED, WENT_BACK, Answers, Known
+from tideusher.scale.errors import ScaleError
+from tideusher.scale.faults import state_troubles
+from tideusher.scale.judge import LEFT_WAITING, NOT_DONE, RAN_CANCELLED, TIMED, Broken, Judge
+from tideusher.scale.layout import Layout
+from tideusher.scale.messages import LinkCut, LinkCuts, StateTroubles
+from tideusher.scale.settings import Fault, StateLimits, impossible
+from tideusher.scale.soak_findings import look
+from tideusher.scale.soak_schedule import CALM_S, QUIET_S, Plan, draw
+from tideusher.scale.state_service import LimitedStateServer
+from tideusher.scale.waiting import Waiting
+from tideusher.wire.jobs import CANCELLED, DONE
+from tideusher.wire.state import Guard, Put
+
+# -------------------------------------------------------------------- schedules
+
+
+@pytest.mark.parametrize("seed", [1, 10, 37])
+def test_a_seed_alone_says_what_is_played(seed):
+    one, other = draw(Plan(seed, 90.0, 21000)), draw(Plan(seed, 90.0, 21000))
+    assert one == other and not impossible(one)
+    assert one.fleet.workers == 300 if seed % 10 == 0 else 20 <= one.fleet.workers <= 48
+    assert draw(Plan(seed + 1, 90.0, 21000)).faults != one.faults
+
+
+def test_over_fifty_seeds_each_fault_comes_and_two_overlap_in_nearly_all():
+    kinds, overlapping = set(), 0
+    for seed in range(50):
+        settings = draw(Plan(seed, 90.0, 21000))
+        faults = [fault for fault in settings.faults if fault.kind not in ("kill", "machine")]
+        kinds |= {fault.kind for fault in settings.faults}
+        overlapping += any(
+            one.at_s < other.at_s < one.at_s + one.for_s for one in faults for other in faults if one is not other
+        )
+        assert all(CALM_S <= fault.at_s for fault in faults)
+        assert all(fault.at_s + fault.for_s <= 90.0 - QUIET_S for fault in faults)
+    assert kinds == {
+        "kill", "pause", "cut", "state_out", "state_refuse", "state_slow", "state_late", "state_lost", "machine",
+        "hang", "deaf", "mute", "recall", "copies", "late_calls", "zone",
+    }  # fmt: skip
+    assert overlapping >= 40
+
+
+@pytest.mark.parametrize(("text", "seeds"), [("7", [7]), ("1-3", [1, 2, 3]), ("1-2,9", [1, 2, 9])])
+def test_seeds_are_a_list(text, seeds):
+    assert soak.parse_seeds(text) == seeds
+
+
+def test_what_is_no_list_of_seeds_is_one_clear_line(tmp_path):
+    with pytest.raises(ScaleError, match="--seeds 1-x"):
+        soak.parse_seeds("1-x")
+    run = CliRunner().invoke(main, ["soak", "--seeds", "x", "--out", str(tmp_path / "out")])
+    assert run.exit_code == 2 and "--seeds x" in run.output
+    (tmp_path / "there").mkdir()
+    (tmp_path / "there" / "file").touch()
+    run = CliRunner().invoke(main, ["soak", "--seeds", "1", "--out", str(tmp_path / "there")])
+    assert run.exit_code == 2 and "is not empty" in run.output
+
+
+# -------------------------------------------------------------------- troubles
+
+
+def test_troubles_that_overlap_are_told_as_one():
+    faults = [
+        Fault(1.0, "state_refuse", target="one", number=2),
+        Fault(1.0, "state_refuse", target="one", number=1),
+        Fault(1.0, "state_late", share=0.2),
+        Fault(1.0, "state_late", share=0.6),
+        Fault(1.0, "state_slow", delay_s=0.3),
+    ]
+    assert state_troubles(faults, 3) == StateTroubles(False, [1, 2], 0.3, 0.6, 0.0)
+    assert state_troubles([Fault(1.0, "state_refuse", target="all")], 3).refused == [0, 1, 2]
+
+
+def test_a_cut_is_found_by_controller_and_link():
+    cuts = LinkCuts([LinkCut(1, "state"), LinkCut(None, "peers", hold=True)])
+    assert cuts.find(1, "state") and not cuts.find(0, "state") and cuts.find(0, "peers").hold
+
+
+def limited(refused=(), **troubles):
+    clock = Clock()
+    layout = Layout(draw(Plan(1, 90.0, 21000)))
+    server = LimitedStateServer(clock, StateLimits(), layout.controller_at)
+    server.trouble(StateTroubles(refused=list(refused), **troubles))
+    return clock, layout, server
+
+
+def test_whom_the_state_service_refuses_is_told_by_its_address():
+    _, layout, server = limited(refused=[1])
+    hosts = [layout.controller(number).partition(":")[0] for number in range(3)]
+    assert [server._refuses(host) for host in hosts] == [False, True, False]
+    assert not server._refuses("127.0.0.1")
+    server.trouble(StateTroubles(out=True))
+    assert server._refuses(hosts[0])
+
+
+def test_an_outage_gives_leases_that_it_met_their_full_time_again():
+    clock, _, server = limited()
+    server._leases = {1: (2 * SECOND_US, 3 * SECOND_US), 2: (SECOND_US // 2, 3 * SECOND_US)}
+    server._txn([Guard("t/leader", 0)], [Put("t/leader", {"node": "c0"}, 1)])
+    clock.us = SECOND_US
+    server.trouble(StateTroubles(out=True))
+    clock.us = 9 * SECOND_US
+    server._expire()
+    assert "t/leader" in server._state.items
+    server.trouble(StateTroubles())
+    assert server._leases[1][0] == 12 * SECOND_US and server._leases[2][0] < SECOND_US
+    clock.us = 13 * SECOND_US
+    server._expire()
+    assert "t/leader" not in server._state.items
+
+
+# -------------------------------------------------------------------- answers
+
+
+@pytest.fixture
+def answers():
+    found = []
+    one = Answers(lambda job, rule, what: found.append((job, rule)))
+    one.found = found
+    return one
+
+
+def test_answers_that_are_no_older_than_what_was_known_are_right(answers):
+    before = answers.known("j")
+    assert answers.told("j", before, "pending", 0, "submit")
+    assert not answers.told("j", answers.known("j"), "running", 3, "poll")
+    answers.cancels("j")
+    assert answers.told("j", answers.known("j"), CANCELLED, None, "cancel")
+    # asked before the cancellation was told: it may say what was so then
+    assert not answers.told("j", Known(True, "", 2), "running", 2, "poll")
+    assert not answers.found
+
+
+@pytest.mark.parametrize(
+    ("state", "done", "rule"), [("running", 9, WENT_BACK), (CANCELLED, None, WENT_BACK), ("pending", 0, WENT_BACK)]
+)
+def test_an_answer_that_is_older_than_an_end_that_was_told_is_found(answers, state, done, rule):
+    answers.cancels("j")
+    answers.told("j", answers.known("j"), DONE, 9, "poll")
+    answers.told("j", answers.known("j"), state, done, "poll")
+    assert answers.found == [("j", rule)]
+
+
+def test_fewer_tasks_done_a_job_forgotten_and_one_cancelled_by_nobody_are_found(answers):
+    answers.told("j", answers.known("j"), "running", 5, "poll")
+    answers.told("j", answers.known("j"), "running", 4, "poll")
+    answers.refused("j", answers.known("j"), 404, "look")
+    answers.refused("never", answers.known("never"), 404, "look")
+    answers.refused("j", answers.known("j"), 503, "look")
+    answers.told("k", answers.known("k"), CANCELLED, None, "look")
+    assert answers.found == [("j", WENT_BACK), ("j", FORGOTTEN), ("k", UNASKED)]
+
+
+# -------------------------------------------------------------------- the judge
+
+
+def up(at_s, name, zone="a", spot=False):
+    return events.MachineUp(at_s * SECOND_US, name, zone, "scale", spot)
+
+
+def test_a_job_that_is_told_done_before_all_of_it_is_done_is_found():
+    judge = Judge(jobs_of(spec_of("req-1", tasks=2), spec_of("req-2", "gang", tasks=2)), [Team("red")], 20.0)
+    judge.take(up(0, "m1"))
+    for job in ("req-1", "req-2"):
+        judge.take(events.OnMachine(SECOND_US, "m1", job, 0, 1))
+        judge.take(events.Left(2 * SECOND_US, "m1", job, 0, 1, "done"))
+        judge.take(events.DoneTold(3 * SECOND_US, job))
+    assert [(one.rule, one.what.split()[0]) for one in judge.verdict.broken] == [(NOT_DONE, "req-1")]
+
+
+def test_what_users_were_told_wrong_is_judged_too():
+    judge = Judge(jobs_of(), [], 20.0)
+    judge.take(events.AnswerBroken(5, "req-1", WENT_BACK, "poll: running after done"))
+    assert judge.end().counts[WENT_BACK] == 1
+
+
+def waiting(*specs, gpus_max=4.0):
+    one = Waiting(jobs_of(*specs), KIND, [Team("red", gpus_max=gpus_max)])
+    one.take(up(0, "m1", "a", spot=False))
+    for spec in specs:
+        one.take(events.Accepted(1, spec.id, 0))
+    return one
+
+
+def test_a_task_waits_beside_room_if_a_machine_could_take_it():
+    assert waiting(spec_of("req-1", tasks=1)).beside_room() == {("req-1", 0)}
+    assert not waiting(spec_of("req-1", tasks=1, zone="b")).beside_room()
+    assert not waiting(spec_of("req-1", "gang", tasks=1)).beside_room()
+    assert not waiting(spec_of("req-1", tasks=1), gpus_max=0.5).beside_room()
+
+
+def test_nobody_waits_beside_a_machine_that_is_full_gone_or_spot():
+    one = waiting(spec_of("req-1", tasks=3))
+    for index in (0, 1):  # two cards a machine
+        one.take(events.Ordered(2, "m1", "req-1", index, 1))
+    assert not one.beside_room()
+    one.take(up(3, "m2", spot=True))
+    assert not one.beside_room()
+    one.take(events.Left(4, "m1", "req-1", 0, 1, "done"))
+    assert one.beside_room() == {("req-1", 2)}
+    one.take(events.MachineDown(5, "m1"))
+    assert not one.beside_room()
+    one.take(up(6, "m3"))
+    one.take(events.CancelTold(7, "req-1"))
+    assert not one.beside_room()
+
+
+# -------------------------------------------------------------------- what a run shows
+
+
+class Shown(msgspec.Struct):
+    rules_broken: dict[str, int]
+    broken: list[Broken] = []
+    notes: list[str] = []
+    processes: dict[str, object] = {}
+
+
+def test_a_run_shows_broken_rules_violations_tracebacks_and_ends(tmp_path):
+    (tmp_path / "c0.log").write_text(
+        "1.0 I leader: took over\n2.0 E invariants: place: req-1 on m1\n3.0 E leader: message go_on failed\n"
+        "Traceback (most recent call last):\n  File x, line 1\nKeyError: '1-1'\n"
+    )
+    with (tmp_path / "events-host-0.jsonl").open("wb") as file:
+        file.write(msgspec.json.encode(events.Ordered(7, "m1", "req-7", 0, 1)) + b"\n")
+    broken = [Broken("wrong_place", 9, "req-7/0 attempt 1 on m1: a spot machine")]
+    found = look(Shown({"wrong_place": 1, "quota": 0}, broken, ["c1 ended by itself at 3.0 s"]), tmp_path, set())
+    assert found.broken[0] == "wrong_place: 1 times" and "Ordered" in found.broken[2]
+    assert found.violations == ["c0: 2.0 E invariants: place: req-1 on m1"]
+    assert found.tracebacks == ["c0: 3.0 E leader: message go_on failed | KeyError: '1-1'"]
+    assert found.ended == ["c1 ended by itself at 3.0 s"]
+
+
+def test_a_run_that_shows_nothing_is_found_to(tmp_path):
+    (tmp_path / "c0.log").write_text("1.0 I leader: took over\n")
+    assert not look(Shown({"wrong_place": 0}), tmp_path, set()).all
+    assert not look(Shown({RAN_CANCELLED: 2}), tmp_path, {RAN_CANCELLED}).all
+    assert {RAN_CANCELLED, LEFT_WAITING} < TIMED and "wrong_place" not in TIMED
