--- a/src/tideusher/scale/faults.py
+++ b/src/tideusher/scale/faults.py
@@ -118,8 +118,8 @@
         stage.stop_machines(machines)
 
     def _replace(self, per_day: float) -> None:
-        """Machines that are restarted or replaced one by one, at the rate of an ordinary day."""
-        while True:
+        """Machines that are restarted or replaced one by one, at the rate of an ordinary day, until all is quiet."""
+        while self._stage.at_s() < self._settings.duration_s - self._settings.quiet_s:
             gevent.sleep(self._rng.expovariate(per_day / _DAY_S))
             running = self._stage.cloud.running()
             if running:
--- a/src/tideusher/scale/soak_schedule.py
+++ b/src/tideusher/scale/soak_schedule.py
@@ -27,6 +27,7 @@
     UserSettings,
     WorkerTimes,
 )
+from tideusher.wire.jobs import SERVICE
 
 #: Before the first fault, and at the end, when all are over.
 CALM_S, QUIET_S = 10.0, 34.0
@@ -38,6 +39,9 @@
 MANY_WORKERS, MANY_EACH = 300, 10
 WORKERS = (20, 48)
 MOST_HANG_S = 12.0
+#: Bursts of work come so far apart; of 40 machines one is replaced this often.
+BURSTS_APART_S, REPLACED_S = (2.0, 6.0), 4.0
+_DAY_S = 86_400.0
 
 Draw = Callable[[random.Random, float, int], list[Fault]]
 
@@ -75,7 +79,7 @@
         teams=TeamSettings(count=3, gpus=workers * 0.4, gpus_max=max(16.0, workers * 0.7)),
         users=UserSettings(close_looks=0.5, hasty=0.3, repeats=0.5, poll_s=1.5),
         classes=classes(workers),
-        faults=faults(rng, plan.duration_s, controllers),
+        faults=faults(rng, plan.duration_s, controllers) + churn(rng, plan.duration_s, workers),
     )
 
 
@@ -100,6 +104,18 @@
     ]  # fmt: skip
 
 
+def churn(rng: random.Random, duration_s: float, workers: int) -> list[Fault]:
+    """Work that comes at once and machines that are replaced, so that something is rented at all times."""
+    part = workers / 40
+    found = [Fault(CALM_S, "replace", per_day=_DAY_S / REPLACED_S * part)]
+    at_s = CALM_S
+    while at_s < duration_s - QUIET_S:
+        name = rng.choice([one.name for one in classes(workers) if one.shape != SERVICE])
+        found.append(Fault(at_s, "burst", count=max(2, round(rng.randint(2, 8) * part)), job_class=name))
+        at_s += rng.uniform(*BURSTS_APART_S)
+    return found
+
+
 # ---------------------------------------------------------------- faults
 
 
