A fall's name is never one on record; invariants beside metrics

Change: Recovery takes no name that is there, a breach is counted (fall_name); invariants.py moves beside metrics.py so that decisions may use it. Result: the new test fails with the check taken out, passes with it.

--- a/src/tideusher/actors/leader.py
+++ b/src/tideusher/actors/leader.py
@@ -21,7 +21,6 @@
 from tideusher.core.lead import explain
 from tideusher.core.lead.cluster import Cluster
 from tideusher.core.lead.engine import Engine
-from tideusher.core.lead.invariants import Invariants, Rule
 from tideusher.core.lead.soft import Told, newer, take_sightings
 from tideusher.core.lead.soft import refusal as soft_refusal
 from tideusher.core.lead.soft import take as take_soft
@@ -33,6 +32,7 @@
 from tideusher.core.picture.rentals import Rental
 from tideusher.core.picture.sightings import Own, Sightings
 from tideusher.core.picture.write_queue import Batch
+from tideusher.invariants import Invariants, Rule
 from tideusher.metrics import Metrics
 from tideusher.wire import cloud as cloud_wire
 from tideusher.wire import workers
--- a/src/tideusher/core/decide/recovery.py
+++ b/src/tideusher/core/decide/recovery.py
@@ -15,6 +15,7 @@
 from tideusher.core.picture import keys
 from tideusher.core.picture.records import CRITICAL, OPEN, RETURNING, Job, Machine
 from tideusher.core.picture.write_queue import Entry, WriteQueue
+from tideusher.invariants import Invariants, Rule
 from tideusher.metrics import Metrics
 
 LOST_ALL, LOST_SOME, EVERYBODY = 0, 1, 2
@@ -121,6 +122,7 @@
     write_queue: WriteQueue
     to_return: list[Machine]
     metrics: Metrics
+    invariants: Invariants
     wall_us: Callable[[], int]
     log: logging.Logger
 
@@ -186,6 +188,16 @@
         """Falls that this leader found: a later one's numbers begin anew."""
         return (fall for fall in self.falls.values() if fall.name.startswith(f"{self._c.token}-"))
 
+    def _new_name(self) -> str:
+        """Never one that is on record: its machines would be forgotten with it, and used although they return."""
+        while True:
+            self._count += 1
+            name = f"{self._c.token}-{self._count}"
+            if name not in self.falls:
+                return name
+            found = f"a fall {name} is there already, and token {self._c.token} would name another so"
+            self._c.invariants.broken(Rule.FALL_NAME, found)
+
     def _to_return(self, machines: list[Machine]) -> Callable[[], None]:
         return lambda: self._c.to_return.extend(machines)
 
@@ -194,8 +206,7 @@
         for fall in self._ours():
             if fall.zone == zone and wall_us - fall.known_us < SAME_US:
                 return fall
-        self._count += 1
-        fall = Fall(f"{self._c.token}-{self._count}", zone, wall_us - silent_us, wall_us, why)
+        fall = Fall(self._new_name(), zone, wall_us - silent_us, wall_us, why)
         self.falls[fall.name] = fall
         self._c.metrics.count("falls", zone)
         self._c.metrics.detected(zone, to_s(silent_us))
--- a/src/tideusher/core/lead/cluster.py
+++ b/src/tideusher/core/lead/cluster.py
@@ -26,7 +26,6 @@
 from tideusher.core.decide.recovery import Recovery
 from tideusher.core.decide.starts import Kind, kind_of, refusal
 from tideusher.core.decide.truth import Truth
-from tideusher.core.lead.invariants import Invariants, Rule
 from tideusher.core.lead.renting import Renting
 from tideusher.core.picture import keys
 from tideusher.core.picture.pages import NULL, Pages, ReadValue
@@ -51,6 +50,7 @@
 from tideusher.core.picture.rentals import ADOPTED, Rental
 from tideusher.core.picture.values import MAX_STOPS_KEPT, final_value, holder, over_limit_reason
 from tideusher.core.picture.write_queue import Effect, Entry, WriteQueue
+from tideusher.invariants import Invariants, Rule
 from tideusher.metrics import Metrics
 from tideusher.wire import workers
 from tideusher.wire.cloud import FAILED, Listed, MachineType
@@ -88,6 +88,7 @@
         self.log = logging.getLogger("cluster")
         self.config, self.policy, self.token = config, policy, token
         self.metrics = metrics or Metrics()
+        self.invariants: Invariants = Invariants(self.metrics)
         self.wall_us = wall_us
         settings = config.settings
         #: What was followed until now; from here on it is changed by the transitions below only.
@@ -116,7 +117,6 @@
         self.to_rent: list[Rental] = []
         self.to_return: list[Machine] = []
         self._types_value: Any = None
-        self.invariants = Invariants(self.metrics)
         self.failures = PassFailures()  # whoever drives passes may have one that outlives this picture
         self.renting = Renting(self, self.invariants, value_of)
         self.rents: bool = True  # false: the machines are the program's own, and neither rented nor given back
--- a/src/tideusher/core/lead/renting.py
+++ b/src/tideusher/core/lead/renting.py
@@ -11,7 +11,6 @@
 
 from tideusher.core.decide.fleet import Fleet, Wish
 from tideusher.core.decide.starts import Kind, kind_of
-from tideusher.core.lead.invariants import Invariants, Rule
 from tideusher.core.picture import keys
 from tideusher.core.picture.entries import Effect, Entry
 from tideusher.core.picture.ledger import Ledger
@@ -19,6 +18,7 @@
 from tideusher.core.picture.records import RETURNING, Machine
 from tideusher.core.picture.rentals import Rental
 from tideusher.core.picture.write_queue import WriteQueue
+from tideusher.invariants import Invariants, Rule
 
 #: A rental asks for so many machines at the most.
 MOST_A_RENTAL = 50
--- a/src/tideusher/core/lead/reports.py
+++ b/src/tideusher/core/lead/reports.py
@@ -10,8 +10,8 @@
 from tideusher.core.decide import failures, hearing
 from tideusher.core.decide.starts import MAY_CHANGE, Kind, refusal
 from tideusher.core.lead.cluster import Cluster, told_machine
-from tideusher.core.lead.invariants import Rule
 from tideusher.core.picture.records import ASSIGNED, BOOTING, COMMITTING, OPEN, SEEN, UP, Job, Machine, Task
+from tideusher.invariants import Rule
 from tideusher.wire import workers
 from tideusher.wire.workers import Command, Report, TaskReport
 
--- a/src/tideusher/core/lead/invariants.py
+++ b/src/tideusher/invariants.py
@@ -17,6 +17,7 @@
 
     ONE_TERM = "one_term"  # a token is led with once in a process
     RENTAL_NAME = "rental_name"  # a new rental's name was never used
+    FALL_NAME = "fall_name"  # nor was a new fall's
     RENTAL_KIND = "rental_kind"  # what a rental on record asks for never changes
     RENTAL_MACHINES = "rental_machines"  # no two rentals brought one machine
     MACHINE_KIND = "machine_kind"  # a machine is what its record says, by its own word and the cloud's
--- a/src/tideusher/scale/soak_findings.py
+++ b/src/tideusher/scale/soak_findings.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
-from tideusher.core.lead.invariants import LOGGER
+from tideusher.invariants import LOGGER
 from tideusher.scale import events
 from tideusher.scale.judge import Broken
 from tideusher.scale.report import Result
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -4,8 +4,8 @@
 
 from known_red import pytest_collection_modifyitems, pytest_terminal_summary  # noqa: F401
 from simulated_cluster import SimulatedCluster
-from tideusher.core.lead.invariants import LOGGER
 from tideusher.embed.disk import Disk
+from tideusher.invariants import LOGGER
 
 
 @pytest.fixture(autouse=True)
--- a/tests/test_run_time_invariants.py
+++ b/tests/test_run_time_invariants.py
@@ -6,10 +6,10 @@
 from tideusher.actors.leader import Leader
 from tideusher.core.decide.fleet import Wish
 from tideusher.core.decide.starts import Kind, Refusal, refusal
-from tideusher.core.lead.invariants import Rule
 from tideusher.core.picture import keys
 from tideusher.core.picture.records import RETURNING, UP, Machine
 from tideusher.core.picture.rentals import Rental
+from tideusher.invariants import Rule
 
 breaks_invariants = pytest.mark.breaks_invariants
 
@@ -207,6 +207,23 @@
     assert isinstance(again, Rental) and not broken(bed.cluster)
 
 
+@breaks_invariants
+def test_a_fall_is_not_named_as_one_on_record_is(bed):
+    names = [f"host-{number}" for number in range(6)]
+    for name in names:
+        bed.report(name, 1)
+    bed.commit()
+    fallen = [(bed.cluster.machines[name], "silent") for name in names[:3]]
+    bed.cluster.recovery.fell("a", fallen, bed.clock.now_us())
+    bed.commit()
+    bed.cluster = second_engine(bed)
+    bed.cluster.recovery.fell("b", [(bed.cluster.machines[names[3]], "silent")], bed.clock.now_us())
+    bed.commit()
+    assert broken(bed.cluster) == {Rule.FALL_NAME: 1}
+    returning = {name for name, machine in bed.elect().machines.items() if machine.phase == RETURNING}
+    assert returning == set(names[:4])  # none of the first fall is forgotten, and used
+
+
 # Terms
 
 
