--- a/src/tideusher/scale/soak.py
+++ b/src/tideusher/scale/soak.py
@@ -16,7 +16,7 @@
 from tideusher.scale.judge import TIMED
 from tideusher.scale.report import Result
 from tideusher.scale.soak_findings import Findings, look
-from tideusher.scale.soak_schedule import Plan, draw
+from tideusher.scale.soak_schedule import QUIET_S, SHORT_QUIET_S, Plan, draw
 
 #: Ports of a run lie within so many of its first; below those that the system gives to connections.
 PORTS, FIRST_PORT, LAST_PORT = 300, 20_000, 32_000
@@ -91,7 +91,8 @@
 def _start(soak: Soak, seed: int, tries: int) -> _Running:
     directory = soak.directory / f"seed-{seed}"
     directory.mkdir(parents=True)
-    settings = draw(Plan(seed, soak.duration_s, free_port(), soak.workers))
+    quiet_s = QUIET_S if soak.timed else SHORT_QUIET_S
+    settings = draw(Plan(seed, soak.duration_s, free_port(), soak.workers, quiet_s))
     file = soak.directory / f"seed-{seed}.toml"
     file.write_bytes(msgspec.toml.encode(settings))
     tree = ["--tree", str(soak.tree)] if soak.tree else []
--- a/src/tideusher/scale/soak_schedule.py
+++ b/src/tideusher/scale/soak_schedule.py
@@ -29,8 +29,8 @@
 )
 from tideusher.wire.jobs import SERVICE
 
-#: Before the first fault, and at the end, when all are over.
-CALM_S, QUIET_S = 10.0, 34.0
+#: Before the first fault; at the end, when all are over; and where nothing is judged that needs a quiet end.
+CALM_S, QUIET_S, SHORT_QUIET_S = 10.0, 34.0, 8.0
 #: From one group of faults to the next.
 GROUPS_APART_S = (5.0, 11.0)
 #: Faults of a group begin within so long of each other.
@@ -54,6 +54,12 @@
     duration_s: float
     port: int
     workers: int | None = None
+    quiet_s: float = QUIET_S
+
+    @property
+    def last_s(self) -> float:
+        """When the last fault is over."""
+        return self.duration_s - self.quiet_s
 
 
 def draw(plan: Plan) -> ScaleSettings:
@@ -66,7 +72,7 @@
     return ScaleSettings(
         name=f"soak-{plan.seed}",
         duration_s=plan.duration_s,
-        quiet_s=QUIET_S,
+        quiet_s=plan.quiet_s,
         seed=plan.seed,
         port=plan.port,
         control=ControlSettings(controllers, restart_s=rng.choice((0.2, 1.0, 3.0))),
@@ -79,7 +85,7 @@
         teams=TeamSettings(count=3, gpus=workers * 0.4, gpus_max=max(16.0, workers * 0.7)),
         users=UserSettings(close_looks=0.5, hasty=0.3, repeats=0.5, poll_s=1.5),
         classes=classes(workers),
-        faults=faults(rng, plan.duration_s, controllers) + churn(rng, plan.duration_s, workers),
+        faults=faults(rng, plan.last_s, controllers) + churn(rng, plan.last_s, workers),
     )
 
 
@@ -104,12 +110,12 @@
     ]  # fmt: skip
 
 
-def churn(rng: random.Random, duration_s: float, workers: int) -> list[Fault]:
+def churn(rng: random.Random, last_s: float, workers: int) -> list[Fault]:
     """Work that comes at once and machines that are replaced, so that something is rented at all times."""
     part = workers / 40
     found = [Fault(CALM_S, "replace", per_day=_DAY_S / REPLACED_S * part)]
     at_s = CALM_S
-    while at_s < duration_s - QUIET_S:
+    while at_s < last_s:
         name = rng.choice([one.name for one in classes(workers) if one.shape != SERVICE])
         found.append(Fault(at_s, "burst", count=max(2, round(rng.randint(2, 8) * part)), job_class=name))
         at_s += rng.uniform(*BURSTS_APART_S)
@@ -119,10 +125,9 @@
 # ---------------------------------------------------------------- faults
 
 
-def faults(rng: random.Random, duration_s: float, controllers: int) -> list[Fault]:
+def faults(rng: random.Random, last_s: float, controllers: int) -> list[Fault]:
     """Groups of two or three that overlap, one after the other; leaders that change in series among them."""
     found: list[Fault] = []
-    last_s = duration_s - QUIET_S
     at_s = CALM_S
     while at_s < last_s - 4.0:
         group: list[Fault] = []
--- /dev/null
+++ b/tools/soak_planted.py
@@ -0,0 +1,95 @@
+"""Does the soak find what it is to find? Plants faults in copies of the sources and plays seeds on each.
+
+    python tools/soak_planted.py --seeds 201-206 --out DIR [--parallel 3] [--only NAME]
+
+A line a fault: which seeds showed it, and by what. Exits 1 if one was found by none.
+"""
+
+import argparse
+import shutil
+import sys
+from dataclasses import dataclass
+from pathlib import Path
+
+from tideusher.scale.soak import Outcome, Soak, parse_seeds, play
+
+ROOT = Path(__file__).resolve().parent.parent
+PACKAGE = Path("src") / "tideusher"
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """One place in the sources, and what stands there instead."""
+
+    file: str
+    old: str
+    new: str
+
+
+#: Guards that would hide a fault are taken out with it.
+PLANTED = {
+    "names repeated in a term": [
+        Change("actors/election.py", "if token <= self._last_token:", "if token == self.token:"),
+        Change("actors/leader.py", "if token <= self._last_token:", "if False:"),
+    ],
+    "a lapsed answer": [
+        Change("actors/users.py", "if missing and not fresh and not self._store.sync():", "if False:"),
+        Change("actors/users.py", "if not self._store.sync():", "if False:"),
+    ],
+    "a cancel that stops at one node": [
+        Change(
+            "core/lead/cluster.py",
+            'self._stop_job(job, 0.0, job.why or "its user cancelled it")\n            self._retire(job)\n            self.d',
+            "self._retire(job)\n            self.d",
+        ),
+        Change("actors/gateway.py", "return job_id in self._cancellations or", "return False and"),
+    ],
+    "the placing rule left out": [
+        Change("core/picture/records.py", "        and (spec.spot or not spot)\n", ""),
+        Change("core/decide/starts.py", "if machine.spot and not spec.spot:", "if False:"),
+    ],
+}
+
+
+def plant(changes: list[Change], tree: Path) -> None:
+    """A copy of the sources with these changes; raises ValueError where a place is not found."""
+    shutil.copytree(ROOT / "src", tree / "src", ignore=shutil.ignore_patterns("__pycache__", "*.egg-info"))
+    shutil.copy(ROOT / "run.py", tree / "run.py")
+    for change in changes:
+        path = tree / PACKAGE / change.file
+        text = path.read_text()
+        if change.old not in text:
+            raise ValueError(f"{change.file}: {change.old!r} is not there any more")
+        path.write_text(text.replace(change.old, change.new))
+
+
+def main() -> None:
+    """Play each planted fault."""
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.add_argument("--seeds", required=True)
+    parser.add_argument("--out", required=True, type=Path)
+    parser.add_argument("--parallel", type=int, default=3)
+    parser.add_argument("--only", choices=PLANTED)
+    args = parser.parse_args()
+    missed = []
+    for name in [args.only] if args.only else PLANTED:
+        directory = args.out.resolve() / name.replace(" ", "-")
+        tree = directory / "tree"
+        plant(PLANTED[name], tree)
+        soak = Soak(parse_seeds(args.seeds), directory / "runs", parallel=args.parallel, tree=tree)
+        outcomes = play(soak, lambda outcome: None)
+        print(told(name, outcomes), flush=True)
+        if not any(outcome.findings.all for outcome in outcomes):
+            missed.append(name)
+    sys.exit(bool(missed))
+
+
+def told(name: str, outcomes: list[Outcome]) -> str:
+    """A line: the seeds that showed the fault, and by what."""
+    bad = {outcome.seed: outcome.findings.all[0] for outcome in outcomes if outcome.findings.all}
+    shown = "; ".join(f"{seed}: {what[:100]}" for seed, what in sorted(bad.items()))
+    return f"{name}: found in {len(bad)} of {len(outcomes)} seeds ({shown})"
+
+
+if __name__ == "__main__":
+    main()
