--- a/tools/soak_planted.py
+++ b/tools/soak_planted.py
@@ -39,8 +39,8 @@
     "a cancel that stops at one node": [
         Change(
             "core/lead/cluster.py",
-            'self._stop_job(job, 0.0, job.why or "its user cancelled it")\n            self._retire(job)\n            self.d',
-            "self._retire(job)\n            self.d",
+            'self._stop_job(job, 0.0, job.why or "its user cancelled it")\n            self._retire(job)\n        ',
+            "self._retire(job)\n        ",
         ),
         Change("actors/gateway.py", "return job_id in self._cancellations or", "return False and"),
     ],
