--- a/tests/test_leader_faults.py
+++ b/tests/test_leader_faults.py
@@ -1,5 +1,7 @@
 """Two troubles that meet (docs/compound-faults.md): each is brought about here, and judged by the rules."""
 
+import logging
+
 import pytest
 
 from standins import Bed, job
@@ -8,11 +10,12 @@
 from tideusher.core.decide import bounds, hearing
 from tideusher.core.decide.fleet import Wish
 from tideusher.core.lead import explain
+from tideusher.core.lead.cluster import Direct
 from tideusher.core.lead.reports import Reports
 from tideusher.core.picture import keys
 from tideusher.core.picture.write_queue import Entry, WriteQueue
 from tideusher.playground.standins import StateStandIn
-from tideusher.wire.workers import Report, TaskReport
+from tideusher.wire.workers import Report, TaskReport, halt
 
 
 @pytest.fixture
@@ -487,3 +490,22 @@
     for spec in specs:
         told = explain.explain_job(cluster, spec.id, sim.clock.us)
         assert any("lease ran out" in stop["reason"] or "is gone" in stop["reason"] for stop in told["stops"]), told
+
+
+def test_two_commands_for_a_machine_before_its_helper_runs_are_both_told(sim, caplog):
+    """Decided in the same moment by two messages: both calls would begin a helper of their own."""
+    sim = sim()
+    specs = [sim.submit(job("batch", 1, estimate_s=900.0)) for _ in range(2)]
+    sim.run(10.0)
+    leader = sim.nodes[sim.leader()].leader
+    engine = leader._engine
+    machine = next(machine for machine in engine.cluster.machines.values() if machine.tasks)
+    tasks = [task for spec in specs for task in engine.cluster.jobs[spec.id].live.values()]
+    assert tasks
+    sim.calls = False  # each takes its time
+    for task in tasks:
+        engine.cluster.direct.append(Direct(machine, halt(task.name, task.attempt, 0.0)))
+        leader._act(engine)
+    with caplog.at_level(logging.ERROR):
+        sim.run(5.0)
+    assert "a helper of this actor failed" not in caplog.text and not leader._sending
--- a/tests/test_standby.py
+++ b/tests/test_standby.py
@@ -18,6 +18,7 @@
 from tideusher.core.picture.picture import Picture
 from tideusher.metrics import Metrics
 from tideusher.playground.standins import TYPE, StateStandIn
+from tideusher.wire.state import Put
 from tideusher.wire.workers import Report, TaskReport
 
 
@@ -202,6 +203,18 @@
     assert node.standby._picture.outline() == rebuilt(harness.state, harness.clock).outline()
 
 
+def test_a_cancelled_job_of_a_page_whose_machine_is_gone_is_no_difference():
+    harness, spec = Harness(3, shared=True), job()
+    harness.submit(spec)
+    harness.cancel(spec)
+    record = {"n": 1, "a": {"0": [1, "host-gone"]}}
+    assert harness.state.txn([], [Put(keys.page_key(0), {spec.id: record})])
+    node = Node(harness.state, harness.clock)
+    node.read()
+    node.follow()
+    assert [node.standby.audit(harness.clock.now_us()) for _ in range(5)] == [[]] * 5
+
+
 def test_a_machine_is_on_record_before_any_task_on_it(monkeypatch):
     """A leader died as the record of a rental waited: the next took its tasks for gone and started them anew."""
     bed = Bed()
