The soak reads KNOWN-RED.txt, as the tests do

Change: a line soak:PART names tracebacks that the soak prints and passes over; each traceback is told with its innermost function.

--- a/src/tideusher/cli_scale.py
+++ b/src/tideusher/cli_scale.py
@@ -48,8 +48,16 @@
 @click.option("--parallel", default=2, show_default=True, type=click.IntRange(1, 8), help="Seeds played at once.")
 @click.option("--tree", type=click.Path(path_type=Path), help="A checkout whose run.py the controllers are.")
 @click.option("--untimed", is_flag=True, help="Only tell of rules that a machine too busy for the run may break.")
+@click.option("--known", type=click.Path(path_type=Path), help="A KNOWN-RED.txt: its tracebacks are passed over.")
 def soak(
-    seeds: str, out: Path, minutes: float, workers: int | None, parallel: int, tree: Path | None, untimed: bool
+    seeds: str,
+    out: Path,
+    minutes: float,
+    workers: int | None,
+    parallel: int,
+    tree: Path | None,
+    untimed: bool,
+    known: Path | None,
 ) -> None:
     """Play scale runs with faults drawn at random, one a seed, and judge each from outside.
 
@@ -69,8 +77,9 @@
         if out.exists() and any(out.iterdir()):
             raise ScaleError(f"{out}: is not empty")
         asked = module.Soak(
-            module.parse_seeds(seeds), out.resolve(), 60.0 * minutes, workers, parallel, tree, not untimed
-        )
+            module.parse_seeds(seeds), out.resolve(), 60.0 * minutes, workers, parallel, tree, not untimed,
+            module.read_known(known) if known is not None else (),
+        )  # fmt: skip
         outcomes = module.play(asked, lambda outcome: click.echo("\n".join(told(outcome))))
     except ScaleError as error:
         fail(error, 2)
--- a/src/tideusher/scale/soak.py
+++ b/src/tideusher/scale/soak.py
@@ -22,6 +22,8 @@
 PORTS, FIRST_PORT, LAST_PORT = 300, 20_000, 32_000
 #: Tries to find free ones, and to make a run whose ports were taken meanwhile.
 PORT_TRIES, RUN_TRIES = 40, 3
+#: How lines of the soak begin in KNOWN-RED.txt.
+KNOWN = "soak:"
 #: A run that takes this much longer than its time hangs.
 GRACE_S = 120.0
 _LOOK_S = 0.5
@@ -38,6 +40,7 @@
     parallel: int = 2
     tree: Path | None = None  # a checkout whose run.py the controllers are
     timed: bool = True  # do rules count that a busy machine may break?
+    known: tuple[str, ...] = ()  # parts of tracebacks of faults that are known, and passed over
 
 
 @dataclass(slots=True)
@@ -130,7 +133,7 @@
         return Outcome(one.seed, one.directory, None, f"exit {one.popen.returncode}: {_last_line(one)}")
     result: Result = msgspec.json.decode(file.read_bytes(), type=Result)
     uncounted = {} if soak.timed else {rule: n for rule, n in result.rules_broken.items() if n and rule in TIMED}
-    findings = look(result, one.directory, set(uncounted))
+    findings = look(result, one.directory, set(uncounted), soak.known)
     return Outcome(one.seed, one.directory, result, "", findings, uncounted)
 
 
@@ -152,6 +155,12 @@
     return True
 
 
+def read_known(path: Path) -> tuple[str, ...]:
+    """The soak's lines of a KNOWN-RED.txt, `soak: PART OF A TRACEBACK | CAUSE | ISSUE`; none if it is not there."""
+    lines = path.read_text("utf-8").splitlines() if path.exists() else []
+    return tuple(line.split(" | ")[0][len(KNOWN) :].strip() for line in lines if line.startswith(KNOWN))
+
+
 def parse_seeds(text: str) -> list[int]:
     """`1-50`, `7` or `1-3,9`; raises ScaleError for anything else."""
     try:
--- a/src/tideusher/scale/soak_findings.py
+++ b/src/tideusher/scale/soak_findings.py
@@ -1,7 +1,9 @@
 """What a run of the soak shows: broken rules with the calls round them, and what controllers wrote of themselves."""
 
 import re
+from collections.abc import Sequence
 from dataclasses import dataclass, field
+from itertools import takewhile
 from pathlib import Path
 
 from tideusher.invariants import LOGGER
@@ -13,6 +15,7 @@
 TOLD, EVENTS_TOLD = 3, 30
 #: So many lines of each kind from the controllers.
 LINES_TOLD = 5
+_FRAME = re.compile(r'^  File ".*", line \d+, in (\w+)$')
 _ERROR_BEGINS = "Traceback (most recent call last):"
 
 
@@ -24,15 +27,16 @@
     violations: list[str] = field(default_factory=list)
     tracebacks: list[str] = field(default_factory=list)
     ended: list[str] = field(default_factory=list)
+    known: list[str] = field(default_factory=list)  # of a fault that is listed as known: passed over
 
     @property
     def all(self) -> list[str]:
-        """Everything."""
-        return [*self.broken, *self.violations, *self.tracebacks, *self.ended]
+        """Everything that counts."""
+        return [*self.broken, *self.violations, *self.tracebacks[:LINES_TOLD], *self.ended]
 
 
-def look(result: Result, directory: Path, uncounted: set[str]) -> Findings:
-    """What a run shows; rules in `uncounted` are passed over."""
+def look(result: Result, directory: Path, uncounted: set[str], known: Sequence[str] = ()) -> Findings:
+    """What a run shows. Rules in `uncounted` are passed over, and tracebacks that one of `known` is part of."""
     found = Findings()
     found.broken = [
         f"{rule}: {count} times" for rule, count in result.rules_broken.items() if count and rule not in uncounted
@@ -42,7 +46,8 @@
     for log in sorted(directory.glob("c*.log")):
         lines = log.read_text("utf-8", "replace").splitlines()
         found.violations += [f"{log.stem}: {line}" for line in lines if f" {LOGGER}: " in line][:LINES_TOLD]
-        found.tracebacks += _tracebacks(log.stem, lines)
+        for trace in _tracebacks(log.stem, lines):
+            (found.known if any(part in trace for part in known) else found.tracebacks).append(trace)
     found.ended = [note for note in result.notes if "ended by itself" in note]
     found.ended += _too_large(result)
     return found
@@ -58,14 +63,16 @@
 
 
 def _tracebacks(name: str, lines: list[str]) -> list[str]:
-    """The line that each comes after, and the exception that it ends with."""
+    """Of each the line that it comes after, the innermost function, and the exception."""
     found = []
     for number, line in enumerate(lines):
         if line.startswith(_ERROR_BEGINS):
             before = lines[number - 1] if number else ""
-            last = next((one for one in lines[number + 1 :] if not one.startswith((" ", "Traceback"))), "")
-            found.append(f"{name}: {before} | {last}")
-    return found[:LINES_TOLD]
+            trace = list(takewhile(lambda one: one.startswith(" "), lines[number + 1 :]))
+            last = lines[number + 1 + len(trace)] if number + 1 + len(trace) < len(lines) else ""
+            functions = [match[1] for one in trace if (match := _FRAME.search(one))]
+            found.append(f"{name}: {before}; in {functions[-1] if functions else 'no function'}: {last}")
+    return found
 
 
 def _round_the_breaks(broken: list[Broken], directory: Path) -> list[str]:
--- a/src/tideusher/scale/soak_report.py
+++ b/src/tideusher/scale/soak_report.py
@@ -6,6 +6,9 @@
 from tideusher.scale.soak import Outcome
 from tideusher.scale.soak_findings import takeovers
 
+#: So many tracebacks of known faults are told of a seed.
+KNOWN_TOLD = 3
+
 
 def told(outcome: Outcome) -> list[str]:
     """A line; of a seed that shows something also its faults, what was found, and the line that plays it again."""
@@ -16,6 +19,7 @@
     lines = [f"seed {outcome.seed}: {verdict}; {_figures(result)}, {takeovers(outcome.directory)} takeovers"]
     if outcome.uncounted:
         lines[0] += f"; not counted: {_counts(outcome.uncounted)}"
+    lines += [f"  KNOWN RED {known}" for known in outcome.findings.known[:KNOWN_TOLD]]
     if outcome.ok:
         return lines
     lines += [f"  {fault.at_s:7.2f} s  {fault.what}" for fault in result.faults]
