Soak: what waits is judged by the users' ninety seconds, and a leader that starts nothing at all

Change: left_waiting is judged over 90 s of quiet (--quiet), placed_nothing over 20 s in which nothing is started.

--- a/src/tideusher/cli_scale.py
+++ b/src/tideusher/cli_scale.py
@@ -44,6 +44,7 @@
 @click.option("--seeds", required=True, help="Such as 1-50, or 1-3,9.")
 @click.option("--out", required=True, type=click.Path(path_type=Path), help="A new or empty directory for its files.")
 @click.option("--minutes", default=1.5, show_default=True, type=click.FloatRange(1.0), help="The time of a seed.")
+@click.option("--quiet", default=34.0, show_default=True, help="Seconds without faults at its end.")
 @click.option("--workers", type=click.IntRange(10), help="Instead of 20 to 48, and of 300 for every tenth seed.")
 @click.option("--parallel", default=2, show_default=True, type=click.IntRange(1, 8), help="Seeds played at once.")
 @click.option("--tree", type=click.Path(path_type=Path), help="A checkout whose run.py the controllers are.")
@@ -53,6 +54,7 @@
     seeds: str,
     out: Path,
     minutes: float,
+    quiet: float,
     workers: int | None,
     parallel: int,
     tree: Path | None,
@@ -77,7 +79,7 @@
         if out.exists() and any(out.iterdir()):
             raise ScaleError(f"{out}: is not empty")
         asked = module.Soak(
-            module.parse_seeds(seeds), out.resolve(), 60.0 * minutes, workers, parallel, tree, not untimed,
+            module.parse_seeds(seeds), out.resolve(), 60.0 * minutes, workers, parallel, tree, quiet, not untimed,
             module.read_known(known) if known is not None else (),
         )  # fmt: skip
         outcomes = module.play(asked, lambda outcome: click.echo("\n".join(told(outcome))))
--- a/src/tideusher/scale/coordinator.py
+++ b/src/tideusher/scale/coordinator.py
@@ -51,8 +51,6 @@
 
 _READY_S, _FINISH_S, _STOP_S = 60.0, 30.0, 10.0
 _SAMPLE_S, _PROGRESS_S = 1.0, 5.0
-#: With all faults over, a task that waits for so long beside room for it is left waiting.
-LEFT_WAITING_S = 25.0
 _MB = 1e6
 #: The users' bound.
 MEMORY_SHARE = 0.5
@@ -295,18 +293,13 @@
     def _judge(self) -> report.Result:
         judge = Judge(self._workload, teams(self._settings), self._settings.workers.cancel_s)
         measures = Measures(self._workload, self._began_us)
-        waiting = Waiting(self._workload, self._kind, teams(self._settings))
-        look_us = self._began_us + to_us(self._settings.duration_s - LEFT_WAITING_S)
-        early: set[tuple[str, int]] | None = None
+        end_us = self._began_us + to_us(self._settings.duration_s)
+        waiting = Waiting(self._workload, self._kind, teams(self._settings), end_us)
         for event in events.read_events(sorted(self._directory.glob("events-*.jsonl"))):
-            if early is None and event.at_us > look_us:
-                early = waiting.beside_room()
             judge.take(event)
             measures.take(event)
             waiting.take(event)
-        if self._settings.quiet_s > LEFT_WAITING_S:
-            for job in sorted({job for job, _ in (early or set()) & waiting.beside_room()}):
-                judge.left_waiting(job)
+        waiting.judge(judge, self._settings.quiet_s)
         outcome = report.Outcome(
             judge.end(),
             measures.result(),
--- a/src/tideusher/scale/judge.py
+++ b/src/tideusher/scale/judge.py
@@ -13,7 +13,7 @@
 from tideusher.wire.workers import CAUSE_DONE
 
 RAN_TWICE, QUOTA, WRONG_PLACE, RAN_CANCELLED = "ran_twice", "quota", "wrong_place", "ran_cancelled"
-NOT_DONE, LEFT_WAITING = "not_done", "left_waiting"
+NOT_DONE, LEFT_WAITING, PLACED_NOTHING = "not_done", "left_waiting", "placed_nothing"
 RULES = (
     RAN_TWICE,
     QUOTA,
@@ -21,13 +21,14 @@
     RAN_CANCELLED,
     NOT_DONE,
     LEFT_WAITING,
+    PLACED_NOTHING,
     answers.WENT_BACK,
     answers.FORGOTTEN,
     answers.UNASKED,
     events.UNANSWERED,
 )
 #: What may be broken on a machine that is too busy to play the run in time.
-TIMED = frozenset({RAN_CANCELLED, LEFT_WAITING, events.UNANSWERED})
+TIMED = frozenset({RAN_CANCELLED, LEFT_WAITING, PLACED_NOTHING, events.UNANSWERED})
 #: So many broken rules are told in full.
 TOLD = 20
 _ROUNDING = 1e-6
@@ -161,6 +162,10 @@
         """The job waited for long beside room for it, with all troubles over (`waiting`)."""
         self._break(LEFT_WAITING, self._until_us, f"{job} waits while a machine has room for it")
 
+    def placed_nothing(self, jobs: list[str]) -> None:
+        """With all troubles over nothing was started for a while, and these waited beside room."""
+        self._break(PLACED_NOTHING, self._until_us, f"nothing is started while there is room for {', '.join(jobs)}")
+
     def _wrong_place(self, spec: JobSpec, machine: events.MachineUp) -> str:
         if not allowed_on(spec, machine.type, machine.zone, machine.spot):
             return f"a {machine.type} {'spot' if machine.spot else 'ordinary'} machine in {machine.zone}"
--- a/src/tideusher/scale/soak.py
+++ b/src/tideusher/scale/soak.py
@@ -39,6 +39,7 @@
     workers: int | None = None
     parallel: int = 2
     tree: Path | None = None  # a checkout whose run.py the controllers are
+    quiet_s: float = QUIET_S  # at the end of each
     timed: bool = True  # do rules count that a busy machine may break?
     known: tuple[str, ...] = ()  # parts of tracebacks of faults that are known, and passed over
 
@@ -94,7 +95,7 @@
 def _start(soak: Soak, seed: int, tries: int) -> _Running:
     directory = soak.directory / f"seed-{seed}"
     directory.mkdir(parents=True)
-    quiet_s = QUIET_S if soak.timed else SHORT_QUIET_S
+    quiet_s = soak.quiet_s if soak.timed else SHORT_QUIET_S
     settings = draw(Plan(seed, soak.duration_s, free_port(), soak.workers, quiet_s))
     file = soak.directory / f"seed-{seed}.toml"
     file.write_bytes(msgspec.toml.encode(settings))
