A takeover that fails is made again

Cause: an exception while a controller caught up with the records left it loading for ever: it led and decided nothing. Change: it counts as a failed pass; the picture is built anew, and the term ends. Result: the new test fails without the change and passes with it.

--- a/src/tideusher/actors/leader.py
+++ b/src/tideusher/actors/leader.py
@@ -227,8 +227,11 @@
         kind = type(error.__cause__ or error).__name__
         self._metrics.count("pass_failures", kind)
         self.log.error("%s ended with %s (%s): %s", message, kind, error, remedy.name.lower().replace("_", " "))
+        self._loading = False
         if self._engine is not None:
             self._step_down(self._engine)
+        else:
+            self._standby.begin(self._clock.now_us())
         self._election.end_term(leave=remedy is Remedy.GIVE_WAY)
 
     def _share_records(self, cluster: Cluster) -> None:
--- a/tests/test_failing_pass.py
+++ b/tests/test_failing_pass.py
@@ -14,6 +14,7 @@
     Remedy,
 )
 from tideusher.core.lead.scheduler import Scheduler
+from tideusher.core.lead.standby import Standby
 from tideusher.core.picture import keys
 
 
@@ -66,6 +67,23 @@
     assert [len(sim.on_machines(spec.id)) for spec in specs] == [2, 2]
 
 
+def test_a_takeover_that_fails_is_made_again_on_the_records(sim, monkeypatch):
+    sim = sim()
+    original, planted = Standby.catch_up, ["planted"]
+
+    def fail_once(self, now_us):
+        if planted:
+            raise KeyError(planted.pop())
+        return original(self, now_us)
+
+    monkeypatch.setattr(Standby, "catch_up", fail_once)
+    sim.end(sim.leader(), back_s=1.0)
+    sim.run(10.0)
+    specs = [sim.submit(job("batch", 2, estimate_s=900.0))]
+    sim.run(10.0)
+    assert not planted and [len(sim.on_machines(spec.id)) for spec in specs] == [2]
+
+
 def test_each_term_after_a_failed_pass_has_a_token_of_its_own(sim, monkeypatch):
     sim = sim()
     bad = job("service", 1, estimate_s=0.0, priority="critical", team="red")
