--- a/src/tideusher/actors/leader.py
+++ b/src/tideusher/actors/leader.py
@@ -10,9 +10,10 @@
 from tideusher.actors.base import Actor
 from tideusher.actors.cloud import Cloud
 from tideusher.actors.election import Election
+from tideusher.actors.halts import DIRECT_PART, HaltsForOthers
 from tideusher.actors.http import CallFailed, HttpClient
 from tideusher.actors.store import Busy, Conflict, NoLease, Store, Unavailable
-from tideusher.clock import SECOND_US, Clock, to_s, to_us
+from tideusher.clock import Clock, to_s, to_us
 from tideusher.config import Config, Policy
 from tideusher.core.decide import hearing
 from tideusher.core.decide.bounds import may_answer
@@ -48,10 +49,6 @@
 PHASES = ("check read", "check records", "first decision", "first start")
 #: How often a controller that does not lead compares some of what it followed with the records.
 AUDIT_US = 1_000_000
-#: The part of the process's sockets that connections of ours to workers may keep, or that halts for another leader's
-#: workers may take at a time; of one job these are told again so soon at the earliest.
-DIRECT_PART = 8
-CALLED_AGAIN_US = 2 * SECOND_US
 #: A timer that fires so much later than it should tells that the whole process stood still, its clocks running on.
 STILL_US = 2_000_000
 #: Messages whose handlers make passes or tell what they decided: after an exception the picture may be half changed.
@@ -100,10 +97,7 @@
         self._reads: Callable[[str], bool] = lambda node: True
         self._direct: dict[str, HttpClient] = {}
         self._sending: dict[tuple[str, int], list[workers.Command]] = {}  # by machine and token: what waits meanwhile
-        #: Halts to tell workers of another leader, by address, and when each job's were last asked for.
-        self._stops: dict[str, list[workers.Command]] = {}
-        self._stopping = 0
-        self._stopped_us: dict[str, int] = {}
+        self._halts = HaltsForOthers(clock, config.settings.resources.max_sockets, self.spawn)
 
     def start(self) -> None:
         super().start()
@@ -412,44 +406,18 @@
             self._act(self._engine)
 
     def on_cancelled_here(self, job_id: str) -> None:
-        """We told a user that a job is cancelled. If its leader cannot hear of that now, its workers do from us.
-
-        Halts of what is cancelled are right under any token, and the bound of safety 6 does not rest on them.
-        """
+        """We told a user that a job is cancelled. If its leader cannot hear of that now, its workers do from us."""
         known, picture = self._election.leader(), self._standby.picture
         if self._engine is not None or picture is None or known is None or self._reads(known[0]):
             return
-        job, now_us = picture.jobs.get(job_id), self._clock.now_us()
-        if job is None or now_us - self._stopped_us.get(job_id, -CALLED_AGAIN_US) < CALLED_AGAIN_US:
-            return  # users repeat themselves faster than workers need to hear it
-        self._stopped_us = {name: at for name, at in self._stopped_us.items() if now_us - at < CALLED_AGAIN_US}
-        self._stopped_us[job_id], machines = now_us, 0
-        for task in job.live.values():
-            seen = self._sightings.last(task.machine.name, now_us)
-            if seen is not None and seen[1]:
-                machines += 1
-                self._stops.setdefault(seen[1], []).append(workers.halt(task.name, task.attempt, 0.0))
-        if machines:
-            self.log.info("stop %d tasks of %s for its leader, which cannot be told", machines, job_id)
-        most = max(1, self._config.settings.resources.max_sockets // DIRECT_PART)
-        for _ in range(min(len(self._stops), most - self._stopping)):
-            self._stopping += 1
-            self.spawn(self._stop_there, known[1])
-
-    def _stop_there(self, token: int) -> None:
-        """Call one worker after the other; so many of these at once that the process keeps sockets for its users."""
-        try:
-            while self._stops:
-                address = next(iter(self._stops))
-                commands, client = self._stops.pop(address), HttpClient(address, PROBE_S, keep=0)
-                try:
-                    _, answer = client.call("GET", "/show")
-                    session = workers.decode_report(answer).session
-                    client.call("POST", "/do", workers.encode(workers.DirectCommands(token, session, commands)))
-                except (CallFailed, msgspec.DecodeError) as error:
-                    self.log.debug("%s: %s", address, error)
-        finally:
-            self._stopping -= 1
+        job = picture.jobs.get(job_id)
+        if job is not None:
+            self._halts.halt(job, known[1], self._address_of)
+
+    def _address_of(self, machine: str) -> str:
+        """Where some controller last heard the machine; empty: none did."""
+        seen = self._sightings.last(machine, self._clock.now_us())
+        return seen[1] if seen is not None else ""
 
     def answer_reports(self, reports: list[workers.Report]) -> AsyncResult:
         """Ask for the commands to reports that came together, while their gateway waits."""
--- a/tests/test_compound_faults.py
+++ b/tests/test_compound_faults.py
@@ -7,6 +7,7 @@
 import pytest
 
 from standins import Bed, FakeClock, job, make_config
+from tideusher.actors import halts as halts_module
 from tideusher.actors import leader as leader_actor
 from tideusher.actors.leader import Leader
 from tideusher.clock import SECOND_US
@@ -343,7 +344,7 @@
             calls.append((self.address, path, body))
             return 200, workers.encode(Report("host", "x", "m4", "a", False, 3, 1, 1, None, []))
 
-    monkeypatch.setattr(leader_actor, "HttpClient", Client)
+    monkeypatch.setattr(halts_module, "HttpClient", Client)
     config = make_config(resources=Resources(max_sockets=64))
     bed = Bed(config)
     jobs = [bed.place(job("batch", 2, cpus=1.0, gpus=0.1, team="red"), "host-1", "host-2") for _ in range(12)]
@@ -366,7 +367,7 @@
     told = [body for _, path, body in calls if path == "/do"]
     halts = [c.task for body in told for c in msgspec.json.decode(body, type=workers.DirectCommands).commands]
     assert sorted(halts) == sorted(f"{one.spec.id}/{index}" for one in jobs for index in one.live)
-    assert most[0] <= 64 // leader_actor.DIRECT_PART
+    assert most[0] <= 64 // halts_module.DIRECT_PART
     clock.pass_s(3.0)
     leader.on_cancelled_here(jobs[0].spec.id)
     leader_actor.gevent.sleep(0.1)
