--- a/src/tideusher/scale/soak_schedule.py
+++ b/src/tideusher/scale/soak_schedule.py
@@ -27,7 +27,7 @@
     UserSettings,
     WorkerTimes,
 )
-from tideusher.wire.jobs import SERVICE
+from tideusher.wire.jobs import BATCH, SERVICE
 
 #: Before the first fault; at the end, when all are over; and where nothing is judged that needs a quiet end.
 CALM_S, QUIET_S, SHORT_QUIET_S = 10.0, 34.0, 8.0
@@ -39,6 +39,9 @@
 MANY_WORKERS, MANY_EACH = 300, 10
 WORKERS = (20, 48)
 MOST_HANG_S = 12.0
+#: Up to so many workers a larger fleet has more jobs, beyond it larger ones; what the state service takes.
+PARTS_OF = 400
+FEW, MANY = {"rps": 200.0, "write_rps": 50.0}, {"rps": 500.0, "write_rps": 90.0}
 #: Bursts of work come so far apart; of 40 machines one is replaced this often.
 BURSTS_APART_S, REPLACED_S = (2.0, 6.0), 4.0
 _DAY_S = 86_400.0
@@ -79,7 +82,7 @@
         fleet=FleetSettings(workers, zones_per_region=3, hollow_processes=2 + workers // 300, real_workers=0),
         machine=MachineSettings(boot_s=rng.choice((1.0, 2.0, 5.0)), fetch_gb_per_s=1.0),
         links=LinkSettings(same_zone_ms=0.1, cross_zone_ms=rng.choice((0.3, 3.0))),
-        state=StateLimits(rps=200.0, write_rps=50.0, latency_ms=3.0),
+        state=StateLimits(latency_ms=3.0, **(FEW if workers < PARTS_OF else MANY)),
         cloud=CloudLimits(rps=10.0, list_lag_s=2.0, latency_ms=50.0),
         workers=WorkerTimes(report_s=1.0, lease_s=7.0, gang_wait_s=15.0, gang_peer_s=3.0, cancel_s=20.0),
         teams=TeamSettings(count=3, gpus=workers * 0.4, gpus_max=max(16.0, workers * 0.7)),
@@ -89,12 +92,20 @@
     )
 
 
+def _part(workers: int) -> float:
+    """How many times as many jobs there are as for 40 workers; beyond a few hundred they are larger, not more."""
+    return min(workers, PARTS_OF) / 40
+
+
 def classes(workers: int) -> list[JobClass]:
     """Work of every kind, for about as many machines as there are."""
-    part = workers / 40
+    part = _part(workers)
+    wider = max(1, workers // PARTS_OF)
 
     def some(name: str, shape: Shape, priority: Priority, sizes: list[int], initial: int, **more: Any) -> JobClass:
         more["per_minute"] *= part
+        if shape == BATCH and sizes != [1]:
+            sizes = [size * wider for size in sizes]
         return JobClass(name, shape, priority, sizes, images=3, initial=round(initial * part), **more)
 
     return [
@@ -112,7 +123,7 @@
 
 def churn(rng: random.Random, last_s: float, workers: int) -> list[Fault]:
     """Work that comes at once and machines that are replaced, so that something is rented at all times."""
-    part = workers / 40
+    part = _part(workers)
     found = [Fault(CALM_S, "replace", per_day=_DAY_S / REPLACED_S * part)]
     at_s = CALM_S
     while at_s < last_s:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -52,6 +52,13 @@
     assert overlapping >= 40
 
 
+def test_a_fleet_of_thousands_has_larger_jobs_and_can_be_played():
+    small, large = draw(Plan(7, 90.0, 21000, 400)), draw(Plan(7, 90.0, 21000, 4000))
+    assert not impossible(large) and large.fleet.workers == 4000 and large.processes < 30
+    assert [one.initial for one in large.classes] == [one.initial for one in small.classes]
+    assert max(max(one.sizes) for one in large.classes) == 60
+
+
 @pytest.mark.parametrize(("text", "seeds"), [("7", [7]), ("1-3", [1, 2, 3]), ("1-2,9", [1, 2, 9])])
 def test_seeds_are_a_list(text, seeds):
     assert soak.parse_seeds(text) == seeds
