--- a/src/tideusher/scale/soak_schedule.py
+++ b/src/tideusher/scale/soak_schedule.py
@@ -41,7 +41,8 @@
 MOST_HANG_S = 12.0
 #: Up to so many workers a larger fleet has more jobs, beyond it larger ones; what the state service takes.
 PARTS_OF = 400
-FEW, MANY = {"rps": 200.0, "write_rps": 50.0}, {"rps": 500.0, "write_rps": 90.0}
+SMALL_STATE = StateLimits(rps=200.0, write_rps=50.0, latency_ms=3.0)
+LARGE_STATE = StateLimits(rps=500.0, write_rps=90.0, latency_ms=3.0)
 #: Bursts of work come so far apart; of 40 machines one is replaced this often.
 BURSTS_APART_S, REPLACED_S = (2.0, 6.0), 4.0
 _DAY_S = 86_400.0
@@ -82,7 +83,7 @@
         fleet=FleetSettings(workers, zones_per_region=3, hollow_processes=2 + workers // 300, real_workers=0),
         machine=MachineSettings(boot_s=rng.choice((1.0, 2.0, 5.0)), fetch_gb_per_s=1.0),
         links=LinkSettings(same_zone_ms=0.1, cross_zone_ms=rng.choice((0.3, 3.0))),
-        state=StateLimits(latency_ms=3.0, **(FEW if workers < PARTS_OF else MANY)),
+        state=SMALL_STATE if workers < PARTS_OF else LARGE_STATE,
         cloud=CloudLimits(rps=10.0, list_lag_s=2.0, latency_ms=50.0),
         workers=WorkerTimes(report_s=1.0, lease_s=7.0, gang_wait_s=15.0, gang_peer_s=3.0, cancel_s=20.0),
         teams=TeamSettings(count=3, gpus=workers * 0.4, gpus_max=max(16.0, workers * 0.7)),
