The log says what of a page a standby's picture does not

Cause: the records of the incident have t/p/0 and no more; which job differed had to be worked out. Change: Picture.unlike names the jobs and what the page has of them. Result: a test with a planted difference.

--- a/src/tideusher/core/lead/standby.py
+++ b/src/tideusher/core/lead/standby.py
@@ -135,7 +135,9 @@
 
     def _rebuild(self, wrong: list[str], now_us: int) -> None:
         self.rebuilds += 1
-        names = ", ".join(wrong[:NAMED])
+        picture, mirror = self._picture, self._mirror()
+        told = [picture.unlike(key, mirror[key].value) if picture and key in mirror else key for key in wrong[:NAMED]]
+        names = ", ".join(told)
         self.log.error("the picture differs in %d records and is built anew: %s", len(wrong), names)
         self.begin(now_us)
 
--- a/src/tideusher/core/picture/picture.py
+++ b/src/tideusher/core/picture/picture.py
@@ -37,6 +37,8 @@
 from tideusher.wire.cloud import MachineType
 from tideusher.wire.jobs import JobSpec
 
+#: So many jobs of a page are named where it differs.
+JOBS_NAMED = 3
 RecordOf = Callable[[str], dict[str, Any] | None]
 
 #: Records whose change means nothing to another one: the rest must come in this order in a rebuild.
@@ -493,6 +495,14 @@
             return all(host in self.machines for host in rental.machines)
         return True
 
+    def unlike(self, key: str, value: Any) -> str:
+        """What of a record the picture does not say: the key, and of a page the jobs with what it has of them."""
+        if not key.startswith(keys.PAGE_PREFIX) or self.placements.page(key) != value:
+            return key
+        here = [job_id for job_id in value if self.placements.is_in(job_id, key)]
+        jobs = [f"{job_id} {value[job_id]}" for job_id in here if not self._says_shared(job_id, value[job_id])]
+        return f"{key} ({', '.join(jobs[:JOBS_NAMED])})"
+
     def _says_shared(self, job_id: str, value: dict[str, Any]) -> bool:
         job = self.jobs.get(job_id)
         if job is not None:
--- a/tests/test_standby.py
+++ b/tests/test_standby.py
@@ -1,5 +1,6 @@
 """A standby follows: its picture against a plain rebuild, what it knows at a takeover, and who takes over."""
 
+import logging
 import random
 
 import msgspec
@@ -203,7 +204,7 @@
     assert node.standby._picture.outline() == rebuilt(harness.state, harness.clock).outline()
 
 
-def test_a_cancelled_job_of_a_page_whose_machine_is_gone_is_no_difference():
+def test_a_cancelled_job_of_a_page_whose_machine_is_gone_is_no_difference(caplog):
     harness, spec = Harness(3, shared=True), job()
     harness.submit(spec)
     harness.cancel(spec)
@@ -212,7 +213,22 @@
     node = Node(harness.state, harness.clock)
     node.read()
     node.follow()
-    assert [node.standby.audit(harness.clock.now_us()) for _ in range(5)] == [[]] * 5
+    with caplog.at_level(logging.ERROR):
+        found = [node.standby.audit(harness.clock.now_us()) for _ in range(5)]
+    assert found == [[]] * 5, caplog.messages
+
+
+def test_the_log_says_what_of_a_page_a_picture_does_not(caplog):
+    harness, spec = Harness(3, shared=True), job()
+    harness.submit(spec)
+    assert harness.state.txn([], [Put(keys.page_key(0), {spec.id: {"n": 1, "d": "1"}})])
+    node = Node(harness.state, harness.clock)
+    node.read()
+    node.follow()
+    node.standby.picture.jobs[spec.id].chunks[0].done = 0  # planted
+    with caplog.at_level(logging.ERROR):
+        assert node.standby.audit(harness.clock.now_us()) == [keys.page_key(0)]
+    assert f"t/p/0 ({spec.id} {{'n': 1, 'd': '1'}})" in caplog.text
 
 
 def test_a_machine_is_on_record_before_any_task_on_it(monkeypatch):
