Where the others of a job are is counted once for all that get places together

Cause: the decision on a start listed the job's other tasks anew for each machine of one placing. Change: zones_of_others, once; the decision takes the counts.

--- a/src/tideusher/core/decide/starts.py
+++ b/src/tideusher/core/decide/starts.py
@@ -4,7 +4,7 @@
 Between the two questions a machine may have begun to drain, or turn out to be another than its record said.
 """
 
-from collections.abc import Sequence
+from collections import Counter
 from enum import StrEnum
 from typing import NamedTuple
 
@@ -44,14 +44,15 @@
     return Kind(machine.type, machine.zone, machine.spot)
 
 
-def refusal(
-    job: Job, machine: Machine, task: Task | None = None, beside: Sequence[Machine] = ()
-) -> Refusal | None:
-    """Why a task of the job may not start on the machine; None: it may.
+def zones_of_others(job: Job, task: Task | None = None) -> Counter[str]:
+    """How many tasks of the job hold a place in each zone, but for this one; empty if it has no rule about zones."""
+    if not (job.spec.one_zone or job.spec.spread):
+        return Counter()  # huge arrays have none
+    return Counter(other.machine.zone for other in job.live.values() if other is not task)
+
 
-    `task`: the task itself, if it holds its place there already; it is none of the others of its job then.
-    `beside`: where others of the job are about to get their places.
-    """
+def refusal(job: Job, machine: Machine, zones: Counter[str]) -> Refusal | None:
+    """Why a task of the job may not start on the machine; None: it may. `zones`: where the others of its job are."""
     spec = job.spec
     if spec.types is not None and machine.type not in spec.types:
         return Refusal.TYPE
@@ -59,7 +60,7 @@
         return Refusal.ZONE
     if machine.spot and not spec.spot:
         return Refusal.SPOT
-    return _condition(machine) or _beside_others(job, machine.zone, task, beside)
+    return _condition(machine) or _beside_others(job, machine.zone, zones)
 
 
 def _condition(machine: Machine) -> Refusal | None:
@@ -68,15 +69,10 @@
     return Refusal.DRAINING if machine.draining else None
 
 
-def _beside_others(job: Job, zone: str, task: Task | None, beside: Sequence[Machine]) -> Refusal | None:
-    """Where the job's other tasks hold their places. Asked of huge arrays too, which have no such rule."""
-    if not (job.spec.one_zone or job.spec.spread):
-        return None
-    others = [other.machine.zone for other in job.live.values() if other is not task]
-    others += [machine.zone for machine in beside]
-    if job.spec.one_zone and any(other != zone for other in others):
+def _beside_others(job: Job, zone: str, zones: Counter[str]) -> Refusal | None:
+    if job.spec.one_zone and any(count for other, count in zones.items() if other != zone):
         return Refusal.ONE_ZONE
     limit = job.zone_limit
-    if limit is not None and others.count(zone) >= limit:
+    if limit is not None and zones[zone] >= limit:
         return Refusal.SPREAD
     return None
--- a/src/tideusher/core/lead/cluster.py
+++ b/src/tideusher/core/lead/cluster.py
@@ -24,7 +24,7 @@
 from tideusher.core.decide.limits import Limits
 from tideusher.core.decide.preempt import Standing
 from tideusher.core.decide.recovery import Recovery
-from tideusher.core.decide.starts import Kind, kind_of, refusal
+from tideusher.core.decide.starts import Kind, kind_of, refusal, zones_of_others
 from tideusher.core.decide.truth import Truth
 from tideusher.core.lead.renting import Renting
 from tideusher.core.picture import keys
@@ -728,10 +728,12 @@
     def _allowed(self, job: Job, machines: list[Machine]) -> list[Machine]:
         """Those on which the job's tasks may start, one after the other. Of a gang all or none."""
         allowed: list[Machine] = []
+        zones = zones_of_others(job)
         for machine in machines:
-            why = refusal(job, machine, beside=allowed)
+            why = refusal(job, machine, zones)
             if why is None:
                 allowed.append(machine)
+                zones[machine.zone] += 1
                 continue
             self.invariants.broken(Rule.PLACE, f"{job.spec.id} on {told_machine(machine)}: {why}")
             if job.is_gang:
--- a/src/tideusher/core/lead/reports.py
+++ b/src/tideusher/core/lead/reports.py
@@ -8,7 +8,7 @@
 
 from tideusher.clock import SECOND_US, to_s, to_us
 from tideusher.core.decide import failures, hearing
-from tideusher.core.decide.starts import MAY_CHANGE, Kind, refusal
+from tideusher.core.decide.starts import MAY_CHANGE, Kind, refusal, zones_of_others
 from tideusher.core.lead.cluster import Cluster, told_machine
 from tideusher.core.picture.records import ASSIGNED, BOOTING, COMMITTING, OPEN, SEEN, UP, Job, Machine, Task
 from tideusher.invariants import Rule
@@ -234,7 +234,7 @@
 
     def _may_start(self, task: Task) -> bool:
         """Asked last before `run` is told. A task that may not start there, and never was told to, goes elsewhere."""
-        why = refusal(task.job, task.machine, task)
+        why = refusal(task.job, task.machine, zones_of_others(task.job, task))
         if why is None:
             if self.log.isEnabledFor(logging.DEBUG):
                 told = told_machine(task.machine)
--- a/tests/test_run_time_invariants.py
+++ b/tests/test_run_time_invariants.py
@@ -1,11 +1,13 @@
 """What is asserted at run time: each breach is planted, found, counted, and not carried out."""
 
+from collections import Counter
+
 import pytest
 
 from standins import Bed, job
 from tideusher.actors.leader import Leader
 from tideusher.core.decide.fleet import Wish
-from tideusher.core.decide.starts import Kind, Refusal, refusal
+from tideusher.core.decide.starts import Kind, Refusal, refusal, zones_of_others
 from tideusher.core.picture import keys
 from tideusher.core.picture.records import RETURNING, UP, Machine
 from tideusher.core.picture.rentals import Rental
@@ -52,22 +54,23 @@
     ],
 )
 def test_what_speaks_against_a_start(bed, fields, where, expected):
-    assert refusal(bed.submit(job(**fields)), machine(**where)) == expected
+    assert refusal(bed.submit(job(**fields)), machine(**where), Counter()) == expected
 
 
 def test_where_the_others_of_a_job_are_speaks_against_a_start(bed):
     together, apart = bed.submit(job(tasks=4, one_zone=True)), bed.submit(job("service", 3, spread=True))
-    assert refusal(together, machine(zone="b"), beside=[machine(zone="a")]) is Refusal.ONE_ZONE
-    assert refusal(together, machine(zone="a"), beside=[machine(zone="a")] * 3) is None
-    assert refusal(apart, machine(zone="a"), beside=[machine(zone="a")]) is None
-    assert refusal(apart, machine(zone="a"), beside=[machine(zone="a")] * 2) is Refusal.SPREAD
+    assert refusal(together, machine(zone="b"), Counter(a=1)) is Refusal.ONE_ZONE
+    assert refusal(together, machine(zone="a"), Counter(a=3)) is None
+    assert refusal(apart, machine(zone="a"), Counter(a=1)) is None
+    assert refusal(apart, machine(zone="a"), Counter(a=2)) is Refusal.SPREAD
 
 
 def test_a_task_that_has_its_place_is_none_of_the_others(bed):
     placed = bed.place(job("service", 1, spread=True, estimate_s=0.0))
     (task,) = placed.live.values()
-    assert refusal(placed, task.machine, task) is None
-    assert refusal(placed, task.machine) is Refusal.SPREAD
+    assert refusal(placed, task.machine, zones_of_others(placed, task)) is None
+    assert refusal(placed, task.machine, zones_of_others(placed)) is Refusal.SPREAD
+    assert not zones_of_others(bed.submit(job(tasks=9)))
 
 
 # Placing, and telling to run
