Log and metrics of what was known when something was answered

Cause: the records of the incident do not say who led under which token, nor as of which read an answer was given. Change: debug lines with the revision and the age of the read for users' answers and for reports that a gateway answers alone; gauges leads_token, read_revision and read_age_seconds.

--- a/src/tideusher/actors/gateway.py
+++ b/src/tideusher/actors/gateway.py
@@ -132,6 +132,7 @@
         token = known[1] if known is not None else report.token
         if report.token > token:
             return Answer(503, b'{"error":"a newer leader is not known here yet"}')
+        self.log.debug("answer %s alone, token %d: %s", report.machine, token, self._store.told_read())
         return Answer(200, workers.encode(workers.Commands(token, halts(report, self._cancelled))))
 
     def _cancelled(self, job_id: str) -> bool:
--- a/src/tideusher/actors/leader.py
+++ b/src/tideusher/actors/leader.py
@@ -370,9 +370,8 @@
         cluster.failures = self._failures
         self._metrics.count("leaderships")
         self.log.info(
-            "took over with token %d, engine %d: %d jobs, %d machines, %d records late; revision %d read %.2f s ago",
-            token, self._terms, len(cluster.jobs), len(cluster.machines), caught.late, self._store.revision,
-            to_s(now_us - (self._store.contact_us or 0)),
+            "took over with token %d, engine %d: %d jobs, %d machines, %d records late; %s",
+            token, self._terms, len(cluster.jobs), len(cluster.machines), caught.late, self._store.told_read(),
         )  # fmt: skip
         self.on_survey()
         self.on_tick()
--- a/src/tideusher/actors/store.py
+++ b/src/tideusher/actors/store.py
@@ -6,7 +6,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
-from math import exp
+from math import exp, inf
 from typing import Any
 
 import gevent
@@ -15,7 +15,7 @@
 
 from tideusher.actors.base import Actor
 from tideusher.actors.http import CallFailed, HttpClient
-from tideusher.clock import SECOND_US, Clock
+from tideusher.clock import SECOND_US, Clock, to_s
 from tideusher.config import Config
 from tideusher.core.picture import keys
 from tideusher.core.picture.pages import NULL
@@ -201,6 +201,14 @@
         """Be called with (key, value or None, stamp) at every change of the mirror."""
         self._listeners.append(listener)
 
+    def read_age_s(self) -> float:
+        """Seconds since the newest read that was answered had been sent; infinite if none was."""
+        return inf if self.contact_us is None else to_s(self._clock.now_us() - self.contact_us)
+
+    def told_read(self) -> str:
+        """What is known of the state service and since when, for the log."""
+        return f"revision {self.revision} read {self.read_age_s():.2f} s ago"
+
     def stamp_of(self, key: str) -> int:
         """The mirrored stamp; 0: the key does not exist."""
         stored = self.mirror.get(key)
--- a/src/tideusher/actors/users.py
+++ b/src/tideusher/actors/users.py
@@ -253,6 +253,7 @@
             return Reply(200, JobStatus(job_id, wire.CANCELLED, 0, 0, why=value.get("why")))
         done, running = self._count(job_id, value["spec"]["pieces"])
         status = wire.RUNNING if running else wire.PENDING
+        self.log.debug("told %s %s, %d done: %s", job_id, status, done, self._store.told_read())
         return Reply(200, JobStatus(job_id, status, done, running, held=holder(value) or None))
 
     def _count(self, job_id: str, tasks: int) -> tuple[int, int]:
--- a/src/tideusher/node.py
+++ b/src/tideusher/node.py
@@ -174,6 +174,9 @@
 
     def _metrics_text(self) -> bytes:
         self.metrics.gauges["leads"] = float(self.election.token is not None)
+        self.metrics.gauges["leads_token"] = float(self.election.token or 0)
+        self.metrics.gauges["read_revision"] = float(self.store.revision)
+        self.metrics.gauges["read_age_seconds"] = self.store.read_age_s()
         self.metrics.gauges["in_contact"] = float(self.in_contact())
         ours = self._standing()
         self.metrics.gauges["first_in_line"] = float(self.election.successor() == self._config.node)
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -32,6 +32,9 @@
         self.syncs = 0
         self.sync()
 
+    def told_read(self):
+        return "as scripted"
+
     def sync(self, timeout_s=0.0):
         self.syncs += 1
         if self.answers:
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -36,6 +36,9 @@
         self.state.items[keys.TYPES] = ([msgspec.to_builtins(TYPE)], 1)
         self.sync()
 
+    def told_read(self):
+        return "as scripted"
+
     def sync(self, timeout_s=0.0):
         self.syncs += 1
         if self.up:
