--- a/src/tideusher/scale/soak_schedule.py
+++ b/src/tideusher/scale/soak_schedule.py
@@ -39,6 +39,8 @@
 MANY_WORKERS, MANY_EACH = 300, 10
 WORKERS = (20, 48)
 MOST_HANG_S = 12.0
+#: Tasks that outlive `cancel_s` by far: only these show a cancellation of which somebody was not told.
+LONG_S = 120.0
 #: Up to so many workers a larger fleet has more jobs, beyond it larger ones; what the state service takes.
 PARTS_OF = 400
 SMALL_STATE = StateLimits(rps=200.0, write_rps=50.0, latency_ms=3.0)
@@ -118,6 +120,7 @@
              cancelled=0.25),
         some("gang", "gang", "urgent", [2, 4], 2, per_minute=6, cpus=5.0, gpus=2.0, run_s=9.0, one_zone=True,
              cancelled=0.25, checkpoint_s=5.0, save_s=1.0),
+        some("long", "batch", "standard", [1, 2], 3, per_minute=10, cpus=2.0, run_s=LONG_S, cancelled=0.8),
         some("small", "batch", "best_effort", [1], 4, per_minute=40, cpus=1.0, run_s=3.0, spot=True, cancelled=0.25),
     ]  # fmt: skip
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -52,6 +52,13 @@
     assert overlapping >= 40
 
 
+def test_some_tasks_that_are_cancelled_outlive_the_time_for_it():
+    """Without them the soak did not find a planted cancellation that nobody was told of."""
+    settings = draw(Plan(1, 90.0, 21000))
+    long = [one for one in settings.classes if one.shape != "service" and one.run_s / 2 > settings.workers.cancel_s]
+    assert long and all(one.cancelled > 0.5 for one in long)
+
+
 def test_a_fleet_of_thousands_has_larger_jobs_and_can_be_played():
     small, large = draw(Plan(7, 90.0, 21000, 400)), draw(Plan(7, 90.0, 21000, 4000))
     assert not impossible(large) and large.fleet.workers == 4000 and large.processes < 30
