Standing anew keeps the count of changes on evidence

Cause: a leadership that was taken on evidence and then stood for anew after a pause began to count from nothing, so the pause between such changes could be left out. Change: the key keeps its count.

--- a/src/tideusher/actors/election.py
+++ b/src/tideusher/actors/election.py
@@ -82,17 +82,17 @@
         self.elected_us, self.token, self._last_token = self._clock.now_us(), token, token
         self._elected(token)
 
-    def _still_there(self, token: int) -> None:
+    def _still_there(self, stored: Stored) -> None:
         """The key holds our name: we lead, or it is of a leadership of ours that we let go of.
 
         That one we stand anew in place of, or end it if another is to lead.
         """
-        self._leads(token)
+        self._leads(stored.stamp)
         if self.token is None and self.rests():
-            self._remove(token)
+            self._remove(stored.stamp)
         elif self.token is None:
-            self.log.info("stand anew: token %d is ours and was let go of", token)
-            self._stand(token, 0)
+            self.log.info("stand anew: token %d is ours and was let go of", stored.stamp)
+            self._stand(stored.stamp, stored.value.get("early", 0))  # it is no change on evidence
 
     def hear(
         self, ours: Callable[[], Standing], others: Callable[[], list[Standing]], elected: Callable[[int], None]
@@ -155,7 +155,7 @@
                 elif stored is None:
                     self._nobody_leads()
                 elif stored.value.get("nonce") == self._nonce:
-                    self._still_there(stored.stamp)
+                    self._still_there(stored)
                     gevent.sleep(0.1)
                 else:
                     self._free_us = self.token = None
--- a/tests/test_back.py
+++ b/tests/test_back.py
@@ -95,7 +95,7 @@
         if stored is None:
             one._nobody_leads()
         elif stored.value.get("nonce") == one._nonce:
-            one._still_there(stored.stamp)
+            one._still_there(stored)
             stored = self.view.mirror[keys.LEADER]
             self.service.leases[stored.value["lease"]][0] = self.service.clock.now_us() + 3 * SECOND_US
         else:
@@ -330,6 +330,16 @@
     assert led == [life.election.token]
 
 
+def test_standing_anew_counts_no_change_on_evidence_and_forgets_none():
+    """Else a leader that pauses again and again could be taken from without the pause between such changes."""
+    service = Service(Bed().clock)
+    life = paused_life(service)
+    value, stamp = service.state.items[keys.LEADER]
+    service.state.items[keys.LEADER] = ({**value, "early": 2}, stamp)
+    life.step()
+    assert life.leads and service.state.items[keys.LEADER][0]["early"] == 2
+
+
 def test_what_was_under_way_under_a_token_that_was_let_go_of_does_nothing():
     service = Service(Bed().clock)
     life = paused_life(service)
@@ -343,7 +353,7 @@
     life = paused_life(service)
     life.view.sync()
     life.view.slow = True
-    life.election._still_there(service.state.stamp_of(keys.LEADER))
+    life.election._still_there(life.view.mirror[keys.LEADER])
     assert not life.leads and len(service.held) == 1
     life.view.slow = False
     life.step()  # and asks again
