Scale runs: events are written out before they are counted, and a cut file is no verdict

Cause: a host says what it counted, and is ended by the run that has heard it; its last events could still be in its buffer. Change: events are flushed before the count is told; a file that is cut short, or a process that never counted, ends the run without a verdict.

--- a/src/tideusher/scale/coordinator.py
+++ b/src/tideusher/scale/coordinator.py
@@ -200,7 +200,9 @@
     def _finish(self) -> None:
         self._hub.broadcast(Finish())
         missing = self._hub.wait_counted({"state", "links", "users", *self._hosts}, _FINISH_S)
-        self._notes += [f"{name} did not say what it counted" for name in sorted(missing)]
+        if missing:
+            # What it wrote last may be missing too, and the judge would find what never happened.
+            raise ScaleError(f"{sorted(missing)[0]} did not say what it counted: nothing can be judged")
 
     # ---------------------------------------------------------------- what processes say
 
@@ -294,8 +296,12 @@
         judge = Judge(self._workload, teams(self._settings), self._settings.workers.cancel_s)
         measures = Measures(self._workload, self._began_us)
         end_us = self._began_us + to_us(self._settings.duration_s)
+        paths = sorted(self._directory.glob("events-*.jsonl"))
+        for path in paths:
+            if not events.is_whole(path):
+                raise ScaleError(f"{path.name} is cut short: nothing can be judged")
         waiting = Waiting(self._workload, self._kind, teams(self._settings), end_us)
-        for event in events.read_events(sorted(self._directory.glob("events-*.jsonl"))):
+        for event in events.read_events(paths):
             judge.take(event)
             measures.take(event)
             waiting.take(event)
--- a/src/tideusher/scale/events.py
+++ b/src/tideusher/scale/events.py
@@ -124,11 +124,21 @@
         """Note one event."""
         self._file.write(_encode(event) + b"\n")
 
+    def flush(self) -> None:
+        """Write out what is buffered: the process may be ended at any moment from here on."""
+        self._file.flush()
+
     def close(self) -> None:
         """Nothing more comes."""
         self._file.close()
 
 
+def is_whole(path: Path) -> bool:
+    """Does the file end with a whole event, as far as can be seen?"""
+    data = path.read_bytes()
+    return not data or data.endswith(b"\n")
+
+
 def read_events(paths: Iterable[Path]) -> Iterator[AnyEvent]:
     """All events of these files in the order of their times; what a killed process left unfinished is passed over."""
     events: list[AnyEvent] = []
--- a/src/tideusher/scale/host.py
+++ b/src/tideusher/scale/host.py
@@ -331,6 +331,7 @@
             self._dead.append(filler)
 
     def _counted(self) -> Counted:
+        self._log.flush()
         return Counted(f"host-{self._number}", dict(self.counts), dict(self.traffic))
 
     # ---------------------------------------------------------------- tasks
--- a/src/tideusher/scale/users.py
+++ b/src/tideusher/scale/users.py
@@ -65,6 +65,7 @@
     def counted(self) -> Counted:
         """Answers by kind of request and status."""
         self._look_for_forgotten()
+        self._log.flush()
         return Counted("users", dict(self.counts), dict(self.traffic))
 
     def _broken(self, job: str, rule: str, what: str) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -180,6 +180,17 @@
 # -------------------------------------------------------------------- the judge
 
 
+def test_events_that_were_counted_are_on_disk_and_a_file_that_is_cut_short_is_known(tmp_path):
+    """A host that was ended between its last word and the end of its file had its last events missing."""
+    path = tmp_path / "events-host-0.jsonl"
+    log = events.EventLog(path)
+    log.write(events.MachineDown(1, "m1"))
+    log.flush()
+    assert [event.machine for event in events.read_events([path])] == ["m1"] and events.is_whole(path)
+    path.write_bytes(path.read_bytes()[:-5])
+    assert not events.is_whole(path)
+
+
 def up(at_s, name, zone="a", spot=False):
     return events.MachineUp(at_s * SECOND_US, name, zone, "scale", spot)
 
