One index says which rentals name a machine, and whether its return was asked

Cause: the fact that a machine is returning was read from the list of the one rental that owns it, by each transition for itself. After a leader change two records may name a machine, and the other one may be the only one that says so. The record that did not own the machine was never written again, so each later leader inherited a machine that is gone. Of a standby, a machine stayed returning after the record that said so was removed.

Change: RentalIndex (core/picture/rentals.py) holds which rentals name each machine; all transitions of leader and standby go through it, and each machine is returning if any of them says so. A leader that inherits a machine in two records writes the owner's first, then removes the name from the other, and asks the cloud for a return only when one record names the machine: whichever write is the last, no record is left that would have the machine used again. Confirmed names that are unknown or that nobody asked for are passed over with a line each.

The property test drew records whose count changes, which no rental's does; it draws a constant count now.

--- a/src/tideusher/core/decide/recovery.py
+++ b/src/tideusher/core/decide/recovery.py
@@ -8,6 +8,7 @@
 import logging
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
+from functools import partial
 from typing import Any, Protocol
 
 from tideusher.clock import SECOND_US, to_s
@@ -120,7 +121,6 @@
     jobs: dict[str, Job]
     machines: dict[str, Machine]
     write_queue: WriteQueue
-    to_return: list[Machine]
     metrics: Metrics
     invariants: Invariants
     wall_us: Callable[[], int]
@@ -129,6 +129,9 @@
     def set_returning(self, machine: Machine, reason: str) -> None:
         """It is never used again."""
 
+    def ask_cloud_to_return(self, machine: Machine) -> None:
+        """Have the cloud asked for a return that is on record."""
+
 
 class Recovery:
     """Falls under way and on record, and the jobs that are not whole again."""
@@ -164,7 +167,7 @@
                 machine.fall = fall.name
                 names.append(machine.name)
             self._c.write_queue.touch(
-                self._part_entry(fall, number), self._to_return([machine for machine, _ in some])
+                self._part_entry(fall, number), partial(self._ask_cloud, [machine for machine, _ in some])
             )
         self._write(fall)
 
@@ -198,8 +201,9 @@
             found = f"a fall {name} is there already, and token {self._c.token} would name another so"
             self._c.invariants.broken(Rule.FALL_NAME, found)
 
-    def _to_return(self, machines: list[Machine]) -> Callable[[], None]:
-        return lambda: self._c.to_return.extend(machines)
+    def _ask_cloud(self, machines: list[Machine]) -> None:
+        for machine in machines:
+            self._c.ask_cloud_to_return(machine)
 
     def _fall_of(self, zone: str, silent_us: int, why: str) -> Fall:
         wall_us = self._c.wall_us()
@@ -312,7 +316,10 @@
     # ---------------------------------------------------------------- records
 
     def load(self, items: Iterable[tuple[str, dict[str, Any], int]]) -> None:
-        """Take over the falls on record: (key, value, stamp). Machines of theirs that are still there go back."""
+        """Take over the falls on record: (key, value, stamp). Machines of theirs that are still there are returning.
+
+        Whoever calls this has the cloud asked for the return of all that is.
+        """
         parts = []
         for key, value, stamp in items:
             name, number = keys.split_fall_key(key)
@@ -332,9 +339,7 @@
             for machine in here:
                 self._c.set_returning(machine, f"it fell (fall {name}); its return was asked")
                 machine.fall = name
-            if here:
-                self._c.to_return += here
-            else:
+            if not here:
                 del fall.parts[number]
                 self._c.write_queue.touch(self._part_entry(fall, number), urgent=False)
         for fall in self.falls.values():
--- a/src/tideusher/core/lead/cluster.py
+++ b/src/tideusher/core/lead/cluster.py
@@ -96,6 +96,7 @@
         self.teams, self.usage = self.picture.teams, self.picture.usage
         self.jobs, self.active = self.picture.jobs, self.picture.active
         self.machines, self.rentals, self.gone = self.picture.machines, self.picture.rentals, self.picture.gone
+        self.rental_index = self.picture.rental_index
         self.ledger = self.picture.ledger
         report_us = to_us(settings.workers.report_s)
         types, arrivals = self.picture.types, self.picture.arrivals
@@ -142,8 +143,13 @@
         for rental in self.rentals.values():
             if not rental.answered:
                 self.to_rent.append(rental)  # same name: the cloud answers what it answered before
-        self.to_return += [machine for machine in self.machines.values() if machine.phase == RETURNING]
         self.recovery.load((key, value, stamp) for key, (value, stamp) in sorted(picture.falls.items()))
+        for machine in list(self.machines.values()):
+            if machine.phase == RETURNING:
+                self.rental_index.ask_return(machine.name)
+                self.ask_cloud_to_return(machine)
+            else:
+                self.renting.keep_one(machine, lambda: None)
         for key, stamp in picture.orphans.items():
             self.write_queue.touch(Entry(key, lambda: None, stamp), urgent=False)
         for job in [self.jobs[name] for name in picture.unsettled if name in self.jobs]:
@@ -509,14 +515,16 @@
     # ---------------------------------------------------------------- machines
 
     def add_machine(self, name: str, rental: Rental, now_us: int) -> Machine:
+        """The rental brought a machine that was not known."""
         self.dirty = True
+        self.rental_index.add(rental, name)
         return self.picture.add_machine(name, rental, now_us)
 
     def own(self, machines: Iterable[tuple[str, str, str]], now_us: int) -> None:
         """Machines that are there for good: (name, type, zone). They are known to nobody but this process."""
         self.rents = False
         for name, kind, zone in machines:
-            rental = Rental(f"own-{name}", kind, zone, False, 1, True, [name])
+            rental = Rental(f"own-{name}", kind, zone, False, 1, answered=True)
             self.rentals[rental.name] = rental
             self.add_machine(name, rental, now_us)
 
@@ -525,13 +533,10 @@
         machine = self.machines.get(name)
         if machine is None or machine.phase == RETURNING:
             return
-        self.log.info("withdraw %s: %s", name, reason)
-        machine.phase, machine.draining = RETURNING, reason
-        self.rentals[machine.rental].returning.append(name)
+        self.set_returning(machine, reason)
         for task in list(machine.tasks.values()):
             for member in list(task.job.live.values()) if task.job.is_gang else [task]:
                 self.halt(member, grace_s, reason)
-        self.dirty = True
 
     def withdrawn(self, now_us: int) -> list[str]:
         """Withdrawn machines on which nothing is any more: they are gone from now on."""
@@ -571,10 +576,11 @@
 
     def _add_unnamed(self, name: str, told: Report | Listed, rented_us: int) -> Machine:
         """Keep a machine that no rental of ours names under a rental of its own."""
-        rental = Rental(f"{ADOPTED}{name}", told.type, told.zone, told.spot, 1, True, [name])
+        rental = Rental(f"{ADOPTED}{name}", told.type, told.zone, told.spot, 1, answered=True)
         self.rentals[rental.name] = rental
+        machine = self.add_machine(name, rental, rented_us)
         self.renting.touch(rental, urgent=False)
-        return self.add_machine(name, rental, rented_us)
+        return machine
 
     def drain(self, machine: Machine, reason: str) -> None:
         """Stop what runs on a machine that does harm, and return it."""
@@ -600,8 +606,7 @@
         if machine.phase == RETURNING:
             return
         self.set_returning(machine, reason)
-        rental = self.rentals[machine.rental]
-        self.renting.touch(rental, lambda: self.to_return.append(machine))
+        self.renting.touch(self.rentals[machine.rental], partial(self.ask_cloud_to_return, machine))
 
     def set_returning(self, machine: Machine, reason: str) -> None:
         """No work goes there from now on. Whoever calls this has it persisted before the cloud hears of it."""
@@ -609,10 +614,17 @@
             return
         machine.phase = RETURNING
         machine.draining = machine.draining or reason
-        self.rentals[machine.rental].returning.append(machine.name)
+        self.rental_index.ask_return(machine.name)
         self.log.info("return %s: %s", machine.name, reason)
         self.dirty = True
 
+    def ask_cloud_to_return(self, machine: Machine) -> None:
+        """Have the cloud asked for a return that is on record, once one rental alone names the machine.
+
+        Else the record that goes first when the machine is gone could leave another for the next leader to use.
+        """
+        self.renting.keep_one(machine, lambda: self.to_return.append(machine))
+
     def _crowded(self) -> bool:
         return any(job.waits and job.waits_for == NO_ROOM for job in self.active.values())
 
@@ -637,9 +649,12 @@
     def returned(self, names: Iterable[str], now_us: int) -> None:
         """The cloud confirmed: the machines and everything on them are gone."""
         for name in names:
-            machine = self.machines.pop(name, None)
-            if machine is None:
+            machine = self.machines.get(name)
+            if machine is None or machine.phase != RETURNING:
+                if name not in self.gone:
+                    self.log.error("the return of %s is confirmed, and nobody asked for it", name)
                 continue
+            del self.machines[name]
             self.gone.add(name)
             self.recovery.returned(machine)
             # What was refused for lack of machines may be had again.
@@ -648,10 +663,8 @@
                 if task.halt_grace_s is None:
                     self.recovery.lost(task.job, machine.fall)
                 self.lost(task, f"its machine is gone ({machine.draining or 'returned'})", now_us)
-            rental = self.rentals[machine.rental]
-            rental.machines.remove(name)
-            rental.returning.remove(name)
-            self.renting.settle(rental)
+            for rental in self.rental_index.forget(name):
+                self.renting.settle(rental)
         self.ledger.set_fleet(self.machines.values())
 
     def listed(self, listing: list[Listed], now_us: int) -> None:
--- a/src/tideusher/core/lead/renting.py
+++ b/src/tideusher/core/lead/renting.py
@@ -15,8 +15,8 @@
 from tideusher.core.picture.entries import Effect, Entry
 from tideusher.core.picture.ledger import Ledger
 from tideusher.core.picture.pages import ReadValue
-from tideusher.core.picture.records import RETURNING, Machine
-from tideusher.core.picture.rentals import Rental
+from tideusher.core.picture.records import Machine
+from tideusher.core.picture.rentals import Rental, RentalIndex
 from tideusher.core.picture.write_queue import WriteQueue
 from tideusher.invariants import Invariants, Rule
 
@@ -31,6 +31,7 @@
 
     token: int
     rentals: dict[str, Rental]
+    rental_index: RentalIndex
     machines: dict[str, Machine]
     gone: set[str]
     fleet: Fleet
@@ -101,13 +102,46 @@
             if self._c.rents and not self._c.write_queue.clean(self.entry(rental)):
                 self.touch(rental)
 
-    def settle(self, rental: Rental) -> None:
+    def settle(self, rental: Rental, effect: Effect | None = None, urgent: bool = False) -> None:
         """Write what is left of the rental; one of which nothing is left is forgotten."""
-        self.touch(rental, urgent=False)
+        self.touch(rental, effect, urgent)
         if rental.value() is None:
             self._c.rentals.pop(rental.name, None)
             self._c.forget_entry(keys.rental_key(rental.name))
 
+    # ---------------------------------------------------------------- machines that several rentals name
+
+    def keep_one(self, machine: Machine, then: Effect) -> None:
+        """Call `then` once one record alone names the machine, and says of its return what any of them did.
+
+        The owner's record is written first, and only then the name removed from another: a leader that ends in
+        between leaves records of which one at least says that the return was asked (safety 5).
+        """
+        owner, *others = self._c.rental_index.naming(machine.name) or (None,)
+        if owner is None or not others:
+            then()
+            return
+        self.log.info("machine %s is named by %s too; %s keeps it", machine.name, others[-1].name, owner.name)
+        self.touch(owner, partial(self._release, others[-1], machine, then))
+
+    def _release(self, rental: Rental, machine: Machine, then: Effect) -> None:
+        if machine.name in rental.machines:  # it may be gone by now
+            self._c.rental_index.remove(rental, machine.name)
+        self.settle(rental, partial(self.keep_one, machine, then), urgent=True)
+
+    def _absorb(self, adopted: Rental, rental: Rental, machine: Machine) -> None:
+        """The record of the adoption was never written, and need not be.
+
+        What was to follow once it is written follows the rental's record instead: a return that has yet to be
+        persisted, for one.
+        """
+        entry = self.entry(adopted)
+        effects, entry.effects = entry.effects, []
+        for effect in effects:
+            self.touch(rental, effect)
+        self._c.rental_index.remove(adopted, machine.name)
+        self.settle(adopted)
+
     # ---------------------------------------------------------------- asking
 
     def rent(self, wish: Wish) -> None:
@@ -139,9 +173,9 @@
             return
         rental.answered = True
         self._c.fleet.granted(_kind(rental))
-        for name in names:
-            if name not in self._c.gone and self._takes(rental, name, now_us):
-                rental.machines.append(name)
+        for name in self._once(rental, names):
+            if name not in self._c.gone:
+                self._take(rental, name, now_us)
         self.settle(rental)
         if len(names) < rental.count:
             self._c.fleet.refused(_kind(rental), now_us)
@@ -149,41 +183,34 @@
         self.log.info("rental %s brought %d of %d machines: %s", rental.name, len(names), rental.count, told)
         self._c.ledger.set_fleet(self._c.machines.values())
 
-    def _takes(self, rental: Rental, name: str, now_us: int) -> bool:
-        """Is a machine that the answer names the rental's from now on?"""
+    def _once(self, rental: Rental, names: list[str]) -> list[str]:
+        """The names of an answer, each once."""
+        once = list(dict.fromkeys(names))
+        for name in once:
+            if names.count(name) > 1:
+                self.log.error("the answer to rental %s names %s twice", rental.name, name)
+        return once
+
+    def _take(self, rental: Rental, name: str, now_us: int) -> None:
+        """A machine that the answer names is the rental's from now on, unless it is of another rental."""
         machine = self._c.machines.get(name)
         if machine is None:
             self._c.add_machine(name, rental, now_us)
-            return True
-        known = self._c.rentals.get(machine.rental)
-        if known is not None and known.adopted:
-            self._replace(known, rental, machine)  # it reported before the answer came
-            return True
-        self._invariants.broken(
-            Rule.RENTAL_MACHINES,
-            f"rental {rental.name} ({_kind(rental)}) brought {name}, which is of rental {machine.rental} "
-            f"({kind_of(machine)})",
-        )
-        if known is None:
-            machine.rental = rental.name
-        return known is None
-
-    def _replace(self, adopted: Rental, rental: Rental, machine: Machine) -> None:
-        """The machine was adopted; from now on it is the rental's that brought it."""
-        self._c.rentals.pop(adopted.name, None)
-        entry = self._c.forget_entry(keys.rental_key(adopted.name))
-        machine.rental = rental.name
-        if machine.phase == RETURNING:
-            rental.returning.append(machine.name)
-        if entry is None:
             return
-        # A return that has yet to be persisted waits for the record that names the machine from now on:
-        # the record of the adoption may never be written.
-        effects, entry.effects = entry.effects, []
-        for effect in effects:
-            self.touch(rental, effect)
-        entry.value = lambda: None
-        self._c.write_queue.touch(entry, urgent=False)
+        others = self._c.rental_index.naming(name)
+        if not others or not all(other.adopted for other in others):
+            self._invariants.broken(
+                Rule.RENTAL_MACHINES,
+                f"rental {rental.name} ({_kind(rental)}) brought {name}, which is of rental {machine.rental} "
+                f"({kind_of(machine)})",
+            )
+            if others:
+                return
+        self._c.rental_index.add(rental, name)
+        for adopted in others:  # it reported before the answer came
+            if self._c.write_queue.unwritten(self.entry(adopted)):
+                self._absorb(adopted, rental, machine)
+        self.keep_one(machine, lambda: None)
 
     def refused(self, rental: Rental, now_us: int) -> None:
         """No capacity of this kind."""
--- a/src/tideusher/core/picture/picture.py
+++ b/src/tideusher/core/picture/picture.py
@@ -22,6 +22,7 @@
 from tideusher.core.picture.placements import Placements
 from tideusher.core.picture.records import (
     ASSIGNED,
+    BOOTING,
     CHUNK_TASKS,
     OPEN,
     RETURNING,
@@ -31,7 +32,7 @@
     Task,
     read_chunk,
 )
-from tideusher.core.picture.rentals import ADOPTED, Rental
+from tideusher.core.picture.rentals import Rental, RentalIndex
 from tideusher.core.picture.sightings import Zones
 from tideusher.core.picture.values import holder, is_final
 from tideusher.wire.cloud import MachineType
@@ -72,6 +73,7 @@
         self.active: dict[str, Job] = {}
         self.machines: dict[str, Machine] = {}
         self.rentals: dict[str, Rental] = {}
+        self.rental_index = RentalIndex(self.machines)
         self.types: dict[str, MachineType] = {}
         self.usage: dict[str, list[float]] = {name: [0.0, 0.0] for name in self.teams}
         self.ledger = Ledger(
@@ -94,7 +96,6 @@
         self.orphans: dict[str, int] = {}
         self.conditional: dict[str, None] = {}
         self.uncharged: list[Task] = []
-        self._named: dict[str, set[str]] = {}  # machines that several rentals name, for the moment
         #: Records with places on machines that no record names (yet, or any more), by machine.
         self._nowhere: dict[str, dict[str, tuple[Any, int]]] = {}
         self.building = False
@@ -372,60 +373,60 @@
 
     def _rental(self, name: str, value: dict[str, Any] | None, now_us: int) -> None:
         rental = self.rentals.get(name)
-        before = rental.machines if rental is not None else []
-        returned = rental.returning if rental is not None else []
+        if rental is None:
+            if value is None:
+                return
+            rental = self.rentals[name] = Rental(name, value["type"], value["zone"], value["spot"], value["count"])
+        before, returned = rental.machines, rental.returning
         if value is None:
-            self.rentals.pop(name, None)
-            hosts: list[str] = []
+            del self.rentals[name]
+            self.rental_index.replace(rental, [], [])
         else:
-            hosts = list(value["machines"])
-            if rental is None:
-                rental = Rental(name, value["type"], value["zone"], value["spot"], value["count"])
-                self.rentals[name] = rental
-            rental.answered, rental.machines = value["answered"], hosts
-            rental.returning = list(value["returning"])
-            for host in hosts:
-                self._name(host, rental, now_us)
+            rental.answered = value["answered"]
+            self.rental_index.replace(rental, value["machines"], value["returning"])
+        for host in rental.machines:
+            self._name(host, now_us)
         for host in before:
-            if host not in hosts:
+            if host not in rental.machines:
                 if host in returned:
                     self.gone.add(host)
-                self._unname(host, name, now_us)
+                self._unname(host, now_us)
 
-    def _name(self, host: str, rental: Rental, now_us: int) -> None:
+    def _name(self, host: str, now_us: int) -> None:
+        """A rental names the machine, or says something else of its return."""
+        machine = self.machines.get(host)
+        if machine is not None:
+            self._read_return(machine)
+            return
+        machine = self.add_machine(host, self.rental_index.naming(host)[0], now_us)
+        machine.inherited = True
+        machine.rented_here = not self.building
+        self._read_return(machine)
+        for key, (value, stamp) in self._nowhere.pop(host, {}).items():
+            job_id, number = keys.split_chunk_key(key)
+            if job_id in self.jobs:
+                self._tasks(self.jobs[job_id], number, value, stamp, now_us)
+
+    def _unname(self, host: str, now_us: int) -> None:
+        """A rental names the machine no more; when none does, the machine is gone."""
         machine = self.machines.get(host)
-        if machine is None:
-            machine = self.add_machine(host, rental, now_us)
-            machine.inherited = True
-            machine.rented_here = not self.building
-            for key, (value, stamp) in self._nowhere.pop(host, {}).items():
-                job_id, number = keys.split_chunk_key(key)
-                if job_id in self.jobs:
-                    self._tasks(self.jobs[job_id], number, value, stamp, now_us)
-        elif machine.rental != rental.name:
-            # For a moment that of its adoption and the real one name it: the real one stays.
-            names = self._named.setdefault(host, {machine.rental})
-            names.add(rental.name)
-            machine.rental = _owner(names)
-        if host in rental.returning and machine.phase != RETURNING:
-            machine.phase = RETURNING
-            machine.draining = "its return was asked"
-
-    def _unname(self, host: str, rental: str, now_us: int) -> None:
-        machine, names = self.machines.get(host), self._named.get(host, set())
-        names.discard(rental)
-        if len(names) <= 1:
-            self._named.pop(host, None)
         if machine is None:
             return
-        if names:
-            machine.rental = _owner(names)
+        if self.rental_index.naming(host):
+            self._read_return(machine)
             return
         del self.machines[host]
         for task in list(machine.tasks.values()):
             self._vanish(task, now_us)
             self._note(task.job)
 
+    def _read_return(self, machine: Machine) -> None:
+        """Whether the machine's return was asked, as the records now say."""
+        asked = self.rental_index.return_asked(machine.name)
+        if asked != (machine.phase == RETURNING):
+            machine.phase = RETURNING if asked else BOOTING
+            machine.draining = "its return was asked" if asked else ""
+
     # ---------------------------------------------------------------- is it true?
 
     def outline(self) -> dict[str, Any]:
@@ -543,7 +544,3 @@
     if job.failed_count and job.live:
         return True
     return job.widest > job.spec.tasks and any(index >= job.spec.tasks for index in job.live)
-
-
-def _owner(names: set[str]) -> str:
-    return min(names, key=lambda name: (name.startswith(ADOPTED), name))
--- a/src/tideusher/core/picture/write_queue.py
+++ b/src/tideusher/core/picture/write_queue.py
@@ -73,6 +73,10 @@
         """Is the entry's present value in the state service?"""
         return not entry.dirty and (self._in_flight is None or entry not in self._in_flight.entries)
 
+    def unwritten(self, entry: Entry) -> bool:
+        """Is nothing under the entry's key in the state service, or on its way there?"""
+        return not entry.stamp and (self._in_flight is None or entry not in self._in_flight.entries)
+
     @property
     def waiting(self) -> int:
         """Keys that wait to be written."""
--- a/tests/test_two_rentals.py
+++ b/tests/test_two_rentals.py
@@ -186,6 +186,15 @@
     assert not named(bed, "host-1") and not named(bed, "host-3")
 
 
+def test_names_in_the_answer_to_a_rental_that_are_repeated_lose_nothing_else(caplog):
+    bed = Bed()
+    write(bed, keys.rental_key(OWNER), rental_value([], answered=False, count=3))
+    bed.elect()
+    bed.cluster.renting.rented(bed.cluster.rentals[OWNER], ["host-1", "host-1", "host-2"], bed.clock.now_us())
+    assert bed.cluster.rentals[OWNER].machines == ["host-1", "host-2"]
+    assert [text for text in caplog.messages if "host-1 twice" in text]
+
+
 # ---------------------------------------------------------------- what a standby follows
 
 HOSTS = ("host-1", "host-2")
@@ -208,7 +217,8 @@
         key = keys.rental_key(name)
         if hosts is None and key not in bed.state.items:
             continue
-        value = None if hosts is None else rental_value(hosts, [host for host, asked in hosts.items() if asked])
+        asked = [host for host, told in (hosts or {}).items() if told]
+        value = None if hosts is None else rental_value(hosts, asked, count=2)  # what it asked for never changes
         write(bed, key, value)
         follower.apply(key, value, bed.state.tide, 0)
         rebuilt = Picture(make_config(), Policy(), 0, bed.clock.wall_us, bed.state.record_of)
