--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -4,6 +4,7 @@
 
 from known_red import pytest_collection_modifyitems, pytest_terminal_summary  # noqa: F401
 from simulated_cluster import SimulatedCluster
+from standins import Bed
 from tideusher.embed.disk import Disk
 from tideusher.invariants import LOGGER
 
@@ -40,3 +41,9 @@
     yield make
     for one in made:
         one.close()
+
+
+@pytest.fixture
+def bed():
+    """A leader on a state stand-in, driven by hand."""
+    return Bed()
--- /dev/null
+++ b/tests/test_background_calls.py
@@ -0,0 +1,286 @@
+"""Calls that are made beside an actor's inbox, and loops that an actor cannot do without.
+
+What happens: two messages decide on calls to one machine before the first helper runs. Each begins a helper; the
+second overwrites the queue of the first, and what it holds is not told until the worker's next report. The log shows
+"a helper of this actor failed" with `KeyError` in `_send_all`.
+
+Why: the helper registered itself when it first ran, not the actor when it decided. The same kind of fault: a helper
+or a loop that ends with an exception which it does not expect, and whatever waits behind it waits for ever. JSON
+nested thousands deep causes one: the decoder raises `RecursionError`, which no caller but the gateway expected.
+"""
+
+import logging
+
+import gevent
+import msgspec
+import pytest
+from gevent.event import AsyncResult
+
+from standins import FakeClock, job, make_config
+from tideusher.actors import halts as halts_module
+from tideusher.actors.cloud import Cloud
+from tideusher.actors.halts import CALLED_AGAIN_US, HaltsForOthers
+from tideusher.core.lead.cluster import Direct
+from tideusher.core.picture import keys
+from tideusher.metrics import Metrics
+from tideusher.wire import cloud as cloud_wire
+from tideusher.wire import workers
+from tideusher.wire.workers import halt
+
+DEEP = b'{"x":' + b"[" * 100_000
+
+
+def running_tasks(sim, count=2):
+    """The leader's actor, a machine, and tasks that run on it."""
+    specs = [sim.submit(job("batch", 1, estimate_s=900.0)) for _ in range(count)]
+    sim.run(10.0)
+    leader = sim.nodes[sim.leader()].leader
+    jobs = leader._engine.cluster.jobs
+    machine = next(machine for machine in leader._engine.cluster.machines.values() if machine.tasks)
+    return leader, machine, [task for spec in specs for task in jobs[spec.id].live.values()]
+
+
+def stop(leader, machine, task):
+    """The leader decides to stop the task at once."""
+    leader._engine.cluster.direct.append(Direct(machine, halt(task.name, task.attempt, 0.0)))
+    leader._act(leader._engine)
+
+
+def record_calls(sim, monkeypatch, fail_first=None):
+    """The tasks of each direct call; the first one may end with an exception after half a second."""
+    made, call = [], sim.call
+
+    def recorded(address, method, path, body):
+        if path != "/do":
+            return call(address, method, path, body)
+        orders = msgspec.json.decode(body, type=workers.DirectCommands)
+        made.append([command.task for command in orders.commands])
+        sim.time.sleep(0.5)
+        if fail_first is not None and len(made) == 1:
+            raise fail_first
+        return call(address, method, path, body)
+
+    monkeypatch.setattr(sim, "call", recorded)
+    return made
+
+
+def test_what_waits_behind_a_direct_call_that_fails_is_sent(sim, monkeypatch):
+    sim = sim()
+    leader, machine, tasks = running_tasks(sim)
+    made = record_calls(sim, monkeypatch, fail_first=ValueError("planted"))
+    stop(leader, machine, tasks[0])
+    sim.run(0.1)
+    stop(leader, machine, tasks[1])
+    sim.run(0.8)
+    assert made == [[tasks[0].name], [tasks[1].name]] and not leader._sending
+
+
+def test_what_is_decided_again_while_a_machine_hangs_waits_once(sim, monkeypatch):
+    sim = sim()
+    leader, machine, tasks = running_tasks(sim)
+    made = record_calls(sim, monkeypatch)
+    for _ in range(50):
+        stop(leader, machine, tasks[0])
+    sim.run(0.1)
+    for _ in range(50):
+        stop(leader, machine, tasks[1])
+    sim.run(2.0)
+    assert made == [[tasks[0].name], [tasks[1].name]]
+
+
+# ---------------------------------------------------------------- halts for another leader's workers
+
+
+class Workers:
+    """Worker addresses that answer after a while."""
+
+    def __init__(self, monkeypatch):
+        self.told, self.fail, self.open = [], set(), AsyncResult()
+        sim = self
+
+        class Client:
+            def __init__(self, address, timeout_s, keep=4):
+                self.address = address
+
+            def call(self, method, path, body=None):
+                return sim.call(self.address, path, body)
+
+        monkeypatch.setattr(halts_module, "HttpClient", Client)
+
+    def call(self, address, path, body):
+        if path == "/show":
+            self.open.get()
+            if address in self.fail:
+                raise ValueError("planted")
+            return 200, workers.encode(workers.Report(address, address, "m4", "a", False, 1, 1, 0))
+        orders = msgspec.json.decode(body, type=workers.DirectCommands)
+        self.told.append((address, orders.token, [command.task for command in orders.commands]))
+        return 200, b"{}"
+
+
+def spawn_logged(function, *args):
+    def logged():
+        try:
+            function(*args)
+        except ValueError:
+            logging.getLogger("leader").exception("a helper of this actor failed")
+
+    gevent.spawn(logged)
+
+
+@pytest.fixture
+def others(monkeypatch):
+    """Halts for others, one call at a time, and jobs with a task on each of some machines."""
+    found = Workers(monkeypatch)
+    found.clock = FakeClock()
+    found.halts = HaltsForOthers(found.clock, halts_module.DIRECT_PART, spawn_logged)
+    return found
+
+
+def job_on(bed, *hosts):
+    return bed.place(job("batch", len(hosts), gpus=4.0), *hosts)
+
+
+def test_a_halt_that_waits_is_told_under_the_newest_token(others, bed):
+    """A worker that has seen a newer token drops what carries an older one."""
+    first, second = job_on(bed, "host-1"), job_on(bed, "host-2")
+    others.halts.halt(first, 5, lambda name: name)
+    gevent.idle()
+    others.halts.halt(second, 9, lambda name: name)
+    others.open.set(None)
+    gevent.idle()
+    assert [(host, token) for host, token, _ in others.told][1:] == [("host-2", 9)]
+
+
+def test_what_waits_behind_a_call_for_another_leader_that_fails_is_told(others, bed):
+    placed = job_on(bed, "host-1", "host-2", "host-3")
+    others.fail.add("host-1")
+    others.halts.halt(placed, 5, lambda name: name)
+    others.open.set(None)
+    gevent.idle()
+    assert sorted(host for host, *_ in others.told) == ["host-2", "host-3"]
+
+
+def test_a_job_that_is_cancelled_again_and_again_waits_once(others, bed):
+    placed, blocked = job_on(bed, "host-2"), job_on(bed, "host-1")
+    others.halts.halt(blocked, 5, lambda name: name)
+    gevent.idle()
+    for _ in range(20):
+        others.halts.halt(placed, 5, lambda name: name)
+        others.clock.us += CALLED_AGAIN_US
+    others.open.set(None)
+    gevent.idle()
+    assert others.told[1:] == [("host-2", 5, [f"{placed.spec.id}/0"])]
+
+
+# ---------------------------------------------------------------- loops that must go on
+
+
+def test_an_unexpected_error_in_a_commit_does_not_stop_all_writes(sim, monkeypatch):
+    sim = sim()
+    store = sim.nodes[sim.leader()].store
+    txn, failed = store.txn, []
+
+    def planted(guards, writes, *more, **options):
+        if not failed and any(write.key.startswith(keys.PAGE_PREFIX) for write in writes):
+            failed.append(writes)
+            raise ValueError("planted")
+        return txn(guards, writes, *more, **options)
+
+    monkeypatch.setattr(store, "txn", planted)
+    specs = [sim.submit(job("batch", 1, estimate_s=900.0)) for _ in range(2)]
+    sim.run(20.0)
+    assert failed and all(len(sim.on_machines(spec.id)) == 1 for spec in specs)
+
+
+@pytest.mark.parametrize("error", [ValueError("planted"), None], ids=["any", "too deep"])
+def test_an_answer_of_the_cloud_that_nobody_expects_ends_no_worker(error, caplog):
+    """Each of the cloud's three workers ended with one such answer: nothing was rented or returned any more."""
+    cloud = Cloud(make_config(), FakeClock(), Metrics())
+    cloud._bucket.set(1000.0, 1000.0)
+    cloud.start()
+
+    def call():
+        if error is not None:
+            raise error
+        return cloud_wire.decode_rented(DEEP)
+
+    answers = [AsyncResult() for _ in range(4)]
+    for answer in answers:
+        cloud.submit(Cloud.RENT, call, answer.set)
+    last = AsyncResult()
+    cloud.submit(Cloud.RENT, lambda: ["host-1"], last.set)
+    assert last.get(timeout=5.0) == ["host-1"]
+    assert [answer.get(timeout=5.0) for answer in answers] == [None] * 4
+
+
+def test_a_listener_that_fails_does_not_end_the_mirror(sim):
+    sim = sim()
+    name = next(name for name in sim.names if name != sim.leader())
+    store, failed = sim.nodes[name].store, []
+
+    def planted(key, value, stamp):
+        if not failed and key.startswith(keys.JOB_PREFIX):
+            failed.append(key)
+            raise KeyError("planted")
+
+    store.listen(planted)
+    first = sim.submit(job("batch", 1, estimate_s=900.0), sim.leader())
+    sim.run(5.0)
+    second = sim.submit(job("batch", 1, estimate_s=900.0), sim.leader())
+    sim.run(5.0)
+    assert failed and {keys.job_key(first.id), keys.job_key(second.id)} <= set(store.mirror)
+
+
+def test_a_read_that_fails_unexpectedly_is_told_to_all_who_wait_for_it(sim, monkeypatch):
+    sim = sim()
+    store = sim.nodes["n0"].store
+
+    def planted(wait_ms):
+        raise msgspec.DecodeError("planted")
+
+    monkeypatch.setattr(store, "_poll", planted)
+    began_us, answers = sim.clock.us, []
+    sim.time.spawn(lambda: answers.append((store.sync(), sim.clock.us)))
+    sim.run(3.0)
+    assert [(told, at_us - began_us < 1_000_000) for told, at_us in answers] == [(False, True)]
+
+
+def test_a_malformed_answer_to_a_lease_request_does_not_end_the_elections(sim, monkeypatch):
+    sim = sim()
+    request, malformed = sim.service.request, [True]
+
+    def planted(node, method, path, data):
+        if path == "/holds" and malformed:
+            return 200, b'{"mooring": "nine"}'
+        return request(node, method, path, data)
+
+    monkeypatch.setattr(sim.service, "request", planted)
+    before = sim.leader()
+    sim.end(before, back_s=1.0)
+    sim.run(6.0)
+    malformed.clear()
+    sim.run(10.0)
+    assert sim.leader() and sim.nodes[sim.leader()].leader._engine is not None
+
+
+@pytest.mark.parametrize("body", [b"not JSON", DEEP, b'{"berth": 7}'], ids=["no JSON", "too deep", "no report"])
+def test_a_workers_answer_that_is_no_report_gives_a_line_and_loses_nothing(sim, monkeypatch, caplog, body):
+    """The commands are repeated in the answer to the worker's next report, and the leader goes on."""
+    sim = sim()
+    leader, machine, tasks = running_tasks(sim)
+    engine, call = leader._engine, sim.call
+
+    def planted(address, method, path, data):
+        return (200, body) if path in ("/do", "/show") else call(address, method, path, data)
+
+    monkeypatch.setattr(sim, "call", planted)
+    with caplog.at_level(logging.DEBUG):
+        for task in tasks:
+            engine.cluster.halt(task, 0.0, "the test stops it")
+        leader._act(engine)
+        sim.run(5.0)
+    assert any(machine.name in text for text in caplog.messages if "bad answer" in text)
+    assert "Traceback" not in caplog.text and "failed" not in caplog.text
+    assert leader._engine is engine and not leader._sending
+    assert all(task.job.live.get(task.index) is not task for task in tasks)
