--- a/src/tideusher/actors/cloud.py
+++ b/src/tideusher/actors/cloud.py
@@ -1,5 +1,6 @@
 """The cloud: rents, returns and lists, within its rate; every answer goes to the leader as a message."""
 
+from collections.abc import Callable
 from typing import Any
 
 import gevent
@@ -32,7 +33,7 @@
         for _ in range(3):
             gevent.spawn(self._work)
 
-    def submit(self, kind: int, call: Any, then: Any) -> None:
+    def submit(self, kind: int, call: Callable[[], Any], then: Callable[[Any], None]) -> None:
         """Queue a call; `then` gets its result, or None when the cloud did not answer usefully."""
         self._count += 1
         self._queue.put((kind, self._count, call, then))
@@ -44,15 +45,19 @@
             if pause_s:
                 gevent.sleep(pause_s)
             self._metrics.count("cloud_requests", ("rent", "return", "read")[kind])
-            try:
-                result = call()
-            except CallFailed as error:
-                self.log.info("no answer: %s", error)
-                result = None
-            except msgspec.DecodeError as error:
-                self.log.error("bad answer: %s", error)
-                result = None
-            then(result)
+            then(self._result_of(call))
+
+    def _result_of(self, call: Callable[[], Any]) -> Any:
+        """None: the cloud did not answer usefully. Whatever a call ends with, the next one is made."""
+        try:
+            return call()
+        except CallFailed as error:
+            self.log.info("no answer: %s", error)
+        except msgspec.DecodeError as error:
+            self.log.error("bad answer: %s", error)
+        except Exception:
+            self.log.exception("a call to the cloud failed")
+        return None
 
     def rent(self, request: cloud.RentRequest) -> list[str] | None:
         """Names of the rented machines; an empty list: no capacity. None: ask again, same name."""
--- /dev/null
+++ b/src/tideusher/actors/command_sender.py
@@ -0,0 +1,89 @@
+"""Commands that a leader sends to its workers ahead of their next reports."""
+
+import logging
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+import msgspec
+
+from tideusher.actors.call_queue import CallQueue
+from tideusher.actors.http import CallFailed, HttpClient
+from tideusher.core.picture.records import Machine
+from tideusher.wire import workers
+
+#: The part of the process's sockets that calls to workers may take at a time.
+DIRECT_PART = 8
+CALL_S = 2.0
+
+
+class Destination(NamedTuple):
+    """A worker, and the token under which it is called."""
+
+    machine: Machine
+    token: int
+
+
+class CommandSender:
+    """Calls workers, each on one connection: of one that hangs many calls would wait."""
+
+    def __init__(
+        self, max_sockets: int, spawn: Callable[..., Any], answered: Callable[[int, bytes], None]
+    ) -> None:
+        """`answered` is given the token of a call and the report in its answer."""
+        self.log = logging.getLogger("leader")
+        self._kept = max_sockets // DIRECT_PART
+        self._answered = answered
+        self._clients: dict[str, tuple[str, HttpClient]] = {}  # by machine, with the address
+        self._queue: CallQueue[Destination] = CallQueue(spawn, lambda to, commands: self.call(*to, commands))
+
+    def __len__(self) -> int:
+        """How many workers are called or wait for it."""
+        return len(self._queue)
+
+    def send(self, machine: Machine, token: int, commands: list[workers.Command]) -> None:
+        """Tell the worker soon."""
+        self._queue.put(Destination(machine, token), commands)
+        self._queue.begin()
+
+    def forget(self, machine: str) -> None:
+        """The machine is gone: its connection is not kept."""
+        self._clients.pop(machine, None)
+
+    def forget_all(self) -> None:
+        """We do not lead any more: no connections are kept."""
+        self._clients.clear()
+
+    def call(self, machine: Machine, token: int, commands: list[workers.Command], session: int | None = None) -> None:
+        """Send commands at once; they are repeated in the answer to the next report, so a loss is harmless.
+
+        A worker that reports to another controller, such as an old leader, may be in a session that we have not heard
+        of: its refusal tells which, and it is asked once more.
+        """
+        session = machine.session if session is None else session
+        for _ in range(2):
+            body = workers.encode(workers.DirectCommands(token, session, commands))
+            try:
+                status, answer = self._client(machine).call("POST", "/do", body)
+                report = workers.decode_report(answer) if status in (200, 409) else None
+            except CallFailed as error:
+                self.log.debug("%s: %s", machine.name, error)
+                return
+            except msgspec.DecodeError as error:
+                self.log.error("bad answer of %s: %s", machine.name, error)
+                return
+            if report is None or report.token > token:
+                return
+            self._answered(token, answer)
+            if status == 200 or report.session == session:
+                return
+            session = report.session
+
+    def _client(self, machine: Machine) -> HttpClient:
+        address, client = self._clients.get(machine.name, ("", None))
+        if client is None or address != machine.address:
+            # Connections are kept to so many workers only: the process's sockets are for those that report.
+            kept = int(machine.name in self._clients or len(self._clients) < self._kept)
+            client = HttpClient(machine.address, CALL_S, keep=kept)
+            if kept:
+                self._clients[machine.name] = machine.address, client
+        return client
--- a/src/tideusher/actors/election.py
+++ b/src/tideusher/actors/election.py
@@ -14,7 +14,7 @@
 
 import gevent
 
-from tideusher.actors.store import Conflict, NoLease, Store, Stored, Unavailable
+from tideusher.actors.store import Conflict, NoLease, Store, Stored, Unavailable, lease_of
 from tideusher.clock import SECOND_US, Clock, to_us
 from tideusher.config import Config, Policy
 from tideusher.core.decide.succession import (
@@ -165,6 +165,9 @@
                 self.log.info("not elected: %s", error or "the lease ran out")
                 gevent.sleep(0.2 + 0.2 * self._rng.random())
                 self._store.sync()
+            except Exception:
+                self.log.exception("could not look after the leadership")
+                gevent.sleep(1.0)
 
     def _nobody_leads(self) -> None:
         self.token, now_us, self._begun = None, self._clock.now_us(), True
@@ -220,7 +223,7 @@
             status, answer = self._store.call("POST", "/holds", body, budget=False)
             if status not in (200, 201):
                 raise Unavailable(f"POST /holds: {status}")
-            self._lease = state.decode_lease(answer).id
+            self._lease = lease_of(answer)
         value = {"node": self._node, "nonce": self._nonce, **({"early": early} if early else {})}
         try:
             token = self._store.txn(
@@ -247,3 +250,5 @@
                     self._lease = None
             except Unavailable as error:
                 self.log.debug("lease not renewed: %s", error)
+            except Exception:
+                self.log.exception("lease not renewed")
--- a/src/tideusher/actors/halts.py
+++ b/src/tideusher/actors/halts.py
@@ -9,13 +9,13 @@
 
 import msgspec
 
+from tideusher.actors.call_queue import CallQueue
+from tideusher.actors.command_sender import DIRECT_PART
 from tideusher.actors.http import CallFailed, HttpClient
 from tideusher.clock import SECOND_US, Clock
 from tideusher.core.picture.records import Job
 from tideusher.wire import workers
 
-#: The part of the process's sockets that calls to workers may take at a time.
-DIRECT_PART = 8
 #: The workers of a job are called again so soon at the earliest: users repeat themselves faster than that.
 CALLED_AGAIN_US = 2 * SECOND_US
 CALL_S = 1.5
@@ -26,10 +26,9 @@
 
     def __init__(self, clock: Clock, max_sockets: int, spawn: Callable[..., Any]) -> None:
         self.log = logging.getLogger("leader")
-        self._clock, self._spawn = clock, spawn
-        self._most = max(1, max_sockets // DIRECT_PART)
-        self._waiting: dict[str, list[workers.Command]] = {}  # by address
-        self._calling = 0
+        self._clock = clock
+        self._queue: CallQueue[str] = CallQueue(spawn, self._call, max(1, max_sockets // DIRECT_PART))  # by address
+        self._token = 0  # the newest that we were told of: a worker drops what carries an older one than it has seen
         self._called_us: dict[str, int] = {}  # by job
 
     def halt(self, job: Job, token: int, address_of: Callable[[str], str]) -> None:
@@ -39,31 +38,23 @@
         if job.spec.id in self._called_us:
             return
         self._called_us[job.spec.id], told = now_us, 0
+        self._token = max(self._token, token)
         for task in job.live.values():
             address = address_of(task.machine.name)
             if address:
                 told += 1
-                self._waiting.setdefault(address, []).append(workers.halt(task.name, task.attempt, 0.0))
+                self._queue.put(address, [workers.halt(task.name, task.attempt, 0.0)])
         if told:
             self.log.info("stop %d tasks of %s for its leader, which cannot be told", told, job.spec.id)
-        for _ in range(min(len(self._waiting), self._most - self._calling)):
-            self._calling += 1
-            self._spawn(self._call_all, token)
+        self._queue.begin()
 
-    def _call_all(self, token: int) -> None:
-        """Call one worker after the other."""
-        try:
-            while self._waiting:
-                address = next(iter(self._waiting))
-                self._call(address, token, self._waiting.pop(address))
-        finally:
-            self._calling -= 1
-
-    def _call(self, address: str, token: int, commands: list[workers.Command]) -> None:
+    def _call(self, address: str, commands: list[workers.Command]) -> None:
         client = HttpClient(address, CALL_S, keep=0)
         try:
             _, answer = client.call("GET", "/show")
             session = workers.decode_report(answer).session
-            client.call("POST", "/do", workers.encode(workers.DirectCommands(token, session, commands)))
-        except (CallFailed, msgspec.DecodeError) as error:
+            client.call("POST", "/do", workers.encode(workers.DirectCommands(self._token, session, commands)))
+        except CallFailed as error:
             self.log.debug("%s: %s", address, error)
+        except msgspec.DecodeError as error:
+            self.log.error("bad answer of %s: %s", address, error)
--- a/src/tideusher/actors/leader.py
+++ b/src/tideusher/actors/leader.py
@@ -9,8 +9,9 @@
 
 from tideusher.actors.base import Actor
 from tideusher.actors.cloud import Cloud
+from tideusher.actors.command_sender import CommandSender
 from tideusher.actors.election import Election
-from tideusher.actors.halts import DIRECT_PART, HaltsForOthers
+from tideusher.actors.halts import HaltsForOthers
 from tideusher.actors.http import CallFailed, HttpClient
 from tideusher.actors.store import Busy, Conflict, NoLease, Store, Unavailable
 from tideusher.clock import Clock, to_s, to_us
@@ -51,8 +52,12 @@
 AUDIT_US = 1_000_000
 #: A timer that fires so much later than it should tells that the whole process stood still, its clocks running on.
 STILL_US = 2_000_000
-#: Messages whose handlers make passes or tell what they decided: after an exception the picture may be half changed.
-DECIDING = frozenset({"tick", "beat", "go_on", "take_over", "saved", "not_saved"})
+#: Messages whose handlers change nothing, and those that change a standby's picture. After an exception in any other
+#: the leader's picture may be half changed.
+READING = frozenset({"question", "cancelled_here", "not_loaded"})
+FOLLOWING = frozenset({"follow", "audit"})
+#: What was not answered is asked again after this time.
+ASK_AGAIN_S = 1.0
 #: How long a gateway waits for the answer to a report before it answers alone.
 REPORT_WAITS_US = 1_000_000
 
@@ -95,9 +100,9 @@
         self._listed_us = 0  # when the cloud's list was asked for
         self._deaf_zones: Callable[[], set[str]] = set
         self._reads: Callable[[str], bool] = lambda node: True
-        self._direct: dict[str, HttpClient] = {}
-        self._sending: dict[tuple[str, int], list[workers.Command]] = {}  # by machine and token: what waits meanwhile
-        self._halts = HaltsForOthers(clock, config.settings.resources.max_sockets, self.spawn)
+        max_sockets = config.settings.resources.max_sockets
+        self._sending = CommandSender(max_sockets, self.spawn, lambda token, body: self.tell("answered", token, body))
+        self._halts = HaltsForOthers(clock, max_sockets, self.spawn)
 
     def start(self) -> None:
         super().start()
@@ -209,13 +214,18 @@
         """Forget what was decided and not written, and follow the records again."""
         self.log.info("stepped down from token %d, engine %d", engine.token, self._terms)
         self._engine = None
+        self._sending.forget_all()
         self._standby.begin(self._clock.now_us())
         self._follow()
         self._store.lead(False)
 
     def failed(self, message: str, error: Exception) -> None:
-        """A leader whose picture may be half changed does not decide on it any more."""
-        if message not in DECIDING or self._election.token is None:
+        """Nobody decides on a picture that may be half changed, or follows with it."""
+        if message in FOLLOWING and self._engine is None:
+            self._metrics.count("standby_rebuilds")
+            self._standby.drop()
+            return
+        if message in READING or self._election.token is None:
             return
         remedy = self._failures.failed(error, self._clock.now_us())
         kind = type(error.__cause__ or error).__name__
@@ -434,17 +444,20 @@
             or not may_answer(self._config, self._store.contact_us, now_us)
         ):
             return [None] * len(reports)
-        answers = [
-            workers.Commands(engine.token, engine.reports.answer(report, now_us))
-            if report.token <= engine.token
-            else None
-            for report in reports
-        ]
+        answers = [self._commands_for(engine, report, now_us) for report in reports]
         if self._phases and any(c.op == "run" for answer in answers if answer is not None for c in answer.commands):
             self._phase("first start")
         self._act(engine)
         return answers
 
+    def _commands_for(self, engine: Engine, report: workers.Report, now_us: int) -> workers.Commands | None:
+        if report.token > engine.token:
+            return None
+        commands = self._failures.take_in(
+            f"report of {report.machine}", now_us, lambda: engine.reports.answer(report, now_us)
+        )
+        return workers.Commands(engine.token, commands) if commands is not None else None
+
     def on_gather(self) -> None:
         """Charges of the last interval reach the ledger."""
         if self._cluster is not None:
@@ -501,28 +514,28 @@
 
     def _act(self, engine: Engine) -> None:
         """Write what changed, and carry out what may be done. Rentals and returns get here only when persisted."""
-        batch = engine.batch()
+        # A leader that has read that another leads writes nothing more: to compare what it believes with what that
+        # one wrote would show breaches that are none.
+        batch = engine.batch() if self._store.stamp_of(keys.LEADER) == engine.token else None
         if batch is not None:
             self.spawn(self._commit, engine, batch)
         token, orders = engine.token, engine.orders()
         for rental in orders.rent:
             self._rent(token, rental)
         for first in range(0, len(orders.give_back), cloud_wire.MAX_RETURN):
-            machines = orders.give_back[first : first + cloud_wire.MAX_RETURN]
-            names = [machine.name for machine in machines]
-            self._cloud.submit(
-                Cloud.RETURN,
-                lambda names=names: self._cloud.give_back(names),
-                lambda r, machines=machines: self.tell("returned", token, machines, r),
-            )
+            self._give_back(token, orders.give_back[first : first + cloud_wire.MAX_RETURN])
         for machine, commands in orders.direct.items():
             # One that has yet to report to us has an address if another controller hears it, or the cloud lists it.
             if machine.address and machine.phase != RETURNING:
-                waiting = self._sending.get((machine.name, token))
-                if waiting is not None:
-                    waiting += commands  # one connection a machine: of one that hangs many would wait
-                else:
-                    self.spawn(self._send_all, machine, token, commands)
+                self._sending.send(machine, token, commands)
+
+    def _give_back(self, token: int, machines: list[Machine]) -> None:
+        names = [machine.name for machine in machines]
+        self._cloud.submit(
+            Cloud.RETURN,
+            lambda: self._cloud.give_back(names),
+            lambda answer: self.tell("returned", token, machines, answer),
+        )
 
     def _rent(self, token: int, rental: Rental) -> None:
         request = cloud_wire.RentRequest(rental.name, rental.type, rental.zone, rental.spot, rental.count)
@@ -536,12 +549,14 @@
         if engine is None or engine.token != token:
             return
         now_us = self._clock.now_us()
-        if names is None:
-            gevent.spawn_later(1.0, self.tell, "rent_again", token, rental)
-        elif names:
-            engine.cluster.renting.rented(rental, names, now_us)
-        else:
-            engine.cluster.renting.refused(rental, now_us)
+        renting = engine.cluster.renting
+        if names:
+            subject = f"answer to rental {rental.name}"
+            self._failures.take_in(subject, now_us, lambda: renting.rented(rental, names, now_us))
+        elif names is not None:
+            renting.refused(rental, now_us)
+        if not rental.answered and not rental.given_up:
+            gevent.spawn_later(ASK_AGAIN_S, self.tell, "rent_again", token, rental)
         self._act(engine)
 
     def on_rent_again(self, token: int, rental: Rental) -> None:
@@ -554,12 +569,13 @@
         engine = self._engine
         if engine is None or engine.token != token:
             return
-        if names is None:
-            gevent.spawn_later(1.0, self.tell, "return_again", token, machines)
-            return
-        engine.cluster.returned(names, self._clock.now_us())
-        for name in names:
-            self._direct.pop(name, None)
+        cluster = engine.cluster
+        cluster.returned(names or [], self._clock.now_us())
+        left = [machine for machine in machines if cluster.machines.get(machine.name) is machine]
+        if left:
+            gevent.spawn_later(ASK_AGAIN_S, self.tell, "return_again", token, left)
+        for name in names or ():
+            self._sending.forget(name)
         self._act(engine)
 
     def on_return_again(self, token: int, machines: list[Machine]) -> None:
@@ -569,50 +585,6 @@
 
     # ---------------------------------------------------------------- workers, directly
 
-    def _client(self, machine: Machine) -> HttpClient:
-        client = self._direct.get(machine.name)
-        if client is None:
-            # Connections are kept to so many workers only: the process's sockets are for those that report.
-            kept = int(len(self._direct) < self._config.settings.resources.max_sockets // DIRECT_PART)
-            client = HttpClient(machine.address, timeout_s=2.0, keep=kept)
-            if kept:
-                self._direct[machine.name] = client
-        return client
-
-    def _send_all(self, machine: Machine, token: int, commands: list[workers.Command]) -> None:
-        key = machine.name, token
-        self._sending[key] = commands
-        try:
-            while self._sending[key]:
-                commands, self._sending[key] = self._sending[key], []
-                self._send(machine, token, commands)
-        finally:
-            del self._sending[key]
-
-    def _send(
-        self, machine: Machine, token: int, commands: list[workers.Command], session: int | None = None
-    ) -> None:
-        """Send halts ahead of the next report; they are repeated in its answer, so a loss is harmless.
-
-        A worker that reports to another controller, such as an old leader, may be in a session that we have not heard
-        of: its refusal tells which, and it is asked once more.
-        """
-        session = machine.session if session is None else session
-        for _ in range(2):
-            body = workers.encode(workers.DirectCommands(token, session, commands))
-            try:
-                status, answer = self._client(machine).call("POST", "/do", body)
-                report = workers.decode_report(answer) if status in (200, 409) else None
-            except (CallFailed, msgspec.DecodeError) as error:
-                self.log.debug("%s: %s", machine.name, error)
-                return
-            if report is None or report.token > token:
-                return
-            self.tell("answered", token, answer)
-            if status == 200 or report.session == session:
-                return
-            session = report.session
-
     def on_answered(self, token: int, body: bytes) -> None:
         """The report in the answer to direct commands is as good as one that the worker sent."""
         engine = self._engine
@@ -623,7 +595,9 @@
         except msgspec.DecodeError as error:
             self.log.error("bad answer of a worker: %s", error)
             return
-        engine.reports.look(report, self._clock.now_us())
+        now_us = self._clock.now_us()
+        subject = f"report of {report.machine}"
+        self._failures.take_in(subject, now_us, lambda: engine.reports.look(report, now_us))
         self._act(engine)
 
     def _probe(self, token: int, machine: Machine) -> None:
@@ -655,7 +629,7 @@
             return
         self.tell("answered", token, body)
         if report.token < token:
-            self._send(machine, token, [], report.session)
+            self._sending.call(machine, token, [], report.session)
 
     def on_found(self, token: int, machine: Machine) -> None:
         """A call reached a machine."""
@@ -671,7 +645,20 @@
     # ---------------------------------------------------------------- persisting
 
     def _commit(self, engine: Engine, batch: Batch) -> None:
-        """One transaction; then tell the actor how it went, after the mirror is newer than it."""
+        """One transaction. Nothing else is written while it is under way, so however it ends the actor is told."""
+        try:
+            self._try_to_commit(engine, batch)
+        except Exception as error:
+            self.tell("commit_failed", engine, error)
+            raise
+
+    def on_commit_failed(self, engine: Engine, error: Exception) -> None:
+        """Nobody knows what became of the transaction under way."""
+        if engine is self._engine:
+            raise error
+
+    def _try_to_commit(self, engine: Engine, batch: Batch) -> None:
+        """Tell the actor how it went after the mirror is newer than the transaction."""
         try:
             revision = self._store.txn(batch.guards, batch.writes)
         except Conflict as conflict:
@@ -709,7 +696,7 @@
 
     def _sync_again(self, engine: Engine, unknown: bool) -> None:
         gevent.sleep(0.5)
-        self.tell("not_saved", engine, self._store.sync(), False, unknown)
+        self.tell("not_saved", engine, self._store.sync(), False, unknown)  # `sync` says False whatever it met
 
 
 def _zone_of(picture: Picture, machine: str) -> str | None:
--- a/src/tideusher/actors/store.py
+++ b/src/tideusher/actors/store.py
@@ -4,10 +4,11 @@
 which the newest completed read was *sent* is kept beside it.
 """
 
+import logging
 from collections.abc import Callable
 from dataclasses import dataclass
 from math import exp, inf
-from typing import Any
+from typing import Any, TypeVar
 
 import gevent
 import msgspec
@@ -24,6 +25,7 @@
 from tideusher.metrics import Metrics
 from tideusher.wire import state
 
+T = TypeVar("T")
 Listener = Callable[[str, Any, int], None]
 
 LONG_POLL_MS = 1000
@@ -46,6 +48,10 @@
     """The budget is spent for now: nothing was done, and it would take too long to wait."""
 
 
+class Malformed(Unavailable):
+    """The state service answered what nobody can read: nothing is known of what was asked."""
+
+
 class Conflict(Exception):
     """A transaction's guards failed: it did nothing."""
 
@@ -273,7 +279,7 @@
                 self._queued -= len(writes) if ours else 0
         status, answer = self._post_txn(state.Txn(guards, writes), budget)
         if status == 200:
-            revision = state.decode_done(answer).revision
+            revision = _decoded(state.decode_done, answer).revision
             for write in writes:
                 if isinstance(write, state.Put):
                     self._apply(write.key, {} if write.value is NULL else write.value, revision)
@@ -281,7 +287,7 @@
                     self._apply(write.key, None, revision)
             return revision
         if status == 409:
-            raise Conflict(state.decode_failed(answer).failed)
+            raise Conflict(_decoded(state.decode_failed, answer).failed)
         if b"no such lease" in answer:
             raise NoLease
         raise Unavailable(f"POST /txn: {status} {answer[:200]!r}")
@@ -326,7 +332,11 @@
                 try:
                     self._poll(0)
                     answer = True
-                except Unavailable:
+                except Unavailable as error:
+                    self.log.debug("no contact: %s", error)
+                    answer = False
+                except Exception:
+                    self.log.exception("a read failed")
                     answer = False
                 for result in waiting:
                     result.set(answer)
@@ -355,7 +365,7 @@
             return
         if status != 200:
             raise Unavailable(f"GET /watch: {status}")
-        changes = state.decode_changes(answer)
+        changes = _decoded(state.decode_changes, answer)
         for event in changes.events:
             if event.stamp <= self.revision:
                 # An answer that was overtaken by a newer one. Its removals may be forgotten here
@@ -391,7 +401,10 @@
             self.mirror[key] = Stored(value, stamp)
         self._place(key, value, stamp)
         for listener in self._listeners:
-            listener(key, value, stamp)
+            try:
+                listener(key, value, stamp)
+            except Exception:
+                self.log.exception("a listener failed at the change of %s", key)
 
     def _place(self, key: str, value: Any, stamp: int) -> None:
         if key.startswith(keys.PAGE_PREFIX):
@@ -418,7 +431,7 @@
             status, answer = self.call("GET", f"/keys?under={keys.PREFIX}{after}&most=1000", timeout_s=4.0)
             if status != 200:
                 raise Unavailable(f"GET /keys: {status}")
-            page = state.decode_items(answer)
+            page = _decoded(state.decode_items, answer)
             if first is None:
                 first = page.revision
             for item in page.items:
@@ -447,12 +460,26 @@
             except Unavailable as error:
                 self.log.debug("no contact: %s", error)
                 pause_s = 0.3
-            except (msgspec.DecodeError, ValueError) as error:
-                self.log.error("bad answer of the state service: %s", error)
+            except Exception:
+                self.log.exception("the mirror could not be brought up to date")
                 pause_s = 1.0
             gevent.sleep(pause_s)
 
 
+def _decoded(decode: Callable[[bytes], T], answer: bytes) -> T:
+    """An answer of the state service; raises Malformed."""
+    try:
+        return decode(answer)
+    except msgspec.DecodeError as error:
+        logging.getLogger("store").error("bad answer of the state service: %s", error)
+        raise Malformed(f"bad answer: {error}") from None
+
+
+def lease_of(answer: bytes) -> int:
+    """The lease that the state service granted; raises Malformed."""
+    return _decoded(state.decode_lease, answer).id
+
+
 def _present(value: Any) -> Any:
     """A key that holds `null` is there all the same: as a value of ours it is empty."""
     return {} if value is None else value
--- a/src/tideusher/core/decide/failing.py
+++ b/src/tideusher/core/decide/failing.py
@@ -1,22 +1,28 @@
-"""What a leader does after a pass that ended with an exception. Pure.
+"""What a leader does after a pass, or a message's handler, that ended with an exception. Pure.
 
-Its picture may be half changed then, and the next pass would mostly fail in the same place: it once led on for five
-seconds and placed nothing. So the term ends. The next one, under a new token, reads the records anew; a job that the
-pass failed on is set aside for a while, so that it does not stop the others. A leader that fails again and again,
-with no job to blame, leaves the leadership to another.
+Its picture may be half changed then, and what comes next would mostly fail in the same place: a leader once led on
+for five seconds and placed nothing, another kept machines that were gone. So the term ends. The next one, under a new
+token, reads the records anew. What it failed on (a job, the report of a machine, a name in an answer) is set aside
+for a while, twice as long each time, so that it neither stops the others nor ends one term after another. A leader
+that fails again and again all the same leaves the leadership to another.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum, auto
+from typing import TypeVar
 
 from tideusher.clock import SECOND_US
 
 #: So many failures within this time are too many.
 WINDOW_US, MOST = 30 * SECOND_US, 3
-#: A job is set aside for the first of these, doubled with each time up to the last.
+#: A job or an input is set aside for the first of these, doubled with each time up to the last.
 FIRST_PAUSE_US, LAST_PAUSE_US = 30 * SECOND_US, 3600 * SECOND_US
 
 
+T = TypeVar("T")
+
+
 class PassFailed(Exception):
     """A pass ended with an exception while it placed this job; the exception is its cause."""
 
@@ -25,6 +31,14 @@
         self.job = job
 
 
+class InputFailed(Exception):
+    """What came from outside could not be taken in whole; the exception that said so is its cause."""
+
+    def __init__(self, subject: str) -> None:
+        super().__init__(f"could not take in the {subject}")
+        self.subject = subject
+
+
 class Remedy(Enum):
     """How the leadership goes on."""
 
@@ -34,7 +48,7 @@
 
 @dataclass(slots=True)
 class SetAside:
-    """A job that passes leave alone until then."""
+    """A job or an input that is left alone until then."""
 
     until_us: int
     times: int = 1
@@ -45,23 +59,36 @@
     """What failed in this process, whichever term it was in."""
 
     jobs: dict[str, SetAside] = field(default_factory=dict)
+    inputs: dict[str, SetAside] = field(default_factory=dict)
     _failed_us: list[int] = field(default_factory=list)
 
     def failed(self, error: BaseException, now_us: int) -> Remedy:
-        """A pass, or a takeover, ended with this."""
+        """A pass, a takeover or a message ended with this."""
         if isinstance(error, PassFailed):
-            self._set_aside(error.job, now_us)
+            _set_aside(self.jobs, error.job, now_us)
             return Remedy.READ_ANEW
+        if isinstance(error, InputFailed):
+            _set_aside(self.inputs, error.subject, now_us)
         self._failed_us = [at_us for at_us in self._failed_us if now_us - at_us < WINDOW_US] + [now_us]
         return Remedy.GIVE_WAY if len(self._failed_us) >= MOST else Remedy.READ_ANEW
 
-    def _set_aside(self, job: str, now_us: int) -> None:
-        before = self.jobs.get(job)
-        times = before.times + 1 if before is not None else 1
-        pause_us = min(LAST_PAUSE_US, FIRST_PAUSE_US << (times - 1))
-        self.jobs[job] = SetAside(now_us + pause_us, times)
-
-    def set_aside(self, job: str, now_us: int) -> bool:
-        """Do passes leave the job alone for now?"""
-        known = self.jobs.get(job)
+    def set_aside(self, name: str, now_us: int) -> bool:
+        """Is the job or input left alone for now?"""
+        known = self.jobs.get(name) or self.inputs.get(name)
         return known is not None and now_us < known.until_us
+
+    def take_in(self, subject: str, now_us: int, change: Callable[[], T]) -> T | None:
+        """Carry out what an input changes; None, with nothing changed, if it is set aside. Raises InputFailed."""
+        if self.inputs and self.set_aside(subject, now_us):
+            return None
+        try:
+            return change()
+        except Exception as error:
+            raise InputFailed(subject) from error
+
+
+def _set_aside(those: dict[str, SetAside], name: str, now_us: int) -> None:
+    before = those.get(name)
+    times = before.times + 1 if before is not None else 1
+    pause_us = min(LAST_PAUSE_US, FIRST_PAUSE_US << (times - 1))
+    those[name] = SetAside(now_us + pause_us, times)
--- a/src/tideusher/core/lead/cluster.py
+++ b/src/tideusher/core/lead/cluster.py
@@ -649,44 +649,54 @@
     def returned(self, names: Iterable[str], now_us: int) -> None:
         """The cloud confirmed: the machines and everything on them are gone."""
         for name in names:
-            machine = self.machines.get(name)
-            if machine is None or machine.phase != RETURNING:
-                if name not in self.gone:
-                    self.log.error("the return of %s is confirmed, and nobody asked for it", name)
-                continue
-            del self.machines[name]
-            self.gone.add(name)
-            self.recovery.returned(machine)
-            # What was refused for lack of machines may be had again.
-            self.fleet.granted((machine.type, machine.zone, machine.spot))
-            for task in list(machine.tasks.values()):
-                if task.halt_grace_s is None:
-                    self.recovery.lost(task.job, machine.fall)
-                self.lost(task, f"its machine is gone ({machine.draining or 'returned'})", now_us)
-            for rental in self.rental_index.forget(name):
-                self.renting.settle(rental)
+            self.failures.take_in(f"return of {name}", now_us, partial(self._returned, name, now_us))
         self.ledger.set_fleet(self.machines.values())
 
+    def _returned(self, name: str, now_us: int) -> None:
+        machine = self.machines.get(name)
+        if machine is None or machine.phase != RETURNING:
+            if name not in self.gone:
+                self.log.error("the return of %s is confirmed, and nobody asked for it", name)
+            return
+        del self.machines[name]
+        self.gone.add(name)
+        self.recovery.returned(machine)
+        # What was refused for lack of machines may be had again.
+        self.fleet.granted((machine.type, machine.zone, machine.spot))
+        for task in list(machine.tasks.values()):
+            if task.halt_grace_s is None:
+                self.recovery.lost(task.job, machine.fall)
+            self.lost(task, f"its machine is gone ({machine.draining or 'returned'})", now_us)
+        for rental in self.rental_index.forget(name):
+            self.renting.settle(rental)
+
     def listed(self, listing: list[Listed], now_us: int) -> None:
         """The cloud's (lagging) list: failed machines are returned, unknown ones adopted in time."""
         self.health.surveyed(now_us)
         failed: dict[str, list[tuple[Machine, str]]] = {}
         for item in listing:
-            machine = self.machines.get(item.name)
-            if machine is None:
-                if item.name not in self.gone and item.age_s > 6 * self.config.settings.cloud.list_lag_s + 20:
-                    self.log.info("adopt %s: the cloud lists it and no rental names it", item.name)
-                    self._add_unnamed(item.name, item, now_us - to_us(item.age_s))
-                continue
-            self.check_kind(machine, Kind(item.type, item.zone, item.spot), "the cloud's list")
-            machine.listed = item.status
-            machine.address = machine.address or item.address
-            machine.rented_us = min(machine.rented_us, now_us - to_us(item.age_s))
-            if item.status == FAILED and machine.phase != RETURNING:
-                failed.setdefault(machine.zone, []).append((machine, "it stopped on its own, the cloud's list says"))
+            stopped = self.failures.take_in(
+                f"listed machine {item.name}", now_us, partial(self._listed, item, now_us)
+            )
+            if stopped is not None:
+                failed.setdefault(stopped.zone, []).append((stopped, "it stopped on its own, the cloud's list says"))
         for zone, fallen in failed.items():
             self._gone_silent(zone, fallen, len(fallen) >= MANY, now_us)
 
+    def _listed(self, item: Listed, now_us: int) -> Machine | None:
+        """What the list says of one machine; returns it if it has stopped on its own."""
+        machine = self.machines.get(item.name)
+        if machine is None:
+            if item.name not in self.gone and item.age_s > 6 * self.config.settings.cloud.list_lag_s + 20:
+                self.log.info("adopt %s: the cloud lists it and no rental names it", item.name)
+                self._add_unnamed(item.name, item, now_us - to_us(item.age_s))
+            return None
+        self.check_kind(machine, Kind(item.type, item.zone, item.spot), "the cloud's list")
+        machine.listed = item.status
+        machine.address = machine.address or item.address
+        machine.rented_us = min(machine.rented_us, now_us - to_us(item.age_s))
+        return machine if item.status == FAILED and machine.phase != RETURNING else None
+
     # ---------------------------------------------------------------- decisions of a scheduling pass
 
     def min_run_us(self, job: Job) -> int:
--- a/src/tideusher/core/lead/standby.py
+++ b/src/tideusher/core/lead/standby.py
@@ -77,6 +77,11 @@
         self._changes.clear()
         self._to_audit.clear()
 
+    def drop(self) -> None:
+        """The picture may be half changed: the next audit begins a new one."""
+        self.rebuilds += 1
+        self.end()
+
     @property
     def picture(self) -> Picture | None:
         """What was followed so far; None: nothing yet, or we lead."""
--- a/src/tideusher/wire/cloud.py
+++ b/src/tideusher/wire/cloud.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from tideusher.wire.decoding import decoder
+
 BOOTING, UP, FAILED = "booting", "running", "failed"
 MAX_RENT = 50
 MAX_RETURN = 100
@@ -66,7 +68,7 @@
     more: bool = msgspec.field(name="truncated", default=False)
 
 
-decode_types: Callable[[bytes], MachineTypes] = msgspec.json.Decoder(MachineTypes).decode
-decode_rented: Callable[[bytes], Rented] = msgspec.json.Decoder(Rented).decode
-decode_list: Callable[[bytes], MachineList] = msgspec.json.Decoder(MachineList).decode
+decode_types: Callable[[bytes], MachineTypes] = decoder(MachineTypes)
+decode_rented: Callable[[bytes], Rented] = decoder(Rented)
+decode_list: Callable[[bytes], MachineList] = decoder(MachineList)
 encode = msgspec.json.Encoder().encode
--- a/src/tideusher/wire/state.py
+++ b/src/tideusher/wire/state.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+from tideusher.wire.decoding import decoder
+
 
 class Guard(msgspec.Struct):
     """A condition of a transaction: the key has this stamp (0: it does not exist)."""
@@ -94,9 +96,9 @@
     ttl_ms: int
 
 
-decode_done: Callable[[bytes], TxnDone] = msgspec.json.Decoder(TxnDone).decode
-decode_failed: Callable[[bytes], TxnFailed] = msgspec.json.Decoder(TxnFailed).decode
-decode_items: Callable[[bytes], Items] = msgspec.json.Decoder(Items).decode
-decode_changes: Callable[[bytes], Changes] = msgspec.json.Decoder(Changes).decode
-decode_lease: Callable[[bytes], Lease] = msgspec.json.Decoder(Lease).decode
+decode_done: Callable[[bytes], TxnDone] = decoder(TxnDone)
+decode_failed: Callable[[bytes], TxnFailed] = decoder(TxnFailed)
+decode_items: Callable[[bytes], Items] = decoder(Items)
+decode_changes: Callable[[bytes], Changes] = decoder(Changes)
+decode_lease: Callable[[bytes], Lease] = decoder(Lease)
 encode = msgspec.json.Encoder().encode
--- a/src/tideusher/wire/workers.py
+++ b/src/tideusher/wire/workers.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from tideusher.wire.decoding import decoder
+
 FETCHING, WAITING, ACTIVE, SAVING, EXITED = "pulling", "waiting", "running", "flushing", "exited"
 CAUSE_DONE, CAUSE_STOPPED, CAUSE_PEERS = "done", "stopped", "peers"
 CAUSE_INCOMPLETE, CAUSE_ERROR, CAUSE_NO_ROOM = "incomplete", "error", "full"
@@ -100,7 +102,7 @@
     return job, int(index)
 
 
-decode_report: Callable[[bytes], Report] = msgspec.json.Decoder(Report).decode
-decode_head: Callable[[bytes], ReportHead] = msgspec.json.Decoder(ReportHead).decode
-decode_commands: Callable[[bytes], Commands] = msgspec.json.Decoder(Commands).decode
+decode_report: Callable[[bytes], Report] = decoder(Report)
+decode_head: Callable[[bytes], ReportHead] = decoder(ReportHead)
+decode_commands: Callable[[bytes], Commands] = decoder(Commands)
 encode = msgspec.json.Encoder().encode
--- a/tests/test_failing_messages.py
+++ b/tests/test_failing_messages.py
@@ -12,7 +12,7 @@
 import pytest
 
 from standins import job
-from tideusher.core.decide.failing import FIRST_PAUSE_US, MOST, PassFailures, Remedy
+from tideusher.core.decide.failing import FIRST_PAUSE_US, MOST, InputFailed, PassFailures, Remedy
 from tideusher.core.lead.cluster import Cluster
 from tideusher.core.lead.renting import Renting
 from tideusher.core.lead.reports import Reports
@@ -135,8 +135,6 @@
 
 
 def test_inputs_that_fail_are_set_aside_and_many_of_them_are_a_reason_to_leave():
-    from tideusher.core.decide.failing import InputFailed
-
     failures = PassFailures()
     assert failures.failed(InputFailed("report of host-1"), 0) is Remedy.READ_ANEW
     assert failures.set_aside("report of host-1", 0) and not failures.set_aside("report of host-2", 0)
