A standby's picture depends on the records alone, not on the order in which they came

Symptom: "the picture differs in 1 records and is built anew" every two to three seconds, and no warm standby meanwhile.

Causes: a follower dropped the tasks on a machine that went and did not take them up when the machine was adopted again, which a rebuild did; of a cancelled job with a task on such a machine it kept nothing, and the audit expected the job. The property test found three more: records of a job with more than 64 tasks that came before the job was known were lost but for the first; a machine that became known gave its tasks back to open jobs only; a removed record stayed.

Change: records that cannot be shown whole are held (core/picture/held_records.py), by job and by machine, and read again when the job or the machine becomes known. A job that is over is known exactly while a task of it is on a machine that a rental names; picture and audit ask the same function.

--- a/src/tideusher/core/picture/picture.py
+++ b/src/tideusher/core/picture/picture.py
@@ -17,6 +17,7 @@
 from tideusher.config import Config, Policy, Team
 from tideusher.core.picture import keys
 from tideusher.core.picture.arrivals import Arrivals
+from tideusher.core.picture.held_records import HeldRecord, HeldRecords, RecordName
 from tideusher.core.picture.ledger import Ledger
 from tideusher.core.picture.pages import is_fenced
 from tideusher.core.picture.placements import Placements
@@ -30,6 +31,7 @@
     Job,
     Machine,
     Task,
+    chunk_value,
     read_chunk,
 )
 from tideusher.core.picture.rentals import Rental, RentalIndex
@@ -96,8 +98,7 @@
         self.orphans: dict[str, int] = {}
         self.conditional: dict[str, None] = {}
         self.uncharged: list[Task] = []
-        #: Records with places on machines that no record names (yet, or any more), by machine.
-        self._nowhere: dict[str, dict[str, tuple[Any, int]]] = {}
+        self._held = HeldRecords()
         self.building = False
 
     # ---------------------------------------------------------------- records, one at a time
@@ -184,8 +185,10 @@
         job = self.jobs.get(job_id)
         if job is None:
             if value["st"] == OPEN and "spec" in value:
-                self._admit(self.new_job(job_id, value, stamp, now_us), now_us)
-                self._placed_before(job_id, now_us)
+                job = self.new_job(job_id, value, stamp, now_us)
+                self._admit(job, now_us)
+                self._read_held(job, now_us)
+                self._note(job)
             return
         if stamp <= job.stamp:
             return
@@ -208,7 +211,8 @@
         """Does the job want something of a leader's first moments? One that is over and nowhere is forgotten."""
         name = job.spec.id
         if job.status != OPEN and not job.live:
-            for number in job.chunks:
+            for number, chunk in job.chunks.items():
+                self._hold(job, chunk)
                 key = keys.chunk_key(name, number)
                 if key in self.stamps:
                     self.orphans[key] = self.stamps[key]
@@ -231,64 +235,89 @@
             self.orphans.pop(key, None)
         if number == 0 and not self.placements.own_changed(job_id, value, stamp):
             return  # it is in a page, or on its way to one
-        job = self._job_of(job_id, value or {}, stamp, now_us)
-        if job is not None:
-            self._tasks(job, number, value or {}, stamp, now_us)
-        elif value:
-            self.orphans[key] = stamp
+        self._tasks_of(RecordName(job_id, number), HeldRecord(value or {}, stamp), now_us)
 
     def _shared(self, job_id: str, value: dict[str, Any] | None, now_us: int) -> None:
         """A job's record in a page. It has no stamp of its own: the page is written for others too."""
-        job = self._job_of(job_id, value or {}, 0, now_us)
+        self._tasks_of(RecordName(job_id, 0), HeldRecord(value or {}, 0), now_us)
+
+    def _tasks_of(self, name: RecordName, record: HeldRecord, now_us: int) -> None:
+        """A record of tasks is like this now, whether its job is known or not."""
+        self._held.drop(name)
+        key = keys.chunk_key(*name)
+        self.orphans.pop(key, None)
+        job = self.jobs.get(name.job) or self._job_on_machines(name.job, record, now_us)
         if job is not None:
-            self._tasks(job, 0, value or {}, 0, now_us)
-
-    def _placed_before(self, job_id: str, now_us: int) -> None:
-        """Records of the job's tasks may have been seen before its own."""
-        value = self.placements.first(job_id)
+            self._tasks(job, name.number, record.value, record.stamp, now_us)
+        elif record.value:
+            self._held.hold(name, record)
+            if key in self.stamps:
+                self.orphans[key] = self.stamps[key]
+
+    def _job_on_machines(self, job_id: str, record: HeldRecord, now_us: int) -> Job | None:
+        """A job that is not known, of which the record has tasks on machines; None if it has none.
+
+        It was cancelled, or its own record has not been seen yet.
+        """
+        value = self._value_on_machines(job_id, record.value)
         if value is None:
-            return
-        key = keys.chunk_key(job_id, 0)
-        self._tasks(self.jobs[job_id], 0, value, self.orphans.pop(key, 0), now_us)
-
-    def _job_of(self, job_id: str, value: dict[str, Any], stamp: int, now_us: int) -> Job | None:
-        """The job of a record of tasks. None: it is over (written after its last task was gone), or not seen yet."""
-        job = self.jobs.get(job_id)
-        if job is not None:
-            return job
-        record = self._record_of(job_id) if "a" in value else None
-        if record is None or "spec" not in record:
             return None
-        job = self.new_job(job_id, record, stamp, now_us)  # cancelled while tasks of it are on machines
+        job = self.new_job(job_id, value, record.stamp, now_us)
         job.stamp = self.stamps.get(keys.job_key(job_id), 0)
         self._admit(job, now_us)
+        self._read_held(job, now_us)
         return job
 
+    def _value_on_machines(self, job_id: str, tasks: dict[str, Any]) -> dict[str, Any] | None:
+        """The own record of a job with tasks on known machines, as far as it says what the job is."""
+        if not any(place[1] in self.machines for place in tasks.get("a", {}).values()):
+            return None
+        value = self._record_of(job_id)
+        return value if value is not None and "spec" in value else None
+
+    def _read_held(self, job: Job, now_us: int) -> None:
+        """Records of the job's tasks were seen before the job was known."""
+        for number, record in self._held.of_job(job.spec.id):
+            self.orphans.pop(keys.chunk_key(job.spec.id, number), None)
+            self._read_tasks(job, number, record, now_us)
+
+    def _hold(self, job: Job, chunk: Chunk) -> None:
+        """Keep the record that the chunk was read from, if it is not held already: all of it is shown until now."""
+        name = RecordName(job.spec.id, chunk.number)
+        value = chunk_value(job, chunk) if name not in self._held else {}
+        if value:
+            self._held.hold(name, HeldRecord(value, chunk.stamp))
+
     def _tasks(self, job: Job, number: int, value: dict[str, Any], stamp: int, now_us: int) -> None:
         """What a record says of up to CHUNK_TASKS tasks of a job, wherever it is kept."""
-        key = keys.chunk_key(job.spec.id, number)
-        for host in [host for host, records in self._nowhere.items() if records.pop(key, None) and not records]:
-            del self._nowhere[host]
-        chunk, places = read_chunk(number, value, stamp)
-        self._ends(job, chunk)
+        self._read_tasks(job, number, HeldRecord(value, stamp), now_us)
+        self._note(job)
+
+    def _read_tasks(self, job: Job, number: int, record: HeldRecord, now_us: int) -> None:
+        name = RecordName(job.spec.id, number)
+        self._held.drop(name)
+        chunk, places = read_chunk(number, record.value, record.stamp)
+        self._ends(job, chunk, removed=not record.value)
         if number == 0:
-            job.stops = list(value.get("w", []))
+            job.stops = list(record.value.get("w", []))
         for index in range(number * CHUNK_TASKS, (number + 1) * CHUNK_TASKS):
             task, place = job.live.get(index), places.get(index)
             if task is not None and (place is None or (task.attempt, task.machine.name) != place[:2]):
                 self._vanish(task, now_us)
                 task = None
             if place is not None and not self._appear(job, index, place, task, now_us):
-                self._nowhere.setdefault(place[1], {})[key] = (value, stamp)
-        self._note(job)
+                self._held.hold(name, record)
 
-    def _ends(self, job: Job, chunk: Chunk) -> None:
-        """Which tasks of the chunk are over, and how many attempts there were."""
+    def _ends(self, job: Job, chunk: Chunk, removed: bool) -> None:
+        """Which tasks of the chunk are over, and how many attempts there were; `removed`: its record is gone."""
         old = job.chunks.get(chunk.number)
         before = Chunk(chunk.number) if old is None else old
         job.done_count += chunk.done.bit_count() - before.done.bit_count()
         job.failed_count += chunk.failed.bit_count() - before.failed.bit_count()
-        job.chunks[chunk.number] = chunk
+        if removed:
+            job.chunks.pop(chunk.number, None)
+        else:
+            job.chunks[chunk.number] = chunk
         for index in [i for i in job.retry or () if i // CHUNK_TASKS == chunk.number and job.is_over(i)]:
             job.over(index)
 
@@ -296,8 +325,10 @@
         attempt, host, began_s = place
         machine = self.machines.get(host)
         if machine is None:
-            # The machine's record is gone, and that is written only after its return was answered: the task went
-            # with it. That it was there before any task of it was written the leader's order of writes ensures.
+            # No rental names the machine, and its name is removed only after its return was answered: the task went
+            # with it. That it was there before any task of it was written the leader's order of writes ensures. If
+            # the machine is adopted again its return has to be confirmed again, and the task holds its place until
+            # then.
             return False
         if task is None:
             task = Task(job, index, attempt, machine, ASSIGNED, now_us, sent=(0, 0), inherited=True)
@@ -402,10 +433,10 @@
         machine.inherited = True
         machine.rented_here = not self.building
         self._read_return(machine)
-        for key, (value, stamp) in self._nowhere.pop(host, {}).items():
-            job_id, number = keys.split_chunk_key(key)
-            if job_id in self.jobs:
-                self._tasks(self.jobs[job_id], number, value, stamp, now_us)
+        for name in self._held.on_machine(host):
+            record = self._held.get(name)  # None: it was read with another of its job
+            if record is not None:
+                self._tasks_of(name, record, now_us)
 
     def _unname(self, host: str, now_us: int) -> None:
         """A rental names the machine no more; when none does, the machine is gone."""
@@ -416,6 +447,8 @@
             self._read_return(machine)
             return
         del self.machines[host]
+        for task in machine.tasks.values():
+            self._hold(task.job, task.job.chunk_of(task.index))
         for task in list(machine.tasks.values()):
             self._vanish(task, now_us)
             self._note(task.job)
@@ -472,7 +505,9 @@
         if key.startswith(keys.CHUNK_PREFIX):
             job_id, number = keys.split_chunk_key(key)
             job = self.jobs.get(job_id)
-            return key in self.orphans if job is None else self._says_tasks(job, number, value)
+            if job is None:
+                return key in self.orphans and self._value_on_machines(job_id, value) is None
+            return self._says_tasks(job, number, value)
         if key.startswith(keys.PAGE_PREFIX):
             if self.placements.page(key) != value:
                 return False
@@ -508,8 +543,7 @@
         job = self.jobs.get(job_id)
         if job is not None:
             return self._says_tasks(job, 0, value)
-        record = self._record_of(job_id) if "a" in value else None
-        return record is None or "spec" not in record
+        return self._value_on_machines(job_id, value) is None
 
     def _says_tasks(self, job: Job, number: int, value: dict[str, Any]) -> bool:
         known = job.chunks.get(number)
