A task that a removed record said is over waits again in a standby's picture too

Found by 12,000 drawn orders beside the suite's 1,200: of a cancelled job the record of the first tasks, of which one was done, is removed while another record still has a task on a machine. The follower went on without that task, a rebuild did not know that it was over. Nothing starts of a job that is cancelled, so no task was at stake.

--- a/src/tideusher/core/picture/picture.py
+++ b/src/tideusher/core/picture/picture.py
@@ -320,6 +320,10 @@
             job.chunks[chunk.number] = chunk
         for index in [i for i in job.retry or () if i // CHUNK_TASKS == chunk.number and job.is_over(i)]:
             job.over(index)
+        no_longer_over = (before.done | before.failed) & ~(chunk.done | chunk.failed)  # its record was removed
+        for bit in range(no_longer_over.bit_length()):
+            if no_longer_over >> bit & 1:
+                job.wait_again(chunk.number * CHUNK_TASKS + bit)
 
     def _appear(self, job: Job, index: int, place: tuple[int, str, int], task: Task | None, now_us: int) -> bool:
         attempt, host, began_s = place
--- a/src/tideusher/core/picture/records.py
+++ b/src/tideusher/core/picture/records.py
@@ -218,9 +218,13 @@
         """The task holds no place any more; unless done it waits again."""
         if self.live.get(task.index) is task:
             del self.live[task.index]
-            if not self.is_over(task.index) and task.index < self.spec.tasks and task.index < self.next_fresh:
-                self.retry = self.retry or set()
-                self.retry.add(task.index)
+            self.wait_again(task.index)
+
+    def wait_again(self, index: int) -> None:
+        """The task holds no place, or is not over any more: unless it is, it waits."""
+        if index not in self.live and not self.is_over(index) and index < min(self.spec.tasks, self.next_fresh):
+            self.retry = self.retry or set()
+            self.retry.add(index)
 
     def shrink(self, tasks: int) -> list[Task]:
         """Have fewer tasks from now on, the first ones; returns those beyond that still hold a place."""
--- a/tests/test_record_orders.py
+++ b/tests/test_record_orders.py
@@ -152,6 +152,7 @@
 @example([PAGE, ("cancelled", 0), NAMED, GONE, ("removed", (0, 0)), ADOPTED], 0)
 @example([NAMED, *CHUNKS, ("cancelled", 1), GONE, ADOPTED], 0)
 @example([NAMED, *CHUNKS, ("cancelled", 1), GONE, ("removed", (1, 0)), ADOPTED], 0)
+@example([("tasks", (1, 0), False, {0: "host-1"}, 1), CHUNKS[1], NAMED, ("cancelled", 1), ("removed", (1, 0))], 0)
 def test_a_standby_says_what_a_rebuild_says_after_any_order_of_records(steps, seed):
     """`seed` draws the order of the changes of one transaction, and which are followed only with the next."""
     records, rng = Records(), random.Random(seed)
