The audit of a picture, and the transitions of own machines, in modules of their own

picture.py held how records become a picture beside how one is compared with the records: the comparison is core/picture/audit.py, one function a kind of record. cluster.py held what only an embedded instance does: core/lead/own_machines.py. The fixture that stood in five test files stands in tests/conftest.py. Behaviour is as before.

--- a/src/tideusher/core/lead/cluster.py
+++ b/src/tideusher/core/lead/cluster.py
@@ -26,6 +26,7 @@
 from tideusher.core.decide.recovery import Recovery
 from tideusher.core.decide.starts import Kind, kind_of, refusal, zones_of_others
 from tideusher.core.decide.truth import Truth
+from tideusher.core.lead.own_machines import OwnMachines
 from tideusher.core.lead.renting import Renting
 from tideusher.core.picture import keys
 from tideusher.core.picture.pages import NULL, Pages, ReadValue
@@ -120,6 +121,7 @@
         self._types_value: Any = None
         self.failures = PassFailures()  # whoever drives passes may have one that outlives this picture
         self.renting = Renting(self, self.invariants, value_of)
+        self.own_machines = OwnMachines(self)
         self.rents: bool = True  # false: the machines are the program's own, and neither rented nor given back
         #: Own machines for which there may be a command: they are not waited for until they report.
         self.touched: dict[str, Machine] = {}
@@ -520,36 +522,6 @@
         self.rental_index.add(rental, name)
         return self.picture.add_machine(name, rental, now_us)
 
-    def own(self, machines: Iterable[tuple[str, str, str]], now_us: int) -> None:
-        """Machines that are there for good: (name, type, zone). They are known to nobody but this process."""
-        self.rents = False
-        for name, kind, zone in machines:
-            rental = Rental(f"own-{name}", kind, zone, False, 1, answered=True)
-            self.rentals[rental.name] = rental
-            self.add_machine(name, rental, now_us)
-
-    def withdraw(self, name: str, reason: str, grace_s: float) -> None:
-        """An own machine is not to be used any more: what runs there is stopped, and it leaves when all is gone."""
-        machine = self.machines.get(name)
-        if machine is None or machine.phase == RETURNING:
-            return
-        self.set_returning(machine, reason)
-        for task in list(machine.tasks.values()):
-            for member in list(task.job.live.values()) if task.job.is_gang else [task]:
-                self.halt(member, grace_s, reason)
-
-    def withdrawn(self, now_us: int) -> list[str]:
-        """Withdrawn machines on which nothing is any more: they are gone from now on."""
-        names = [m.name for m in self.machines.values() if m.phase == RETURNING and not m.tasks and not self.rents]
-        if names:
-            self.returned(names, now_us)
-        return names
-
-    def hear_own(self, now_us: int) -> None:
-        """Own machines live as long as their program: they are as good as heard at any moment."""
-        for machine in self.machines.values():
-            machine.reported_us = machine.own_us = now_us
-
     def set_types(self, types: Iterable[MachineType]) -> None:
         """Machine types became known or prices changed."""
         first = not self.picture.types
--- /dev/null
+++ b/src/tideusher/core/picture/audit.py
@@ -0,0 +1,149 @@
+"""Is a picture what the records say? Asked of what a standby followed, some records at a time."""
+
+from collections.abc import Iterable, Mapping
+from typing import Any, Protocol
+
+from tideusher.core.picture import keys
+from tideusher.core.picture.ledger import Ledger
+from tideusher.core.picture.placements import Placements
+from tideusher.core.picture.records import CHUNK_TASKS, OPEN, RETURNING, Job, Machine, read_chunk
+from tideusher.core.picture.rentals import Rental
+
+#: So many jobs of a page are named where it differs.
+JOBS_NAMED = 3
+
+
+class Pictured(Protocol):
+    """What of a picture is compared."""
+
+    jobs: dict[str, Job]
+    active: dict[str, Job]
+    machines: dict[str, Machine]
+    rentals: dict[str, Rental]
+    usage: dict[str, list[float]]
+    falls: dict[str, tuple[dict[str, Any], int]]
+    unsettled: dict[str, None]
+    orphans: dict[str, int]
+    stamps: dict[str, int]
+    ledger: Ledger
+    placements: Placements
+
+    @property
+    def types(self) -> Iterable[str]:
+        """The names of the machine types."""
+
+    @property
+    def teams(self) -> Iterable[str]:
+        """The names of the teams."""
+
+    def value_on_machines(self, job_id: str, tasks: dict[str, Any]) -> dict[str, Any] | None:
+        """The own record of a job with tasks on known machines, as far as it says what the job is."""
+
+
+def outline(picture: Pictured) -> dict[str, Any]:
+    """All that a record says, in plain values: the same for a follower and a rebuild, whatever came when."""
+    return {
+        "jobs": {
+            name: {
+                "status": job.status,
+                "stamp": job.stamp if job.status == OPEN else 0,  # of a final record none is kept
+                "tasks": job.spec.tasks,
+                "hold": job.hold,
+                "over": (job.done_count, job.failed_count),
+                "chunks": {n: (c.attempts, c.done, c.failed, c.stamp) for n, c in sorted(job.chunks.items())},
+                "live": {i: (t.attempt, t.machine.name, t.began_s) for i, t in sorted(job.live.items())},
+                "next": job.pick(CHUNK_TASKS),
+                "stops": job.stops,
+            }
+            for name, job in sorted(picture.jobs.items())
+        },
+        "active": sorted(picture.active),
+        "machines": {
+            name: (
+                machine.rental,
+                machine.phase == RETURNING,
+                (machine.cpus, machine.gpus, machine.ram_gb),
+                sorted(machine.tasks),
+                tuple(round(v, 6) for v in (machine.free_cpus, machine.free_gpus, machine.free_ram)),
+            )
+            for name, machine in sorted(picture.machines.items())
+        },
+        "rentals": {name: rental.value() for name, rental in sorted(picture.rentals.items())},
+        "usage": {team: [round(v, 6) for v in use] for team, use in picture.usage.items() if any(use)},
+        "types": sorted(picture.types),
+        "charged": {team: round(picture.ledger.charged(team), 3) for team in picture.teams},
+        "falls": sorted(picture.falls),
+        "unsettled": sorted(picture.unsettled),
+        "orphans": sorted(picture.orphans.items()),
+        "stamps": dict(sorted(picture.stamps.items())),
+    }
+
+
+def says(picture: Pictured, key: str, value: Any) -> bool:
+    """Does the picture say what this record says? What a forgotten transition would leave behind, it does not."""
+    if key.startswith(keys.CHUNK_PREFIX):
+        return _says_chunk(picture, key, value)
+    if key.startswith(keys.PAGE_PREFIX):
+        return picture.placements.page(key) == value and not _unlike_in_page(picture, key, value)
+    if key.startswith(keys.JOB_PREFIX):
+        return _says_job(picture, key[len(keys.JOB_PREFIX) :], value)
+    if key.startswith(keys.RENTAL_PREFIX):
+        return _says_rental(picture, key[len(keys.RENTAL_PREFIX) :], value)
+    return True
+
+
+def unlike(picture: Pictured, key: str, value: Any) -> str:
+    """What of a record the picture does not say: the key, and of a page the jobs with what it has of them."""
+    if not key.startswith(keys.PAGE_PREFIX) or picture.placements.page(key) != value:
+        return key
+    jobs = [f"{job_id} {value[job_id]}" for job_id in _unlike_in_page(picture, key, value)]
+    return f"{key} ({', '.join(jobs[:JOBS_NAMED])})"
+
+
+def _says_job(picture: Pictured, job_id: str, value: dict[str, Any]) -> bool:
+    job = picture.jobs.get(job_id)
+    if job is None:
+        return value["st"] != OPEN
+    return job.status == value["st"] and (job.status != OPEN or job.spec.tasks == value["spec"]["pieces"])
+
+
+def _says_rental(picture: Pictured, name: str, value: dict[str, Any]) -> bool:
+    rental = picture.rentals.get(name)
+    if rental is None:
+        return False
+    known = rental.answered, rental.machines, rental.returning
+    if known != (value["answered"], value["machines"], value["returning"]):
+        return False
+    return all(host in picture.machines for host in rental.machines)
+
+
+def _unlike_in_page(picture: Pictured, key: str, value: dict[str, Any]) -> list[str]:
+    """The jobs of the page of which the picture says something else."""
+    here = [job_id for job_id in value if picture.placements.is_in(job_id, key)]
+    return [job_id for job_id in here if not _says_shared(picture, job_id, value[job_id])]
+
+
+def _says_chunk(picture: Pictured, key: str, value: dict[str, Any]) -> bool:
+    job_id, number = keys.split_chunk_key(key)
+    job = picture.jobs.get(job_id)
+    if job is None:
+        return key in picture.orphans and picture.value_on_machines(job_id, value) is None
+    return _says_tasks(job, number, value, picture.machines)
+
+
+def _says_shared(picture: Pictured, job_id: str, value: dict[str, Any]) -> bool:
+    job = picture.jobs.get(job_id)
+    if job is not None:
+        return _says_tasks(job, 0, value, picture.machines)
+    return picture.value_on_machines(job_id, value) is None
+
+
+def _says_tasks(job: Job, number: int, value: dict[str, Any], machines: Mapping[str, Machine]) -> bool:
+    known = job.chunks.get(number)
+    chunk, places = read_chunk(number, value, 0)
+    over = (chunk.attempts, chunk.done, chunk.failed)
+    if known is None or (known.attempts, known.done, known.failed) != over:
+        return False
+    span = range(number * CHUNK_TASKS, (number + 1) * CHUNK_TASKS)
+    live = {i: (t.attempt, t.machine.name) for i in span if (t := job.live.get(i)) is not None}
+    return live == {i: place[:2] for i, place in places.items() if place[1] in machines}
--- a/src/tideusher/core/picture/picture.py
+++ b/src/tideusher/core/picture/picture.py
@@ -15,7 +15,7 @@
 
 from tideusher.clock import to_us
 from tideusher.config import Config, Policy, Team
-from tideusher.core.picture import keys
+from tideusher.core.picture import audit, keys
 from tideusher.core.picture.arrivals import Arrivals
 from tideusher.core.picture.held_records import HeldRecord, HeldRecords, RecordName
 from tideusher.core.picture.ledger import Ledger
@@ -40,8 +40,6 @@
 from tideusher.wire.cloud import MachineType
 from tideusher.wire.jobs import JobSpec
 
-#: So many jobs of a page are named where it differs.
-JOBS_NAMED = 3
 RecordOf = Callable[[str], dict[str, Any] | None]
 
 #: Records whose change means nothing to another one: the rest must come in this order in a rebuild.
@@ -259,7 +257,7 @@
 
         It was cancelled, or its own record has not been seen yet.
         """
-        value = self._value_on_machines(job_id, record.value)
+        value = self.value_on_machines(job_id, record.value)
         if value is None:
             return None
         job = self.new_job(job_id, value, record.stamp, now_us)
@@ -268,7 +266,7 @@
         self._read_held(job, now_us)
         return job
 
-    def _value_on_machines(self, job_id: str, tasks: dict[str, Any]) -> dict[str, Any] | None:
+    def value_on_machines(self, job_id: str, tasks: dict[str, Any]) -> dict[str, Any] | None:
         """The own record of a job with tasks on known machines, as far as it says what the job is."""
         if not any(place[1] in self.machines for place in tasks.get("a", {}).values()):
             return None
@@ -468,96 +466,16 @@
 
     def outline(self) -> dict[str, Any]:
         """All that a record says, in plain values: the same for a follower and a rebuild, whatever came when."""
-        return {
-            "jobs": {
-                name: {
-                    "status": job.status,
-                    "stamp": job.stamp if job.status == OPEN else 0,  # of a final record none is kept
-                    "tasks": job.spec.tasks,
-                    "hold": job.hold,
-                    "over": (job.done_count, job.failed_count),
-                    "chunks": {n: (c.attempts, c.done, c.failed, c.stamp) for n, c in sorted(job.chunks.items())},
-                    "live": {i: (t.attempt, t.machine.name, t.began_s) for i, t in sorted(job.live.items())},
-                    "next": job.pick(CHUNK_TASKS),
-                    "stops": job.stops,
-                }
-                for name, job in sorted(self.jobs.items())
-            },
-            "active": sorted(self.active),
-            "machines": {
-                name: (
-                    machine.rental,
-                    machine.phase == RETURNING,
-                    (machine.cpus, machine.gpus, machine.ram_gb),
-                    sorted(machine.tasks),
-                    tuple(round(v, 6) for v in (machine.free_cpus, machine.free_gpus, machine.free_ram)),
-                )
-                for name, machine in sorted(self.machines.items())
-            },
-            "rentals": {name: rental.value() for name, rental in sorted(self.rentals.items())},
-            "usage": {team: [round(v, 6) for v in use] for team, use in self.usage.items() if any(use)},
-            "types": sorted(self.types),
-            "charged": {team: round(self.ledger.charged(team), 3) for team in self.teams},
-            "falls": sorted(self.falls),
-            "unsettled": sorted(self.unsettled),
-            "orphans": sorted(self.orphans.items()),
-            "stamps": dict(sorted(self.stamps.items())),
-        }
+        return audit.outline(self)
 
     def says(self, key: str, value: Any) -> bool:
-        """Does the picture say what this record says? What a forgotten transition would leave behind, it does not."""
-        if key.startswith(keys.CHUNK_PREFIX):
-            job_id, number = keys.split_chunk_key(key)
-            job = self.jobs.get(job_id)
-            if job is None:
-                return key in self.orphans and self._value_on_machines(job_id, value) is None
-            return self._says_tasks(job, number, value)
-        if key.startswith(keys.PAGE_PREFIX):
-            if self.placements.page(key) != value:
-                return False
-            here = [job_id for job_id in value if self.placements.is_in(job_id, key)]
-            return all(self._says_shared(job_id, value[job_id]) for job_id in here)
-        if key.startswith(keys.JOB_PREFIX):
-            job = self.jobs.get(key[len(keys.JOB_PREFIX) :])
-            if job is None:
-                return value["st"] != OPEN
-            return job.status == value["st"] and (job.status != OPEN or job.spec.tasks == value["spec"]["pieces"])
-        if key.startswith(keys.RENTAL_PREFIX):
-            rental = self.rentals.get(key[len(keys.RENTAL_PREFIX) :])
-            if rental is None:
-                return False
-            if (rental.answered, rental.machines, rental.returning) != (
-                value["answered"],
-                value["machines"],
-                value["returning"],
-            ):
-                return False
-            return all(host in self.machines for host in rental.machines)
-        return True
+        """Does the picture say what this record says?"""
+        return audit.says(self, key, value)
 
     def unlike(self, key: str, value: Any) -> str:
-        """What of a record the picture does not say: the key, and of a page the jobs with what it has of them."""
-        if not key.startswith(keys.PAGE_PREFIX) or self.placements.page(key) != value:
-            return key
-        here = [job_id for job_id in value if self.placements.is_in(job_id, key)]
-        jobs = [f"{job_id} {value[job_id]}" for job_id in here if not self._says_shared(job_id, value[job_id])]
-        return f"{key} ({', '.join(jobs[:JOBS_NAMED])})"
-
-    def _says_shared(self, job_id: str, value: dict[str, Any]) -> bool:
-        job = self.jobs.get(job_id)
-        if job is not None:
-            return self._says_tasks(job, 0, value)
-        return self._value_on_machines(job_id, value) is None
-
-    def _says_tasks(self, job: Job, number: int, value: dict[str, Any]) -> bool:
-        known = job.chunks.get(number)
-        chunk, places = read_chunk(number, value, 0)
-        over = (chunk.attempts, chunk.done, chunk.failed)
-        if known is None or (known.attempts, known.done, known.failed) != over:
-            return False
-        span = range(number * CHUNK_TASKS, (number + 1) * CHUNK_TASKS)
-        live = {i: (t.attempt, t.machine.name) for i in span if (t := job.live.get(i)) is not None}
-        return live == {i: place[:2] for i, place in places.items() if place[1] in self.machines}
+        """What of a record the picture does not say, for the log."""
+        return audit.unlike(self, key, value)
+
 
 
 def in_order(names: Iterable[str]) -> list[str]:
--- a/src/tideusher/embed/instance.py
+++ b/src/tideusher/embed/instance.py
@@ -273,7 +273,7 @@
         """Use a machine no more: what runs there is told to stop, and starts elsewhere once it has. Repeatable."""
         with self._changed:
             self._usable()
-            self._engine.cluster.withdraw(machine, reason, grace_s)
+            self._engine.cluster.own_machines.withdraw(machine, reason, grace_s)
         self._wake.set()
 
     def machines(self) -> list[str]:
@@ -346,7 +346,7 @@
 
     def _own(self, card: Card, now_us: int) -> None:
         cluster = self._engine.cluster
-        cluster.own([(card.machine, card.kind, card.zone)], now_us)
+        cluster.own_machines.add([(card.machine, card.kind, card.zone)], now_us)
         cluster.machines[card.machine].images["program"] = 0.0
         cluster.touched[card.machine] = cluster.machines[card.machine]
         self._machines[card.machine] = LocalMachine(card, self._kinds[card.kind], self._spec_of)
@@ -476,7 +476,7 @@
             self._gathered_us = now_us
             engine.cluster.gather(now_us)
         told = self._digest(now_us)
-        engine.cluster.hear_own(now_us)
+        engine.cluster.own_machines.hear(now_us)
         more = engine.tick(now_us)
         while more:
             more = engine.go_on()
@@ -493,7 +493,7 @@
             told = self._digest(now_us) if left else []
             if not told:
                 break
-        for name in engine.cluster.withdrawn(now_us):
+        for name in engine.cluster.own_machines.leave(now_us):
             del self._machines[name]
         engine.orders()  # what goes to machines directly went with their reports
         try:
--- a/tests/test_compound_faults.py
+++ b/tests/test_compound_faults.py
@@ -23,11 +23,6 @@
 from tideusher.wire.workers import Report, TaskReport
 
 
-@pytest.fixture
-def bed():
-    return Bed()
-
-
 def poll(sim, spec, node=None):
     got = []
     sim.time.spawn(lambda: got.append(sim.poll(spec.id, node)))
--- a/tests/test_conditions.py
+++ b/tests/test_conditions.py
@@ -18,11 +18,6 @@
 from tideusher.wire.state import Put
 
 
-@pytest.fixture
-def bed():
-    return Bed()
-
-
 def status(bed, spec):
     return bed.state.record_of(spec.id)["st"]
 
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -7,8 +7,7 @@
 import pytest
 from click.testing import CliRunner
 
-from standins import TYPE, FakeClock, StateStandIn, job, make_config
-from test_invariants import Bed
+from standins import TYPE, Bed, FakeClock, StateStandIn, job, make_config
 from tideusher.actors.gateway import Gateway
 from tideusher.actors.leader import Leader
 from tideusher.actors.replies import Reply
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -1,19 +1,13 @@
 """One test per safety invariant of docs/safety.md; each fails when its guard is taken out."""
 
-import pytest
 
-from standins import Bed, job
+from standins import job
 from tideusher.core.lead.reports import Reports
 from tideusher.core.picture import keys
 from tideusher.core.picture.records import ASSIGNED, CHUNK_TASKS, COMMITTING, JOB_CANCELLED, JOB_DONE, RETURNING
 from tideusher.wire.workers import Report
 
 
-@pytest.fixture
-def bed() -> Bed:
-    return Bed()
-
-
 def ops(commands):
     return [(c.op, c.task, c.attempt) for c in commands]
 
--- a/tests/test_leader_faults.py
+++ b/tests/test_leader_faults.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from standins import Bed, job
+from standins import job
 from tideusher.actors.store import Store
 from tideusher.clock import to_us
 from tideusher.core.decide import bounds, hearing
@@ -18,11 +18,6 @@
 from tideusher.wire.workers import Report, TaskReport, halt
 
 
-@pytest.fixture
-def bed():
-    return Bed()
-
-
 def ops(commands):
     return [(one.op, one.task, one.attempt) for one in commands]
 
--- a/tests/test_run_time_invariants.py
+++ b/tests/test_run_time_invariants.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from standins import Bed, job
+from standins import job
 from tideusher.actors.leader import Leader
 from tideusher.core.decide.fleet import Wish
 from tideusher.core.decide.starts import Kind, Refusal, refusal, zones_of_others
@@ -16,11 +16,6 @@
 breaks_invariants = pytest.mark.breaks_invariants
 
 
-@pytest.fixture
-def bed():
-    return Bed()
-
-
 def broken(cluster):
     """Breaches so far, by rule."""
     counts = cluster.metrics.counts
