Red: a link's loop, an actor's loop, and a list of the cloud that names machines twice

Three more twins, found by reading what is touched here: the loop of a link between controllers and the loop of an actor end with an exception that they do not expect, each for good; a list of the cloud that names stopped machines twice counts them twice in a fall, whose names on record then never end.

--- a/tests/test_background_calls.py
+++ b/tests/test_background_calls.py
@@ -15,16 +15,21 @@
 import msgspec
 import pytest
 from gevent.event import AsyncResult
+from gevent.server import StreamServer
 
 from standins import FakeClock, job, make_config
 from tideusher.actors import halts as halts_module
+from tideusher.actors.base import Actor
 from tideusher.actors.cloud import Cloud
 from tideusher.actors.halts import CALLED_AGAIN_US, HaltsForOthers
+from tideusher.actors.peers import Link
+from tideusher.config import Peer
 from tideusher.core.lead.cluster import Direct
 from tideusher.core.picture import keys
 from tideusher.metrics import Metrics
 from tideusher.wire import cloud as cloud_wire
 from tideusher.wire import workers
+from tideusher.wire.peers import Hello, frame
 from tideusher.wire.workers import halt
 
 DEEP = b'{"x":' + b"[" * 100_000
@@ -283,3 +288,41 @@
     assert "Traceback" not in caplog.text and "failed" not in caplog.text
     assert leader._engine is engine and not leader._sending
     assert all(task.job.live.get(task.index) is not task for task in tasks)
+
+
+def test_a_link_on_which_something_unexpected_is_said_is_made_again():
+    """The link's loop ended with it: the controllers did not hear one another until one of them was started anew."""
+    heard = AsyncResult()
+    server = StreamServer(("127.0.0.1", 0), lambda sock, address: sock.sendall(frame(Hello("n1", True))))
+    server.start()
+    told = []
+
+    def hear(name, said):
+        told.append(said)
+        if len([one for one in told if one is not None]) == 1:
+            raise KeyError("planted")
+        if said is not None:
+            heard.set(said)
+
+    peer = Peer("n1", "a", f"127.0.0.1:{server.server_port}")
+    link = Link(peer, lambda: Hello("n0", True), FakeClock(), hear)
+    link.start()
+    assert heard.get(timeout=20.0).node == "n1"
+    server.stop()
+
+
+def test_an_actor_goes_on_when_what_it_does_about_a_failure_fails():
+    class Failing(Actor):
+        def on_break(self):
+            raise KeyError("planted")
+
+        def on_ask(self):
+            return "here"
+
+        def failed(self, message, error):
+            raise ValueError("planted too")
+
+    actor = Failing("failing")
+    actor.start()
+    actor.tell("break")
+    assert actor.ask("ask").get(timeout=20.0) == "here"
--- a/tests/test_two_rentals.py
+++ b/tests/test_two_rentals.py
@@ -21,9 +21,11 @@
 
 from standins import Bed, job, make_config
 from tideusher.config import Policy
+from tideusher.core.decide.falls import MANY
 from tideusher.core.picture import keys
 from tideusher.core.picture.picture import Picture
 from tideusher.core.picture.records import RETURNING
+from tideusher.wire.cloud import FAILED, Listed
 from tideusher.wire.state import Delete, Put
 
 OWNER, ADOPTION = "1-1", "adopted-host-1"
@@ -195,6 +197,21 @@
     assert [text for text in caplog.messages if "host-1 twice" in text]
 
 
+def test_a_list_of_the_cloud_that_names_machines_twice_counts_each_once():
+    """Of machines that fell together the names are on record until each is returned. One named twice stayed there."""
+    bed = Bed()
+    hosts = [f"host-{number}" for number in range(MANY + 1)]
+    for host in hosts:
+        bed.report(host, 1)
+    listing = [Listed(host, host, "m4", "a", False, FAILED, 5.0) for host in [*hosts, *hosts]]
+    bed.cluster.listed(listing, bed.clock.now_us())
+    (fall,) = bed.cluster.recovery.falls.values()
+    assert fall.machines == len(hosts)
+    return_all(bed)
+    assert not bed.cluster.machines and not fall.parts
+    assert keys.fall_key(fall.name, 1) not in bed.state.items
+
+
 # ---------------------------------------------------------------- what a standby follows
 
 HOSTS = ("host-1", "host-2")
