The loops of links and of actors go on whatever ends in them; a machine listed twice counts once

Causes: the link's loop named three kinds of exception and ended with any other, so two controllers did not hear one another until one was started anew; an actor's loop ended when what it does about a failed message failed; the cloud's list was taken in item by item, and a fall counted a machine as often as it was named, while its return took the name off the record once.

--- a/src/tideusher/actors/base.py
+++ b/src/tideusher/actors/base.py
@@ -64,7 +64,7 @@
                 result = getattr(self, "on_" + message)(*args)
             except Exception as error:
                 self.log.exception("message %s failed", message)
-                self.failed(message, error)
+                self._guarded(self.failed, message, error)
                 if answer is not None:
                     answer.set_exception(error)
                 continue
--- a/src/tideusher/actors/peers.py
+++ b/src/tideusher/actors/peers.py
@@ -21,6 +21,8 @@
 HEARTBEAT_S = 0.5
 SILENCE_US = to_us(1.8)
 REQUEST_S = 1.0
+#: A link that ended is made anew after this time.
+RECONNECT_S = 0.3
 
 #: What may wait to be sent on one connection. A report that finds more waiting is answered by its
 #: gateway alone, at once: behind a cut it would be too late anyway.
@@ -135,33 +137,44 @@
 
     def _run(self) -> None:
         while True:
-            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
             try:
-                with gevent.Timeout(1.0):
-                    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-                    sock.connect(split_address(self.peer.address))
-                self._outbox, self._was_up, self.refused_us = Outbox(sock), True, None
-                beat = gevent.spawn(self._beat, self._outbox)
-                try:
-                    self._read(sock)
-                finally:
-                    beat.kill(block=False)
-            except (OSError, gevent.Timeout, wire.FrameError) as error:
-                self.log.debug("link to %s: %s", self.peer.name, error)
-                if not isinstance(error, ConnectionRefusedError):
-                    self.refused_us = None
-                elif self._was_up and self.refused_us is None:
-                    self.refused_us = self._clock.now_us()
+                self._connect()
+            except Exception:
+                self.log.exception("the link to %s is made anew", self.peer.name)
+            gevent.sleep(RECONNECT_S)
+
+    def _connect(self) -> None:
+        """Connect, and read what the peer says until the connection ends."""
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            with gevent.Timeout(1.0):
+                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                sock.connect(split_address(self.peer.address))
+            self._outbox, self._was_up, self.refused_us = Outbox(sock), True, None
+            beat = gevent.spawn(self._beat, self._outbox)
+            try:
+                self._read(sock)
             finally:
-                if self.said is not None:
-                    self._tell(self.peer.name, None)
-                self._outbox = self.said = None
-                self._heard_us = None
-                self.in_contact = False
-                sock.close()
-                for result in list(self._open.values()):
-                    result.set(None)
-            gevent.sleep(0.3)
+                beat.kill(block=False)
+        except (OSError, gevent.Timeout, wire.FrameError) as error:
+            self.log.debug("link to %s: %s", self.peer.name, error)
+            if not isinstance(error, ConnectionRefusedError):
+                self.refused_us = None
+            elif self._was_up and self.refused_us is None:
+                self.refused_us = self._clock.now_us()
+        finally:
+            self._end(sock)
+
+    def _end(self, sock: socket.socket) -> None:
+        """The connection is over: nothing that the peer said on it holds any more."""
+        said, self.said = self.said, None
+        self._outbox = self._heard_us = None
+        self.in_contact = False
+        sock.close()
+        for result in list(self._open.values()):
+            result.set(None)
+        if said is not None:
+            self._tell(self.peer.name, None)
 
     def _beat(self, outbox: Outbox) -> None:
         while True:
--- a/src/tideusher/core/lead/cluster.py
+++ b/src/tideusher/core/lead/cluster.py
@@ -646,7 +646,7 @@
         """The cloud's (lagging) list: failed machines are returned, unknown ones adopted in time."""
         self.health.surveyed(now_us)
         failed: dict[str, list[tuple[Machine, str]]] = {}
-        for item in listing:
+        for item in {item.name: item for item in listing}.values():
             stopped = self.failures.take_in(
                 f"listed machine {item.name}", now_us, partial(self._listed, item, now_us)
             )
