The rental index names a machine once in its rental, also one that stands there already

A test gave a rental its machine's name beforehand; the record named it twice then, and a return took one away.

--- a/src/tideusher/core/picture/rentals.py
+++ b/src/tideusher/core/picture/rentals.py
@@ -70,10 +70,10 @@
 
     def add(self, rental: Rental, machine: str) -> None:
         """The rental names the machine from now on."""
-        asked = self.return_asked(machine)
-        rental.machines.append(machine)
-        if asked:
+        if self.return_asked(machine) and machine not in rental.returning:
             rental.returning.append(machine)
+        if machine not in rental.machines:
+            rental.machines.append(machine)
         self._link(rental, machine)
 
     def remove(self, rental: Rental, machine: str) -> None:
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -194,7 +194,7 @@
     region = Region(a=2, b=0, boot_s=20.0)
     wide = job("gang", 1, cpus=16.0, gpus=4.0, ram_gb=60.0, team="poor", priority="urgent")
     cluster, clock = region.cluster, region.clock
-    rental = cluster.rentals["1-900"] = Rental("1-900", TYPE.name, "a", False, 1, True, ["host-900"])
+    rental = cluster.rentals["1-900"] = Rental("1-900", TYPE.name, "a", False, 1, True)
     late = cluster.add_machine("host-900", rental, clock.now_us())
     for number in range(4):
         young = Machine(f"host-95{number}", TYPE.name, "a", False, "r", 16, 4, 64, clock.now_us() + SECOND_US)
