Review: a start after a confirmed cancellation

Cause: a leader that alone is refused by the state service answers a report with a start of a job that was cancelled meanwhile.

--- a/review/common/world.py
+++ b/review/common/world.py
@@ -302,6 +302,7 @@
     status: str
     why: str | None = None
     until: float = 0.0  # when the fetch or the run ends
+    report_at: float | None = None  # when the report was sent whose answer started it, by the record's clock
 
     def line(self) -> dict[str, Any]:
         more = {"cause": self.why} if self.why else {}
@@ -399,7 +400,9 @@
             if time.monotonic() - sent_at > 4.0:
                 return
             self.helm, self.answered_at = answer["helm"], max(self.answered_at, sent_at)
-            self._execute(answer.get("orders", []), f"answer of {node}, helm {answer['helm']}")
+            report_at = self.world.record.now() - (time.monotonic() - sent_at)
+            source = f"answer of {node} to the report of {report_at:.3f}, helm {answer['helm']}"
+            self._execute(answer.get("orders", []), source, report_at)
 
     def _direct(self, method: str, path: str, body: bytes) -> Answer:
         with self.lock:
@@ -414,21 +417,21 @@
                 self._execute(message.get("orders", []), f"direct command, helm {message['helm']}")
             return 200, self._report()
 
-    def _execute(self, orders: list[dict[str, Any]], source: str) -> None:
+    def _execute(self, orders: list[dict[str, Any]], source: str, report_at: float | None = None) -> None:
         for order in orders:
             key = (order["piece"], order["launch"])
             self.world.record.write(self.name, f"{source}: {order['order']} {key[0]} launch {key[1]}")
             attempt = self.tasks.get(key)
             if order["order"] == "run" and attempt is None:
-                self._begin(*key)
+                self._begin(*key, report_at)
             elif order["order"] == "halt" and attempt is not None and attempt.status != "exited":
                 self._exit(attempt, "stopped")
             elif order["order"] == "forget" and attempt is not None and attempt.status == "exited":
                 del self.tasks[key]
 
-    def _begin(self, piece: str, launch: int) -> None:
+    def _begin(self, piece: str, launch: int, report_at: float | None) -> None:
         job = self.world.jobs.get(piece.rpartition("/")[0])
-        attempt = self.tasks[piece, launch] = Attempt(piece, launch, "pulling")
+        attempt = self.tasks[piece, launch] = Attempt(piece, launch, "pulling", report_at=report_at)
         others = [a for a in self.tasks.values() if a is not attempt and a.status != "exited"]
         if job is None:
             self._exit(attempt, "unknown")
@@ -588,6 +591,7 @@
     launch: int
     machine: str
     began_at: float
+    report_at: float | None = None  # when the report was sent whose answer started it
     left_at: float | None = None
 
 
@@ -714,7 +718,7 @@
 
     def began(self, worker: Worker, attempt: Attempt) -> None:
         with self._lock:
-            self.placed.append(Placed(attempt.piece, attempt.launch, worker.name, self.record.now()))
+            self.placed.append(Placed(attempt.piece, attempt.launch, worker.name, self.record.now(), attempt.report_at))
         self.record.write(worker.name, f"{attempt.piece} launch {attempt.launch} is on the machine")
 
     def left(self, worker: Worker, attempt: Attempt, why: str) -> None:
