--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec python3 "$(dirname "$0")/case.py"
--- a/review/common/world.py
+++ b/review/common/world.py
@@ -320,6 +320,8 @@
         self.images: dict[str, float] = {}  # when each is there
         self.gone = False
         self.report_now = threading.Event()
+        #: True: it fails every task that it starts.
+        self.faulty = False
         #: The time of the next report, set by a case; None: `report_s`, give or take a quarter.
         self.next_report_at: float | None = None
         self.last_report_at = 0.0
@@ -360,7 +362,8 @@
 
     def _report_for_ever(self) -> None:
         nodes = self.world.nodes
-        number = next(i for i, node in enumerate(nodes) if node.zone == self.zone)
+        near = [i for i, node in enumerate(nodes) if node.zone == self.zone]
+        number = nodes.index(self.world.near) if self.world.near in nodes else near[0]
         while not self.gone:
             with self.lock:
                 report, self.last_report_at = self._report(), time.monotonic()
@@ -385,13 +388,15 @@
                 number = (number + 1) % len(nodes)
                 time.sleep(1.0)
                 continue
-            wait = self.world.report_s * random.uniform(0.75, 1.25)
-            until = self.last_report_at + wait
-            if self.next_report_at is not None:
-                until, self.next_report_at = self.next_report_at, None
-            elif self.report_now.wait(max(0.0, until - time.monotonic())):
-                until = max(time.monotonic(), self.last_report_at + 0.5)
-            time.sleep(max(0.0, until - time.monotonic()))
+            until = self.last_report_at + self.world.report_s * random.uniform(0.75, 1.25)
+            while not self.gone:
+                due = until if self.next_report_at is None else self.next_report_at
+                if self.report_now.is_set() and self.next_report_at is None:
+                    due = min(due, self.last_report_at + 0.5)
+                if time.monotonic() >= due:
+                    break
+                time.sleep(0.005)
+            self.next_report_at = None
 
     def _take(self, answer: dict[str, Any], report: dict[str, Any], sent_at: float, node: str) -> None:
         with self.lock:
@@ -464,6 +469,8 @@
             attempt.until = now if done_before else now + run_s
             self.world.began(self, attempt)
             self.report_now.set()
+            if self.faulty:
+                self._exit(attempt, "error")
         if attempt.status == "running" and job["shape"] != "service" and now >= attempt.until:
             self.world.results.add(attempt.piece)
             self._exit(attempt, "done")
@@ -509,6 +516,7 @@
 
     def _rent(self, request: dict[str, Any]) -> Answer:
         name = request["charter"]
+        self._world.rentals += 1
         if name not in self._rentals:
             left = self._world.machines_most - (len(self._machines) - len(self._gone_at))
             if left <= 0:
@@ -517,6 +525,7 @@
             for _ in range(min(request["count"], left)):
                 machine = f"host-{len(self._machines) + 1:06d}"
                 worker = Worker(self._world, machine, request["harbor"], request["loaned"])
+                worker.faulty = len(self._machines) < self._world.faulty_first
                 self._machines[machine] = (worker, time.monotonic())
                 names.append(machine)
                 threading.Timer(self._world.boot_s, self._boot, (worker,)).start()
@@ -621,6 +630,7 @@
     gpus_max: float
     state_next: str = ""
     machines_most: int = 8
+    faulty_first: int = 0  # the first so many machines fail every task that they start
     nodes: list[Node] = field(default_factory=list)
     workers: dict[str, Worker] = field(default_factory=dict)
     jobs: dict[str, dict[str, Any]] = field(default_factory=dict)
@@ -628,6 +638,9 @@
     results: set[str] = field(default_factory=set)
     placed: list[Placed] = field(default_factory=list)
     ended: bool = False
+    rentals: int = 0  # requests for rentals
+    #: The controller that workers report to first; None: the first one of their zone.
+    near: Node | None = None
 
     def __post_init__(self) -> None:
         self._lock = threading.Lock()
@@ -669,7 +682,8 @@
             f'host_name = "{node.name}"\nsite = "{node.zone}"\nbind = "{node.bind}"\n'
             f'cluster_listen = "{node.peer_bind}"\n\n{peers}'
             f'[endpoints]\ncloud = "{self.cloud_address}"\nstate = "{self.state.address_for(node.name)}"\n\n'
-            f"[settings]\nsize = {len(self.nodes)}\nzones = {json.dumps(sorted(self.zones))}\nclock_off_ms = 1000.0\n\n"
+            f"[settings]\nsize = {len(self.nodes)}\nzones = {json.dumps(sorted(self.zones))}\n"
+            "clock_off_ms = 1000.0\n\n"
             f"{teams}"
             f"[settings.workers]\nreport_s = {self.report_s}\nlease_s = {self.lease_s}\n"
             f"gang_wait_s = {self.gang_wait_s}\ngang_peer_s = {self.gang_peer_s}\ncancel_s = {self.cancel_s}\n\n"
@@ -718,7 +732,9 @@
 
     def began(self, worker: Worker, attempt: Attempt) -> None:
         with self._lock:
-            self.placed.append(Placed(attempt.piece, attempt.launch, worker.name, self.record.now(), attempt.report_at))
+            self.placed.append(
+                Placed(attempt.piece, attempt.launch, worker.name, self.record.now(), attempt.report_at)
+            )
         self.record.write(worker.name, f"{attempt.piece} launch {attempt.launch} is on the machine")
 
     def left(self, worker: Worker, attempt: Attempt, why: str) -> None:
@@ -852,7 +868,8 @@
 def play(folder: Path, case: Callable[[Record, bool], int]) -> None:
     """Runs a case within 120 s and exits with its result; `TROUBLE=0` leaves the disruption out."""
     record, trouble = Record(folder / "record.txt"), os.environ.get("TROUBLE", "1") != "0"
-    signal.signal(signal.SIGALRM, _out_of_time)
+    for number in (signal.SIGALRM, signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, _out_of_time)
     signal.alarm(117)
     try:
         result = case(record, trouble)
@@ -870,12 +887,19 @@
 
 
 def _out_of_time(number: int, frame: Any) -> None:
-    raise CouldNotRun("out of time")
+    raise CouldNotRun(f"out of time, or ended by signal {number}")
 
 
 def service(ref: str, team: str, **changes: Any) -> dict[str, Any]:
     """A service of one replica, as a user submits it."""
-    return {**array(ref, team, 1), "jobclass": "live", "shape": "service", "rank": "critical", "expect_s": 0.0, **changes}
+    return {
+        **array(ref, team, 1),
+        "jobclass": "live",
+        "shape": "service",
+        "rank": "critical",
+        "expect_s": 0.0,
+        **changes,
+    }
 
 
 def array(ref: str, team: str, pieces: int, **changes: Any) -> dict[str, Any]:
