No task starts after its user was told of the cancellation

Cause: a cancellation beats each start that is committed after it. A start that was committed before and is yet to be told was bound by how soon the leader reads: up to (cancel_s - lease_s) x 0.95 - 1 s for a leader that is refused, some 100 ms in calm. A shorter bound alone does not mend it: whatever the leader has read, a cancellation may be stored and told a moment later. Change: both sides agree on a time (core/decide/start_lease.py). A leader puts `run` into an answer only on a read sent at most 2 s ago that shows it as the leader and the job as open, and not while it has promised to withhold the job's starts. The controller that confirms stores the cancellation guarded by the leader's key, and tells its user once that leader has promised and has led for 2.1 s, or once 2.1 s have passed (actors/confirmations.py). The request for the promise goes out before the transaction. All answers that tell of a cancellation wait for the same.

--- a/src/tideusher/actors/leader.py
+++ b/src/tideusher/actors/leader.py
@@ -19,6 +19,7 @@
 from tideusher.core.decide import reachability
 from tideusher.core.decide.bounds import may_answer
 from tideusher.core.decide.pass_failures import PassFailures, Remedy
+from tideusher.core.decide.start_lease import WithheldStarts, start_lease_valid
 from tideusher.core.decide.succession import Candidate, TimerLag, all_read_pages
 from tideusher.core.lead import explain
 from tideusher.core.lead.cluster import Cluster
@@ -30,7 +31,7 @@
 from tideusher.core.model import keys
 from tideusher.core.model.cluster_state import ClusterState
 from tideusher.core.model.contacts import LocalContacts, WorkerContacts
-from tideusher.core.model.records import RETURNING, Machine
+from tideusher.core.model.records import OPEN, RETURNING, Machine
 from tideusher.core.model.rentals import Rental
 from tideusher.core.model.write_queue import Batch
 from tideusher.invariants import Invariants, Rule
@@ -89,6 +90,7 @@
         self._tokens: list[int] = []  # of the last two leaderships, ours or not
         self._engine_count = 0  # number of engines that this process has run
         self._last_token = 0  # token of the last engine
+        self._withheld_starts = WithheldStarts()
         self._failures, self._invariants = PassFailures(), Invariants(metrics)
         self._pending_phases: list[str] = []  # phases of our takeover that are not finished yet
         #: Smoothed delay of this process's timers.
@@ -133,6 +135,10 @@
         """Sets the table of the workers' last contact with each controller."""
         self._contacts = contacts
 
+    def withhold_starts(self, job: str) -> None:
+        """Starts no task of a job for a time, under any token: its user cancels it at another controller or here."""
+        self._withheld_starts.withhold(job, self._clock.now_us())
+
     def receive_soft_state(self, soft: SoftState) -> None:
         """Keeps the newest soft state that a leader reported: what no record holds."""
         self._received_soft_state = newer(self._received_soft_state, soft, self._clock.now_us())
@@ -487,10 +493,32 @@
         if report.token > engine.token:
             return None
         commands = self._failures.apply_input(
-            f"report of {report.machine}", now_us, lambda: engine.reports.answer(report, now_us)
+            f"report of {report.machine}",
+            now_us,
+            lambda: engine.reports.answer(report, now_us, lambda job: self._may_start(engine, job, now_us)),
         )
         return workers.Commands(engine.token, commands) if commands is not None else None
 
+    def _may_start(self, engine: Engine, job: str, now_us: int) -> bool:
+        """True if tasks of the job may be started by the answer to a report that came before `now_us`.
+
+        The mirror decides, and not the cluster state: that may not have applied yet what the newest read showed.
+        """
+        why = self._start_refusal(engine, job, now_us)
+        if why:
+            self._metrics.count("starts_withheld", why)
+        return not why
+
+    def _start_refusal(self, engine: Engine, job: str, now_us: int) -> str:
+        record = self._record_of(job)
+        if not start_lease_valid(self._store.contact_us, now_us):
+            return "stale_read"
+        if self._store.stamp_of(keys.LEADER) != engine.token:
+            return "deposed"
+        if record is None or record["st"] != OPEN:
+            return "ended"
+        return "cancelling" if self._withheld_starts.is_withheld(job, now_us) else ""
+
     def on_gather(self) -> None:
         """Adds the charges of the last interval to the ledger."""
         if self._cluster is not None:
--- a/src/tideusher/actors/peers.py
+++ b/src/tideusher/actors/peers.py
@@ -253,6 +253,14 @@
                     return answer
         return None
 
+    def ask_to_withhold(self, node: str, job: str) -> bool:
+        """Asks the controller that leads to start no task of a job for a time; True if it promises that."""
+        link = self.links.get(node)
+        if link is None or not link.usable() or link.said is None or not link.said.withholds:
+            return False
+        answer = link.ask(lambda number: wire.WithholdStarts(number, job), REQUEST_TIMEOUT_S)
+        return answer is not None and answer.ok
+
     def write_demands(self) -> dict[str, float]:
         """Returns the write demand a second of each connected peer."""
         return {name: link.writes for name, link in self.links.items() if link.usable()}
--- a/src/tideusher/actors/store.py
+++ b/src/tideusher/actors/store.py
@@ -28,7 +28,8 @@
 T = TypeVar("T")
 Listener = Callable[[str, Any, int], None]
 
-LONG_POLL_MS = 1000
+#: How long a read waits for a change; the leader's wait less, since it starts tasks only on what it has read lately.
+LONG_POLL_MS, LEADER_LONG_POLL_MS = 1000, 500
 
 #: The leader's share of the state service's limits; the other nodes share the rest.
 LEADER_REQUEST_SHARE, LEADER_WRITE_SHARE = 0.55, 0.55
@@ -457,7 +458,7 @@
                 if not self.loaded.is_set():
                     self._load()
                     self.log.info("mirror loaded: %d keys at revision %d", len(self.mirror), self.revision)
-                self._poll(LONG_POLL_MS)
+                self._poll(LEADER_LONG_POLL_MS if self._leading else LONG_POLL_MS)
                 pause_s = self._poll_pause_s
             except Unavailable as error:
                 self.log.debug("state service not reached: %s", error)
--- a/src/tideusher/actors/users.py
+++ b/src/tideusher/actors/users.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from tideusher.actors.confirmations import Confirmations, PromiseRequest
 from tideusher.actors.replies import Reply, refusal
 from tideusher.actors.store import Conflict, LeaseExpired, Store, Throttled, Unavailable
 from tideusher.clock import Clock, to_us
@@ -26,6 +27,8 @@
 
 #: A request that would wait longer for the write budget is refused at once, with a Retry-After.
 MAX_BUDGET_WAIT_S = 2.0
+#: Why a cancellation that is stored is not told yet.
+UNCONFIRMED = "its cancellation is stored and cannot be confirmed yet"
 #: After a slower acceptance the job's state is read again: other nodes read it at once, and users act on it.
 PROMPT_ACCEPTANCE_US = to_us(0.1)
 
@@ -53,12 +56,14 @@
         conditions: bool = False,
         profile: "Profile | None" = None,
         metrics: Metrics | None = None,
+        confirmations: Confirmations | None = None,
     ) -> None:
+        """Without `confirmations` a cancellation is told as soon as it is stored."""
         self.log = logging.getLogger("users")
         self._config, self._profile, self._metrics = config, profile, metrics or Metrics()
         self._scripts: Scripts | None = None
         self._conditions = conditions  # are jobs with conditions accepted (`jobs.conditions`)?
-        self._clock, self._store = clock, store
+        self._clock, self._store, self._confirmations = clock, store, confirmations
         #: Called with the name of each job that was cancelled here.
         self.on_cancelled: Callable[[str], None] = lambda job_id: None
         self._max_value_bytes = int(config.settings.state.value_kb * 1024)
@@ -250,12 +255,18 @@
         if value["st"] == JOB_DONE:
             return Reply(200, JobStatus(job_id, wire.DONE, value["n"], 0))
         if value["st"] == JOB_CANCELLED:
+            if not self._is_confirmed(job_id):
+                return refusal(503, UNCONFIRMED)
             return Reply(200, JobStatus(job_id, wire.CANCELLED, 0, 0, why=value.get("why")))
         done, running = self._count_tasks(job_id, value["spec"]["pieces"])
         status = wire.RUNNING if running else wire.PENDING
         self.log.debug("answered poll of %s: %s, %d done; %s", job_id, status, done, self._store.describe_last_read())
         return Reply(200, JobStatus(job_id, status, done, running, held=holder(value) or None))
 
+    def _is_confirmed(self, job_id: str) -> bool:
+        """Waits a short time until users may be told of a cancellation that is stored; False if they may not yet."""
+        return self._confirmations is None or self._confirmations.confirmed(job_id)
+
     def _count_tasks(self, job_id: str, tasks: int) -> tuple[int, int]:
         done = running = 0
         for number in range(-(-tasks // CHUNK_TASKS)):
@@ -266,20 +277,33 @@
         return done, running
 
     def cancel(self, job_id: str) -> Reply:
-        """Cancels a job; confirmed to the user only when no start can be committed any more."""
+        """Cancels a job; confirmed to the user only when no task of it can start any more."""
 
         def cancelled(value: dict[str, Any]) -> dict[str, Any]:
             # Jobs that wait for this one to start must be able to tell later whether it did.
             started = {"b": 1} if self._store.tasks_of(job_id, 0) is not None else {}
             return {**value, "st": JOB_CANCELLED, **started}
 
-        reply = self._change_open_job(job_id, cancelled, "cancelled") or Reply(200, JobStatus(job_id, wire.CANCELLED))
+        # The leader is asked meanwhile, so that its promise is there when the cancellation is stored.
+        request = self._request_promise(job_id)
+        changed = self._change_open_job(job_id, cancelled, "cancelled", same_leader=True)
+        reply = changed or Reply(200, JobStatus(job_id, wire.CANCELLED))
         if reply.status == 200 and reply.body.status == wire.CANCELLED:
             # Also for a repeated request: the first may have been executed and only its answer lost, or the node
             # that confirmed it may have ended before it could call any worker.
             self.on_cancelled(job_id)
+            if self._confirmations is not None and request is not None:
+                return reply if self._confirmations.wait(job_id, request) else refusal(503, UNCONFIRMED)
         return reply
 
+    def _request_promise(self, job_id: str) -> PromiseRequest | None:
+        """Asks the leader to start nothing of a job that is about to be cancelled; None if it can't be cancelled."""
+        stored = self._store.mirror.get(keys.job_key(job_id))
+        is_done = stored is not None and stored.value["st"] == JOB_DONE
+        if self._confirmations is None or is_done or not wire.JOB_ID.fullmatch(job_id):
+            return None
+        return self._confirmations.request(job_id)
+
     def hold(self, job_id: str, action: str, body: bytes) -> Reply:
         """Holds or releases a job; a hold is confirmed to the user only when no start can be committed any more.
 
@@ -320,14 +344,19 @@
         reply = self._change_open_job(job_id, change, verb)
         if reply is None:
             return self._state(job_id)
+        if reply.status == 200 and reply.body.status == wire.CANCELLED and not self._is_confirmed(job_id):
+            return refusal(503, UNCONFIRMED)
         if reply.status == 200:
             return refusal(409, f"{job_id} is {reply.body.status} already")
         return reply
 
     def _change_open_job(
-        self, job_id: str, change: Callable[[dict[str, Any]], dict[str, Any]], verb: str
+        self, job_id: str, change: Callable[[dict[str, Any]], dict[str, Any]], verb: str, same_leader: bool = False
     ) -> Reply | None:
-        """Changes an open job's record; returns its final state or a refusal, or None if the change was committed."""
+        """Changes an open job's record; returns its final state or a refusal, or None if the change was committed.
+
+        With `same_leader` it is committed only if the leader on record is the one that this node knows.
+        """
         if not wire.JOB_ID.fullmatch(job_id):
             return refusal(404, "no such job")
         key = keys.job_key(job_id)
@@ -346,8 +375,11 @@
             changed = change(stored.value)
             if changed == stored.value:
                 return None
+            guards = [Guard(key, stored.stamp)]
+            if same_leader:
+                guards.append(Guard(keys.LEADER, self._store.stamp_of(keys.LEADER)))
             try:
-                self._store.txn([Guard(key, stored.stamp)], [Put(key, changed)], patience_s=MAX_BUDGET_WAIT_S)
+                self._store.txn(guards, [Put(key, changed)], patience_s=MAX_BUDGET_WAIT_S)
             except Conflict:
                 continue
             except (Unavailable, LeaseExpired):
--- a/src/tideusher/core/decide/cancellations.py
+++ b/src/tideusher/core/decide/cancellations.py
@@ -48,6 +48,11 @@
             self._jobs.pop(heapq.heappop(self._stamps)[1], None)
         return True
 
+    def learnt_us(self, job: str) -> int | None:
+        """Returns when this node learnt that the job's cancellation is stored; None if that is not kept any more."""
+        known = self._jobs.get(job)
+        return known[1] if known is not None else None
+
     def may_be_unknown_to_leader(self, leader_reads: Callable[[], bool], now_us: int) -> bool:
         """True if this node may know of a cancellation that the leader does not; `leader_reads`: it reads the state.
 
--- a/src/tideusher/core/lead/reports.py
+++ b/src/tideusher/core/lead/reports.py
@@ -5,6 +5,7 @@
 """
 
 import logging
+from collections.abc import Callable
 
 from tideusher.clock import SECOND_US, to_s, to_us
 from tideusher.core.decide import reachability, task_failures
@@ -29,13 +30,18 @@
         self._report_us = to_us(cluster.config.settings.workers.report_s)
         self.log = cluster.log
 
-    def answer(self, report: Report, now_us: int) -> list[Command]:
-        """Applies a worker's report; returns the commands for its answer."""
+    def answer(
+        self, report: Report, now_us: int, may_start: Callable[[str], bool] = lambda job: True
+    ) -> list[Command]:
+        """Applies a worker's report; returns the commands for its answer.
+
+        `may_start`: whether tasks of a job may be started by this answer.
+        """
         machine = self._c.machines.get(report.machine)
         if machine is None:
             machine = self._c.adopt(report, now_us)
         strays = self._digest(machine, report, now_us, asked=True)
-        return [] if strays is None else strays + self._commands(machine)
+        return [] if strays is None else strays + self._commands(machine, may_start)
 
     def apply(self, report: Report, now_us: int) -> None:
         """Applies a report that came as the answer to a direct call.
@@ -221,7 +227,7 @@
                 return None
         return workers.forget(item.task, attempt)
 
-    def _commands(self, machine: Machine) -> list[Command]:
+    def _commands(self, machine: Machine, may_start: Callable[[str], bool]) -> list[Command]:
         """Returns the `run` and `halt` commands that are due for the machine's tasks."""
         out = []
         for task in list(machine.tasks.values()):
@@ -229,7 +235,7 @@
                 if task.phase == SEEN or task.inherited or task.sent is not None:
                     out.append(workers.halt(task.name, task.attempt, task.halt_grace_s))
             elif task.phase == ASSIGNED and task.sent is None and machine.phase == UP and task.job.status == OPEN:
-                if self._would_time_out(task) or not self._may_start(task):
+                if not may_start(task.job.spec.id) or self._would_time_out(task) or not self._may_start(task):
                     continue
                 # The only place where `run` is ever sent (safety 4).
                 task.sent = (machine.session, machine.serial)
--- a/src/tideusher/node.py
+++ b/src/tideusher/node.py
@@ -11,6 +11,7 @@
 from gevent.event import Event
 
 from tideusher.actors.cloud import Cloud
+from tideusher.actors.confirmations import Confirmations
 from tideusher.actors.election import Election
 from tideusher.actors.gateway import MAX_READ_US, Gateway
 from tideusher.actors.leader import Leader
@@ -67,7 +68,12 @@
             config, self._clock, self.store, self.election, self.leader, self.peers, self.own, self.cancellations
         )
         self.leader.set_controller_only_zones(self._zones_without_reports)
-        self.users = Users(config, self._clock, self.store, policy.jobs__conditions, profile, self.metrics)
+        self.confirmations = Confirmations(
+            self._clock, self.store, self.election, self.cancellations, self._ask_to_withhold, self.metrics
+        )
+        self.users = Users(
+            config, self._clock, self.store, policy.jobs__conditions, profile, self.metrics, self.confirmations
+        )
         self.users.on_cancelled = lambda job_id: self.leader.tell("cancelled_here", job_id)
         self.leader.set_reachability(self.peers.reads_state)
         self.leader.set_peer_candidates(self.peers.candidates)
@@ -98,7 +104,7 @@
         node, token = self.election.leader() or ("", 0)
         demand = round(self.store.demand(), 1)
         heartbeat = peer_wire.Hello(self._config.node, self.in_contact(), node, token, demand, self.gateway.deaf())
-        heartbeat.pages = True
+        heartbeat.pages = heartbeat.withholds = True
         if not self.in_contact(MAX_READ_US):
             heartbeat.read = max(self.store.revision, self.cancellations.told)
         return heartbeat
@@ -136,6 +142,13 @@
         if key.startswith(keys.JOB_PREFIX) and value is not None and value["st"] == JOB_CANCELLED:
             self.cancellations.learn(key[len(keys.JOB_PREFIX) :], stamp, self._clock.now_us())
 
+    def _ask_to_withhold(self, node: str, job: str) -> bool:
+        """Asks the leader, which may be this controller, to start no task of a job; True if it promises that."""
+        if node == self._config.node:
+            self.leader.withhold_starts(job)
+            return True
+        return self.peers.ask_to_withhold(node, job)
+
     def _own_candidate(self) -> Candidate:
         """Returns this controller as a candidate for the leadership."""
         node, token = self.election.leader() or ("", 0)
@@ -193,6 +206,9 @@
             answer = self.leader.ask("question", message.what, message.arg).get()
             body = msgspec.Raw(msgspec.json.encode(answer))
             return peer_wire.ReportAnswer(message.id, answer is not None, body)
+        if isinstance(message, peer_wire.WithholdStarts):
+            self.leader.withhold_starts(message.job)
+            return peer_wire.ReportAnswer(message.id, True)
         if isinstance(message, peer_wire.UserRequest):
             reply = self.users.handle(message.method, message.path, message.body.encode())
             return peer_wire.ReportAnswer(
--- a/src/tideusher/wire/peers.py
+++ b/src/tideusher/wire/peers.py
@@ -79,6 +79,8 @@
 
     `pages` is true if the node reads shared placement records; older versions do not and omit the field.
 
+    `withholds` is true if the node answers WithholdStarts; older versions do not know that message.
+
     `sent` is the sender's monotonic time in microseconds. The answer returns it, which gives the round-trip time.
     """
 
@@ -98,6 +100,7 @@
     cancelled: list[tuple[str, int]] = msgspec.field(name="withdrawn", default_factory=list)
     sent: int = 0
     pages: bool = False
+    withholds: bool = False
 
 
 class ForwardReport(PeerMessage, tag="report"):
@@ -124,6 +127,13 @@
     arg: str = ""
 
 
+class WithholdStarts(PeerMessage, tag="withhold"):
+    """Asks the leader to start no task of a job for a time: its user cancels it. Answered with ReportAnswer."""
+
+    id: int
+    job: str
+
+
 class UserRequest(PeerMessage, tag="request"):
     """A user's request, forwarded by a node that cannot reach the state service."""
 
@@ -133,7 +143,7 @@
     body: str = ""
 
 
-Message = Hello | ForwardReport | ReportAnswer | Ask | UserRequest
+Message = Hello | ForwardReport | ReportAnswer | Ask | WithholdStarts | UserRequest
 _decode: Callable[[bytes], Message] = msgspec.json.Decoder(Message).decode
 _encode = msgspec.json.Encoder().encode
 
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -121,6 +121,16 @@
                 limit = -(-spec.tasks // 2)
                 assert all(here.count(zone) <= limit for zone in set(here)), f"wrong_place (apart) {task} {here}"
 
+    def check_starts(self, began: list[tuple[WorkerStandIn, OnMachine]]) -> None:
+        """Checks that nothing began of a job whose user had been told of its cancellation.
+
+        A start by the answer to a report that was sent before the user was told is allowed.
+        """
+        for worker, task in began:
+            told_us = self.cancelled_us.get(task.job)
+            if told_us is not None:
+                assert task.asked_us <= told_us, f"started_cancelled {task} on {worker.name}, told at {told_us}"
+
     def check_state(self, state: StateStandIn) -> None:
         for key, (value, _) in state.items.items():
             if not key.startswith(keys.JOB_PREFIX):
--- a/tools/soak_planted.py
+++ b/tools/soak_planted.py
@@ -44,6 +44,11 @@
         ),
         Change("actors/gateway.py", "return job_id in self._cancellations or", "return False and"),
     ],
+    "a start after a cancellation": [
+        Change("actors/confirmations.py", "stored_us = self._cancellations.learnt_us(job)", "stored_us = None"),
+        Change("actors/leader.py", "if not start_lease_valid(self._store.contact_us, now_us):", "if False:"),
+        Change("actors/leader.py", 'return "cancelling" if', 'return "" if'),
+    ],
     "the placing rule left out": [
         Change("core/model/records.py", "        and (spec.spot or not spot)\n", ""),
         Change("core/decide/starts.py", "if machine.spot and not spec.spot:", "if False:"),
