A job avoids a machine on which it failed for a time, not for ever

Cause: machines on which a job failed were a condition of its placement without an end (`_terms`), and handed on to the next leader. For a job at fault nothing was rented, also where the fleet had no machine that could hold it. Change: a job's record in memory keeps how often and when it failed on a machine; task_failures.avoided_until_us decides how long it is avoided: 8 s, doubled with each failure there up to 60 s. After that it is tried last, as before. Leaders hand on times and ages (FailingJob.failed_on; `machines` stays for older versions). A machine is rented for a job at fault if the fleet, empty, could not hold it. Tests: record_failure_on takes the time of the failure now, three calls in tests/test_ops.py pass it; nothing else changed.

--- a/src/tideusher/core/decide/task_failures.py
+++ b/src/tideusher/core/decide/task_failures.py
@@ -9,7 +9,7 @@
 from collections.abc import Mapping
 
 from tideusher.clock import SECOND_US
-from tideusher.core.model.records import OPEN, Job, Machine
+from tideusher.core.model.records import OPEN, Job, Machine, MachineFailures
 from tideusher.wire.workers import ACTIVE
 
 #: A job that failed on this many different machines and never succeeded is itself at fault.
@@ -18,6 +18,8 @@
 MACHINE_FAULT_JOBS = 2
 #: The pause between attempts of a job at fault doubles from the first to the last of these.
 FIRST_PAUSE_US, LAST_PAUSE_US = 8 * SECOND_US, 60 * SECOND_US
+#: How long a job avoids a machine after its first failure there; it doubles with each further one up to the last.
+FIRST_AVOIDED_US, LAST_AVOIDED_US = 8 * SECOND_US, 60 * SECOND_US
 #: How long two jobs that never succeeded have to clear a machine by failing elsewhere too.
 SUSPECT_US = 15 * SECOND_US
 FAULTY, SUSPECT = "faulty", "suspect"
@@ -43,6 +45,17 @@
     return SHORT_PAUSE_US if job.failures >= JOB_FAULT_MACHINES else 0
 
 
+def avoided_until_us(failures: MachineFailures) -> int:
+    """Returns until when a job avoids a machine on which it failed: a machine may be faulty for a short time only."""
+    return failures.last_us + min(LAST_AVOIDED_US, FIRST_AVOIDED_US << min(failures.times - 1, 10))
+
+
+def avoided_machines(job: Job, now_us: int) -> set[str]:
+    """Returns the machines on which the job is not to be placed now, since it failed there lately."""
+    failures = job.error_machines or {}
+    return {name for name, on_machine in failures.items() if now_us < avoided_until_us(on_machine)}
+
+
 def judge(machine: Machine, jobs: Mapping[str, Job], now_us: int) -> str:
     """Returns FAULTY, SUSPECT or an empty string, from the failures on the machine since a task last completed there.
 
--- a/src/tideusher/core/lead/reports.py
+++ b/src/tideusher/core/lead/reports.py
@@ -193,7 +193,7 @@
 
     def _failed(self, job: Job, machine: Machine, now_us: int) -> None:
         """Counts a failure against the machine; a job that fails on all machines backs off instead."""
-        job.record_failure_on(machine.name)
+        job.record_failure_on(machine.name, now_us)
         job.failures += 1
         machine.failures_by_job[job.spec.id] = machine.failures_by_job.get(job.spec.id, 0) + 1
         pause_us = task_failures.pause_us(job)
--- a/src/tideusher/core/lead/scheduler.py
+++ b/src/tideusher/core/lead/scheduler.py
@@ -8,11 +8,11 @@
 from tideusher.core.decide.mass_failures import HUNG
 from tideusher.core.decide.order import order_jobs, urgency_us
 from tideusher.core.decide.pass_failures import PassFailed
-from tideusher.core.decide.placement import Demand, FreeCapacity, PlacementCache
+from tideusher.core.decide.placement import Demand, FreeCapacity, PlacementCache, slots_in
 from tideusher.core.decide.preempt import Offers, PreemptibleTasks, capacity_after_stops, choose_victims
 from tideusher.core.decide.recovery import NO_PRECEDENCE
 from tideusher.core.decide.refusal_cache import RefusalCache, placement_constraints
-from tideusher.core.decide.task_failures import at_fault
+from tideusher.core.decide.task_failures import at_fault, avoided_machines
 from tideusher.core.lead.cluster import Cluster
 from tideusher.core.model.records import BOOTING, NO_CAPACITY, OPEN, UP, Job, Machine, Task
 
@@ -36,7 +36,7 @@
     """Restrictions on the machines on which a job's next tasks may be placed."""
 
     request_kind: Hashable  # equal for all jobs that may use the same machines
-    avoided_machines: Collection[str]  # machines on which the job has failed
+    avoided_machines: Collection[str]  # machines on which the job failed lately
     may_use_warm: bool  # whether it may use the warm reserve
     ordinary_reserve: Demand | None  # ordinary machines with this much free capacity are left to jobs that need them
     avoid_free_gpu_hosts: bool  # whether it must leave the CPUs of machines with free GPUs alone
@@ -254,7 +254,7 @@
         count = self._startable(job, now_us)
         if not count:
             return 0, False
-        job_at_fault = at_fault(job)  # if so, nothing is rented or stopped for it
+        job_at_fault = at_fault(job)  # if so, nothing is stopped for it, and a machine rented only if there is none
         terms = self._terms(job, count, now_us)
         if self._seen_capacity_changes != self._c.capacity_changes:
             self._seen_capacity_changes = self._c.capacity_changes
@@ -271,13 +271,21 @@
         left = count - placed
         if job_at_fault:
             job.waiting_reason = describe_failing_job(job)
-            return 0, True
+            return (left if left and self._no_machine_could_hold(job, min_places) else 0), True
         if left:
             job.waiting_reason = NO_CAPACITY
         elif job.pending > 0:
             job.waiting_reason = _limit_of(job)
         return left, True
 
+    def _no_machine_could_hold(self, job: Job, tasks: int) -> bool:
+        """True if the fleet, with all of its machines empty, could not hold this many of the job's tasks."""
+        slots = 0
+        for machine in self._c.machines.values():
+            if machine.phase in (UP, BOOTING) and not machine.drain_reason and machine.allows(job.spec):
+                slots += slots_in(machine.cpus, machine.gpus, machine.ram_gb, job.spec)
+        return slots < tasks
+
     def _startable(self, job: Job, now_us: int) -> int:
         """Returns how many of the job's tasks may start now, given capacity; if none, sets `waiting_reason`."""
         job_at_fault = at_fault(job)
@@ -301,12 +309,12 @@
     def _terms(self, job: Job, count: int, now_us: int) -> _PlacementTerms:
         """Returns the restrictions on the machines for the job's next tasks."""
         spec = job.spec
-        failed = job.error_machines or ()
+        failed = len(job.error_machines or ())
         # Embedded instances may have few machines: once the job failed on each of them, none is avoided.
         max_avoided = (
             MAX_AVOIDED_MACHINES if self._c.rents_machines else min(MAX_AVOIDED_MACHINES, len(self._c.machines))
         )
-        avoid = failed if len(failed) < max_avoided else ()
+        avoid = avoided_machines(job, now_us) if failed < max_avoided else set()
         # Job classes without a warm reserve may not use up the reserve of others.
         may_use_warm = self._c.fleet.is_warm(spec.job_class) or spec.gpus * count <= self._spare_gpus
         # A job that may run on spot machines would soon be preempted on ordinary machines that others wait for: on
--- a/src/tideusher/core/lead/soft_state.py
+++ b/src/tideusher/core/lead/soft_state.py
@@ -10,10 +10,13 @@
 from tideusher.clock import SECOND_US
 from tideusher.core.lead.engine import Engine
 from tideusher.core.model.contacts import WorkerContacts
-from tideusher.wire.peers import CapacityRefusal, FailingJob, MachineReservation, SoftState
+from tideusher.core.model.records import Job
+from tideusher.wire.peers import CapacityRefusal, FailedOnMachine, FailingJob, MachineReservation, SoftState
 
 #: The most items of each kind that are sent, those with the most weight.
 MAX_ITEMS = 48
+#: The most machines that are sent of a job whose tasks fail, the latest failures first.
+MAX_MACHINES = 8
 #: Soft state older than this is not used.
 MAX_AGE_US = 20 * SECOND_US
 
@@ -26,13 +29,7 @@
         for machine in cluster.machines.values()
         if machine.reserved and machine.reserved_until_us > now_us
     ]
-    failing = [
-        FailingJob(
-            job.spec.id, job.failures, max(0, job.not_before_us - now_us) // 1000, sorted(job.error_machines)[:8]
-        )
-        for job in cluster.active.values()
-        if job.error_machines
-    ]
+    failing = [_failing_job(job, now_us) for job in cluster.active.values() if job.error_machines]
     failing.sort(key=lambda item: (-item.failures, item.job))
     return SoftState(
         engine.token,
@@ -44,6 +41,16 @@
     )
 
 
+def _failing_job(job: Job, now_us: int) -> FailingJob:
+    """Returns what the next leader is to know of a job whose tasks fail: of its last failures on machines."""
+    latest = sorted((job.error_machines or {}).items(), key=lambda item: (-item[1].last_us, item[0]))[:MAX_MACHINES]
+    failed_on = [
+        FailedOnMachine(name, failures.times, (now_us - failures.last_us) // 1000) for name, failures in latest
+    ]
+    pause_ms = max(0, job.not_before_us - now_us) // 1000
+    return FailingJob(job.spec.id, job.failures, pause_ms, sorted(name for name, _ in latest), failed_on)
+
+
 @dataclass(frozen=True, slots=True)
 class ReceivedSoftState:
     """Soft state as received, and when."""
@@ -96,9 +103,11 @@
             continue
         job.failures = max(job.failures, failing.failures)
         job.not_before_us = max(job.not_before_us, now_us + failing.pause_ms * 1000 - since_us)
-        for name in failing.machines:
-            job.record_failure_on(name)
-            if name in cluster.machines:
-                cluster.machines[name].failures_by_job.setdefault(failing.job, 1)
+        # An older version tells only the names.
+        failed_on = failing.failed_on or [FailedOnMachine(name, 1, 0) for name in failing.machines]
+        for failed in failed_on:
+            job.record_failure_on(failed.machine, now_us - since_us - failed.ago_ms * 1000, failed.times)
+            if failed.machine in cluster.machines:
+                cluster.machines[failed.machine].failures_by_job.setdefault(failing.job, 1)
         used += 1
     return used
--- a/src/tideusher/core/model/records.py
+++ b/src/tideusher/core/model/records.py
@@ -78,6 +78,14 @@
     stamp: int = 0
 
 
+@dataclass(slots=True, frozen=True)
+class MachineFailures:
+    """How often tasks of a job failed on a machine, and when the last one did."""
+
+    times: int
+    last_us: int
+
+
 @dataclass(slots=True, eq=False)
 class Job:
     """An accepted job that is not over or whose tasks are not all proven gone."""
@@ -94,7 +102,7 @@
     # Created when first needed, as are most empty containers here: they were two thirds of the memory of a job that
     # has not begun.
     retry: set[int] | None = None
-    error_machines: set[str] | None = None
+    error_machines: dict[str, MachineFailures] | None = None  # the machines on which tasks failed
     not_before_us: int = 0
     failures: int = 0
     stops: list[dict[str, Any]] = field(default_factory=list)
@@ -246,10 +254,11 @@
         self.started.add(index)
         return first
 
-    def record_failure_on(self, machine: str) -> None:
-        """Notes that a task failed on this machine, so that others are tried first."""
-        self.error_machines = self.error_machines or set()
-        self.error_machines.add(machine)
+    def record_failure_on(self, machine: str, at_us: int, times: int = 1) -> None:
+        """Notes that a task failed on this machine (`times` more times), so that others are tried first."""
+        self.error_machines = self.error_machines or {}
+        before = self.error_machines.get(machine)
+        self.error_machines[machine] = MachineFailures(times + (before.times if before is not None else 0), at_us)
 
     def mark_done(self, index: int) -> bool:
         """Marks the task as done; returns False if it was over already. One stopped at its limit stays failed."""
--- a/src/tideusher/wire/peers.py
+++ b/src/tideusher/wire/peers.py
@@ -42,13 +42,25 @@
     left_ms: int
 
 
+class FailedOnMachine(msgspec.Struct, array_like=True):
+    """How often tasks of a job failed on a machine, and how long ago the last one did."""
+
+    machine: str
+    times: int
+    ago_ms: int
+
+
 class FailingJob(msgspec.Struct, array_like=True):
-    """A job whose tasks fail: the number of failures, the pause before the next try, and where it failed."""
+    """A job whose tasks fail: the number of failures, the pause before the next try, and where it failed.
+
+    `machines` has the names that are in `failed_on`; older versions read only these.
+    """
 
     job: str
     failures: int
     pause_ms: int
     machines: list[str] = []
+    failed_on: list[FailedOnMachine] = []
 
 
 class SoftState(msgspec.Struct, omit_defaults=True):
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -114,7 +114,7 @@
         harness.report(host, 1)
     bad = harness.submit(job("batch", 1, id="req-810001"))
     for name in ("host-1", "host-3", "host-4"):
-        bad.record_failure_on(name)
+        bad.record_failure_on(name, 0)
     machine = harness.cluster.machines["host-1"]
     machine.failures_by_job = {bad.spec.id: 5, "req-999999": 3}  # a job at fault and a cancelled job prove nothing
     assert task_failures.at_fault(bad) and not task_failures.judge(machine, harness.cluster.jobs, 0)
@@ -134,7 +134,7 @@
     # A job that has succeeded elsewhere is never at fault, on however many machines it fails.
     del machine.failures_by_job[other.spec.id]
     for name in ("host-5", "host-6", "host-7"):
-        good.record_failure_on(name)
+        good.record_failure_on(name, 0)
     assert not task_failures.judge(machine, harness.cluster.jobs, 0)
     good.mark_done(0)
     machine.failures_by_job[good.spec.id] = 2
@@ -150,7 +150,7 @@
     other = harness.place(job("batch", 4, id="req-820001", team="blue", gpus=1.0), "host-1")
     bad = harness.submit(job("gang", 1, id="req-820002", gpus=4.0, cpus=16.0, team="red", priority="urgent"))
     for name in ("host-7", "host-8", "host-9"):
-        bad.record_failure_on(name)
+        bad.record_failure_on(name, 0)
     before = len(harness.cluster.rentals)
     harness.clock.pass_s(30)
     harness.report("host-1", 9)
