The announced limits of the state service are read

Cause: `state.next` was ignored. Pages and batches were made by the limits of before. Change: StateSettings reads `next`. The lower of value_kb and txn_ops hold from the start wherever something is written; rps and write_rps from the first 429 on. Limits that make no sense are refused with one line.

--- a/src/tideusher/actors/store.py
+++ b/src/tideusher/actors/store.py
@@ -17,7 +17,7 @@
 from tideusher.actors.base import Actor
 from tideusher.actors.http import CallFailed, HttpClient
 from tideusher.clock import SECOND_US, Clock, to_s
-from tideusher.config import Config
+from tideusher.config import Config, StateRates
 from tideusher.core.model import keys
 from tideusher.core.model.job_record import is_final
 from tideusher.core.model.pages import NULL
@@ -137,7 +137,8 @@
         self._clock = clock
         limits = config.settings.state
         nodes = max(1, config.settings.size)
-        self._limits, self._other_nodes, self._node = limits, max(1, nodes - 1), config.node
+        self._rates, self._next_rates = StateRates(limits.rps, limits.write_rps), limits.next_rates
+        self._other_nodes, self._node = max(1, nodes - 1), config.node
         self._requests = TokenBucket(limits.rps, clock)
         self._writes = TokenBucket(limits.write_rps, clock)
         self._write_demand = DemandRate(clock)
@@ -171,10 +172,17 @@
         """
         self._leading = leading
         requests = LEADER_REQUEST_SHARE if leading else (1 - LEADER_REQUEST_SHARE) / self._other_nodes
-        self._requests.set(self._limits.rps * requests)
+        self._requests.set(self._rates.rps * requests)
         self._share_writes()
         #: Pause between two polls; a node that does not lead leaves most of its requests to users.
-        self._poll_pause_s = 0.1 if leading else max(0.1, 1 / (self._limits.rps * requests))
+        self._poll_pause_s = 0.1 if leading else max(0.1, 1 / (self._rates.rps * requests))
+
+    def _adopt_next_rates(self) -> None:
+        """Keeps to the announced rates from the first 429 on: the service may have lowered its limits."""
+        if self._rates != self._next_rates:
+            self._rates = self._next_rates
+            self.log.info("429: from now on %.0f requests and %.0f changes a second, as announced", *self._rates)
+            self.lead(self._leading)
 
     def set_demand_source(self, peer_demands: Callable[[], dict[str, float]]) -> None:
         """Sets the source of the write demand a second that the connected nodes report."""
@@ -195,7 +203,7 @@
 
         def share(node: str) -> float:
             part = LEADER_WRITE_SHARE if node == leading else (1 - LEADER_WRITE_SHARE) / self._other_nodes
-            return self._limits.write_rps * part
+            return self._rates.write_rps * part
 
         spare, competing = 0.0, 1
         for node, demand in self._peer_demands().items():
@@ -203,7 +211,7 @@
             competing += demand > own
             spare += max(0.0, (own * LEADER_LENDABLE_SHARE if node == leading else own) - demand)
         self._writes.set(
-            share(self._node) + SPARE_WRITE_SHARE * spare / competing, self._limits.write_rps * WRITE_BURST_SHARE
+            share(self._node) + SPARE_WRITE_SHARE * spare / competing, self._rates.write_rps * WRITE_BURST_SHARE
         )
 
     def listen(self, listener: Listener) -> None:
@@ -249,6 +257,7 @@
         if status in (429, 503):
             self._metrics.count("state_refusals", str(status))
             if status == 429:
+                self._adopt_next_rates()
                 self._requests.drain()
                 raise Throttled(f"{method} {path}: 429")
             raise Unavailable(f"{method} {path}: 503")
--- a/src/tideusher/config.py
+++ b/src/tideusher/config.py
@@ -61,13 +61,50 @@
     cancel_s: float
 
 
-class StateSettings(msgspec.Struct):
-    """Rate and size limits of the state service."""
+PositiveAmount = Annotated[float, msgspec.Meta(gt=0)]
+
+
+class NextStateSettings(msgspec.Struct):
+    """Limits that the state service will have from some moment on; those not given stay as they are."""
+
+    rps: PositiveAmount | None = None
+    write_rps: PositiveAmount | None = None
+    value_kb: PositiveAmount | None = None
+    txn_ops: Annotated[int, msgspec.Meta(ge=1)] | None = None
+
+
+class StateSettings(msgspec.Struct, omit_defaults=True):
+    """Rate and size limits of the state service.
+
+    Of the sizes `value_kb` and `txn_ops` the lower ones hold from the start where others are announced in `next`:
+    what is larger would be refused from a moment that nobody tells.
+    """
 
     rps: float
     write_rps: float
     value_kb: float
     txn_ops: int
+    next: NextStateSettings | None = None
+
+    def __post_init__(self) -> None:
+        if self.next is not None:
+            self.value_kb = min(self.value_kb, self.next.value_kb or self.value_kb)
+            self.txn_ops = min(self.txn_ops, self.next.txn_ops or self.txn_ops)
+
+    @property
+    def next_rates(self) -> "StateRates":
+        """The rates to keep to once the service may have lowered them."""
+        announced = self.next or NextStateSettings()
+        return StateRates(
+            min(self.rps, announced.rps or self.rps), min(self.write_rps, announced.write_rps or self.write_rps)
+        )
+
+
+class StateRates(NamedTuple):
+    """Requests and changes a second that the state service takes from all controllers together."""
+
+    rps: float
+    write_rps: float
 
 
 class CloudSettings(msgspec.Struct):
