Amounts of jobs, machine types and settings have bounds

Cause: amounts were asked to be finite numbers of at least 0; decisions compute with whole microseconds, sums and divisions, and an error in the order of the queue named no job, so none was set aside. Change: one table of bounds (wire/amounts.py, AMOUNTS in wire/jobs.py), asked by HTTP, scripts and the embedded library; `due_s` above it is none, resources above it get 422 as before. Stored jobs are read with the nearest amounts within it, so they run and harm nobody. Machine types outside are not used; settings outside are refused with their field. An error while a job is ordered names it; a quarantined job takes no part in the order. Pass time at 4,700 machines not measured.

--- a/src/tideusher/config.py
+++ b/src/tideusher/config.py
@@ -32,14 +32,19 @@
     state: str
 
 
+#: Amounts that can be computed with, in their units; durations reach thirty years.
+Amount = Annotated[float, msgspec.Meta(ge=0, le=1e9)]
+PositiveAmount = Annotated[float, msgspec.Meta(gt=0, le=1e9)]
+
+
 class Team(msgspec.Struct):
     """A team's guarantees (`cpus`, `gpus`) and limits (`*_max`); 0 means none."""
 
     name: str
-    cpus: float = 0.0
-    cpus_max: float = 0.0
-    gpus: float = 0.0
-    gpus_max: float = 0.0
+    cpus: Amount = 0.0
+    cpus_max: Amount = 0.0
+    gpus: Amount = 0.0
+    gpus_max: Amount = 0.0
 
 
 class Objective(msgspec.Struct):
@@ -47,21 +52,18 @@
 
     kind: str
     job_class: str | None = msgspec.field(name="class", default=None)
-    within_s: float | None = None
+    within_s: Amount | None = None
     share: float | None = None
 
 
 class WorkerSettings(msgspec.Struct):
     """Intervals and timeouts of workers."""
 
-    report_s: float
-    lease_s: float
-    gang_wait_s: float
-    gang_peer_s: float
-    cancel_s: float
-
-
-PositiveAmount = Annotated[float, msgspec.Meta(gt=0)]
+    report_s: PositiveAmount
+    lease_s: PositiveAmount
+    gang_wait_s: Amount
+    gang_peer_s: Amount
+    cancel_s: PositiveAmount
 
 
 class NextStateSettings(msgspec.Struct):
@@ -80,10 +82,10 @@
     what is larger would be refused from a moment that nobody tells.
     """
 
-    rps: float
-    write_rps: float
-    value_kb: float
-    txn_ops: int
+    rps: PositiveAmount
+    write_rps: PositiveAmount
+    value_kb: PositiveAmount
+    txn_ops: Annotated[int, msgspec.Meta(ge=1)]
     next: NextStateSettings | None = None
 
     def __post_init__(self) -> None:
@@ -110,8 +112,8 @@
 class CloudSettings(msgspec.Struct):
     """Rate limit of the cloud's API and the lag of its machine list."""
 
-    rps: float
-    list_lag_s: float
+    rps: PositiveAmount
+    list_lag_s: Amount
 
 
 class ProcessResources(msgspec.Struct):
--- a/src/tideusher/core/lead/scheduler.py
+++ b/src/tideusher/core/lead/scheduler.py
@@ -111,7 +111,7 @@
                 job = self._c.jobs.get(machine.reserved)
                 if job is None or job.pending <= 0 or now_us > machine.reserved_until_us:
                     machine.reserved = ""
-        waiting = [job for job in self._c.active.values() if job.waits]
+        waiting = [job for job in self._c.active.values() if job.waits and not self._is_quarantined(job, now_us)]
         self._queue_positions = {}
         if not waiting and not self._c.rents_machines:
             return  # nothing waits, and embedded machines are neither rented nor returned
@@ -122,7 +122,7 @@
             self._c.ledger.ratio,
             lambda job: job.spec.id in within,
             self._c.policy.margin,
-            lambda job: urgency_us(job, self._objectives.get(job.spec.job_class), wall_us),
+            lambda job: self._urgency_us(job, wall_us),
             self._c.recovery.precedence,
         )
         recovering = self._c.recovery.waiting() > 0
@@ -199,6 +199,19 @@
             yield
             self._shrink_fleet(now_us)
 
+    def _is_quarantined(self, job: Job, now_us: int) -> bool:
+        """True if an earlier pass failed on the job; sets `waiting_reason` then."""
+        if not self._c.failures.jobs or not self._c.failures.is_quarantined(job.spec.id, now_us):
+            return False
+        job.waiting_reason = QUARANTINED
+        return True
+
+    def _urgency_us(self, job: Job, wall_us: int) -> int:
+        try:
+            return urgency_us(job, self._objectives.get(job.spec.job_class), wall_us)
+        except Exception as error:
+            raise PassFailed(job.spec.id) from error
+
     def _zone_rating(self, now_us: int) -> Callable[[Job, str], int]:
         """Returns a function that rates a zone's rentable machines for a job."""
         return lambda job, zone: self._c.fleet.offer(job.spec, zone, now_us)
@@ -237,10 +250,7 @@
         return max(0, min(allowed))
 
     def _place_or_fail(self, job: Job, free_capacity: FreeCapacity, now_us: int) -> tuple[int, bool]:
-        """Calls `_place_job` unless the job is quarantined; turns any error into a PassFailed that names the job."""
-        if self._c.failures.is_quarantined(job.spec.id, now_us):
-            job.waiting_reason = QUARANTINED
-            return 0, False
+        """Calls `_place_job`; turns any error into a PassFailed that names the job."""
         try:
             return self._place_job(job, free_capacity, now_us)
         except Exception as error:
--- a/src/tideusher/core/model/cluster_state.py
+++ b/src/tideusher/core/model/cluster_state.py
@@ -9,6 +9,7 @@
 out right after its election.
 """
 
+import logging
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
@@ -38,8 +39,10 @@
     read_chunk,
 )
 from tideusher.core.model.rentals import Rental, RentalIndex
-from tideusher.wire.cloud import MachineType
-from tideusher.wire.jobs import JobSpec
+from tideusher.wire.cloud import MachineType, is_usable
+from tideusher.wire.jobs import JobSpec, computable
+
+LOG = logging.getLogger("cluster")
 
 RecordOf = Callable[[str], dict[str, Any] | None]
 
@@ -154,7 +157,10 @@
 
     def new_job(self, job_id: str, value: dict[str, Any], stamp: int, now_us: int) -> Job:
         """Adds a job; the caller decides whether scheduling passes consider it."""
-        spec = msgspec.convert(value["spec"], JobSpec)
+        stored = msgspec.convert(value["spec"], JobSpec)
+        spec = computable(stored)
+        if spec is not stored:
+            LOG.info("job %s has amounts that nothing can be computed with: the nearest bounds are used", job_id)
         job = self.jobs[job_id] = Job(spec, stamp, value["at"], now_us, status=value["st"])
         job.hold, job.why = holder(value), value.get("why", "")
         return job
@@ -392,7 +398,11 @@
         """Replaces the machine types; the first ones give the machines known by then their capacity."""
         first = not self.types
         self.types.clear()
-        self.types.update((kind.name, kind) for kind in types)
+        for offered in types:
+            if is_usable(offered):
+                self.types[offered.name] = offered
+            else:
+                LOG.error("machine type %s has amounts that can't be computed with: it is not used", offered.name)
         for machine in self.machines.values() if first else ():
             kind = self.types.get(machine.type)
             if kind is not None and not machine.gpus and not machine.cpus:
--- a/src/tideusher/embed/instance.py
+++ b/src/tideusher/embed/instance.py
@@ -197,8 +197,7 @@
             fresh: dict[str, JobSpec] = {}
             for spec in specs:
                 if self._state.record_of(spec.id) is None:
-                    self._check_spec(spec)
-                    fresh.setdefault(spec.id, spec)
+                    fresh.setdefault(spec.id, self._check_spec(spec))
             wall_us = self._clock.wall_us()
             for spec in fresh.values():
                 self._write(spec.id, open_value(spec, wall_us))
@@ -352,9 +351,10 @@
         cluster.pending_machines[card.machine] = cluster.machines[card.machine]
         self._machines[card.machine] = LocalMachine(card, self._kinds[card.kind], self._spec_of)
 
-    def _check_spec(self, spec: JobSpec) -> None:
+    def _check_spec(self, spec: JobSpec) -> JobSpec:
+        """Returns the job as it is to be stored; raises Refused if it can't run here."""
         try:
-            check_job(spec)
+            spec = check_job(spec)
         except InvalidJob as error:
             raise Refused(str(error)) from None
         team = self._engine.cluster.teams.get(spec.team)
@@ -372,7 +372,7 @@
         for kind in self._kinds.values():
             fits = kind.cpus >= spec.cpus and kind.gpus >= spec.gpus and kind.ram_gb >= spec.ram_gb
             if fits and (spec.types is None or kind.name in spec.types):
-                return
+                return spec
         raise Refused("a task does not fit any declared machine kind")
 
     def _spec_of(self, job: str) -> JobSpec | None:
--- a/src/tideusher/pbs/translate.py
+++ b/src/tideusher/pbs/translate.py
@@ -128,7 +128,7 @@
     queue = _find_queue(requested, profile)
     spec, chunk = _build_job(script, requested, queue, ref)
     try:
-        check_job(spec)
+        spec = check_job(spec)
     except InvalidJob as error:
         raise Refusal(script.file, 0, "", str(error)) from None
     run = RunSettings(script.file, requested.shell, requested.variables, chunk.ompthreads, chunk.mpiprocs)
--- a/src/tideusher/wire/cloud.py
+++ b/src/tideusher/wire/cloud.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from tideusher.wire.amounts import DURATION, IMAGE, PRICE, RESOURCE
 from tideusher.wire.decoding import decoder
 
 BOOTING, UP, FAILED = "booting", "running", "failed"
@@ -27,6 +28,21 @@
     zones: list[str] = msgspec.field(name="harbors", default_factory=list)
 
 
+def is_usable(kind: MachineType) -> bool:
+    """True if all amounts of a machine type are within their bounds."""
+    amounts = (
+        (RESOURCE, kind.cpus),
+        (RESOURCE, kind.gpus),
+        (RESOURCE, kind.ram_gb),
+        (IMAGE, kind.cache_gb),
+        (IMAGE, kind.fetch_gb_per_s),
+        (PRICE, kind.price),
+        (PRICE, kind.spot_price),
+        (DURATION, kind.boot_s),
+    )
+    return all(bounds.contain(amount) for bounds, amount in amounts)
+
+
 class MachineTypes(msgspec.Struct):
     """Response to GET /machine_types."""
 
--- a/src/tideusher/wire/jobs.py
+++ b/src/tideusher/wire/jobs.py
@@ -1,10 +1,11 @@
 """Job submissions and the responses to them."""
 
-import math
 import re
+from dataclasses import dataclass
 
 import msgspec
 
+from tideusher.wire.amounts import DURATION, IMAGE, RESOURCE, Bounds
 from tideusher.wire.arrays import InvalidArray, parse_indexes
 
 #: Bytes of a submission.
@@ -80,6 +81,30 @@
         return any(value is not None for value in conditions)
 
 
+@dataclass(frozen=True, slots=True)
+class AmountField:
+    """An amount of a job: its name on the wire and in JobSpec, its bounds, and what an amount above them is."""
+
+    name: str
+    attribute: str
+    bounds: Bounds
+    above_fits_no_machine: bool = False  # it is not malformed: the job can never run (HTTP 422)
+    above_means_none: bool = False  # it is taken for null
+
+
+AMOUNTS = (
+    AmountField("cores", "cpus", RESOURCE, above_fits_no_machine=True),
+    AmountField("gpus", "gpus", RESOURCE, above_fits_no_machine=True),
+    AmountField("ram_gb", "ram_gb", RESOURCE, above_fits_no_machine=True),
+    AmountField("image_gb", "image_gb", IMAGE),
+    AmountField("expect_s", "estimate_s", DURATION),
+    AmountField("mark_s", "checkpoint_s", DURATION),
+    AmountField("stow_s", "save_s", DURATION),
+    AmountField("due_s", "deadline_s", DURATION, above_means_none=True),
+    AmountField("min_run_s", "min_run_s", DURATION),
+    AmountField("limit_s", "limit_s", DURATION),
+)
+
 _decoder: msgspec.json.Decoder[JobSpec] = msgspec.json.Decoder(JobSpec)
 
 
@@ -93,12 +118,14 @@
         raise InvalidJob(str(error)) from None
     except RecursionError:  # also from an unknown field; permanent, as a retry would fail the same way
         raise InvalidJob("it is nested too deeply") from None
-    check_job(spec)
-    return spec
+    return check_job(spec)
+
 
+def check_job(spec: JobSpec) -> JobSpec:
+    """Raises InvalidJob if a field is out of range or contradicts another; returns the job as it is to be stored.
 
-def check_job(spec: JobSpec) -> None:
-    """Raises InvalidJob if a field is out of range or contradicts another."""
+    A deadline above the bounds is none: some clients send the largest double for that.
+    """
     if not JOB_ID.fullmatch(spec.id):
         raise InvalidJob("ref must look like req-000412")
     if spec.shape not in (BATCH, GANG, SERVICE):
@@ -107,24 +134,34 @@
         raise InvalidJob("rank must be one of " + ", ".join(PRIORITIES))
     if not 1 <= spec.tasks <= MAX_TASKS:
         raise InvalidJob(f"pieces must be from 1 to {MAX_TASKS}")
-    amounts = {
-        "cores": spec.cpus,
-        "gpus": spec.gpus,
-        "ram_gb": spec.ram_gb,
-        "image_gb": spec.image_gb,
-        "expect_s": spec.estimate_s,
-        "mark_s": spec.checkpoint_s,
-        "stow_s": spec.save_s,
-        "due_s": spec.deadline_s or 0.0,
-        "min_run_s": spec.min_run_s or 0.0,
-    }
-    for name, amount in amounts.items():
-        if not math.isfinite(amount) or amount < 0:
-            raise InvalidJob(f"{name} must be a number of at least 0")
+    for field in AMOUNTS:
+        _check_amount(field, getattr(spec, field.attribute))
     for name, text in (("jobclass", spec.job_class), ("owner", spec.team), ("bundle", spec.image)):
         if not text:
             raise InvalidJob(f"{name} must not be empty")
     _check_extensions(spec)
+    if spec.deadline_s is not None and spec.deadline_s > DURATION.most:
+        return msgspec.structs.replace(spec, deadline_s=None)
+    return spec
+
+
+def _check_amount(field: AmountField, amount: float | None) -> None:
+    if amount is None or field.bounds.contain(amount):
+        return
+    if amount > field.bounds.most and (field.above_fits_no_machine or field.above_means_none):
+        return
+    raise InvalidJob(f"{field.name} must be {field.bounds.describe()}")
+
+
+def computable(spec: JobSpec) -> JobSpec:
+    """Returns a stored job with all amounts within their bounds: versions before this one accepted any number."""
+    changes: dict[str, float | None] = {}
+    for field in AMOUNTS:
+        amount = getattr(spec, field.attribute)
+        if amount is not None and not field.bounds.contain(amount):
+            is_none = field.above_means_none and amount > field.bounds.most
+            changes[field.attribute] = None if is_none else field.bounds.clamp(amount)
+    return msgspec.structs.replace(spec, **changes) if changes else spec
 
 
 def _check_extensions(spec: JobSpec) -> None:
@@ -135,7 +172,7 @@
     if spec.not_before is not None and not 0 <= spec.not_before < 1e11:  # also rejects NaN
         raise InvalidJob("not_before must be a Unix time in seconds (since 1970)")
     if spec.limit_s is not None:
-        if not 0 < spec.limit_s < 1e9:
+        if not spec.limit_s > 0:
             raise InvalidJob("limit_s must be a number above 0")
         if spec.shape == SERVICE:
             raise InvalidJob("limit_s is not allowed for a service, which runs until it is cancelled")
--- /dev/null
+++ b/tests/test_amounts.py
@@ -0,0 +1,140 @@
+"""Amounts that nothing can be computed with are refused at the door, and harm nobody where they are stored."""
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from standins import TYPE, LeaderHarness, job, make_config
+from tideusher.clock import SECOND_US
+from tideusher.config import ConfigError, load_config
+from tideusher.core.lead import explain
+from tideusher.core.model.records import OPEN
+from tideusher.playground.servers import SETTINGS
+from tideusher.wire.amounts import DURATION, RESOURCE
+from tideusher.wire.jobs import AMOUNTS, InvalidJob, check_job, computable, parse_job
+
+LARGEST, SMALLEST = 1.7976931348623157e308, 5e-324
+#: Every double from 0 on.
+DOUBLES = st.floats(min_value=0.0, allow_nan=False, allow_infinity=False, allow_subnormal=True)
+
+
+# At the door
+
+
+@pytest.mark.parametrize("field", [field for field in AMOUNTS if not field.above_means_none], ids=lambda f: f.name)
+@pytest.mark.parametrize("amount", [SMALLEST, LARGEST, -1.0])
+def test_amount_outside_its_bounds_is_refused_with_its_field_and_bounds(field, amount):
+    """A job with the largest double as a duration was accepted, and then every pass of every leader failed."""
+    spec = msgspec.structs.replace(job(), **{field.attribute: amount})
+    if amount == LARGEST and field.above_fits_no_machine:
+        assert check_job(spec) is spec  # not malformed: it fits no machine, which is 422
+        return
+    with pytest.raises(InvalidJob, match=f"^{field.name} must be 0 or from ") as refusal:
+        parse_job(msgspec.json.encode(spec))
+    assert "\n" not in str(refusal.value)
+
+
+def test_deadline_of_the_largest_double_is_none():
+    """Some clients send it for "no deadline"."""
+    spec = msgspec.structs.replace(job(), deadline_s=LARGEST)
+    assert parse_job(msgspec.json.encode(spec)).deadline_s is None
+    assert check_job(msgspec.structs.replace(spec, deadline_s=900.0)).deadline_s == 900.0
+
+
+@pytest.mark.parametrize("line", ["gpus_max = 1e300", "gpus = -1.0", "cpus = inf"])
+def test_settings_with_amounts_outside_their_bounds_are_refused(tmp_path, line):
+    path = tmp_path / "a.toml"
+    text = SETTINGS.format(port=1, peer=2, cloud=3, state=4)
+    path.write_text(text.replace('{ name = "red", gpus = 8.0, gpus_max = 12.0 }', f'{{ name = "red", {line} }}'))
+    with pytest.raises(ConfigError, match=line.split()[0]):
+        load_config(str(path))
+
+
+# Behind the door: stored by an earlier version
+
+
+def serve(harness, hosts, serials, seconds):
+    """Lets machines report and passes run."""
+    for _ in range(seconds):
+        harness.clock.pass_s(1.0)
+        for host in hosts:
+            serials[host] = serials.get(host, 1) + 1
+            machine = harness.cluster.machines.get(host)
+            tasks = machine.tasks.values() if machine is not None else ()
+            harness.report(host, serials[host], *((t.name, t.attempt, "running", None) for t in tasks if t.sent))
+        harness.see_jobs()
+        harness.scheduler.schedule(harness.clock.now_us())
+        harness.cluster.charge_usage(harness.clock.now_us())
+        harness.commit()
+
+
+def run_beside(odd):
+    """Runs a good job beside a stored one, through a takeover, a lost machine and a cancellation."""
+    harness, serials, hosts = LeaderHarness(), {}, ["host-1", "host-2"]
+    for host in hosts:
+        harness.report(host, 1)
+    harness.submit(odd)
+    good = job("batch", 2, estimate_s=500.0)
+    harness.submit(good)
+    serve(harness, hosts, serials, 4)
+    harness.elect()
+    serve(harness, hosts, serials, 3)
+    for task in list(harness.cluster.jobs[odd.id].live.values()):
+        harness.cluster.lost(task, "its machine does not have it", harness.clock.now_us())
+    serve(harness, hosts, serials, 2)
+    if harness.state.record_of(odd.id)["st"] == OPEN:  # a task may be over its limit at once
+        assert explain.explain_job(harness.cluster, odd.id, harness.clock.now_us())["job"] == odd.id
+        assert harness.state.cancel(odd.id)
+    serve(harness, hosts, serials, 2)
+    return [task.state for task in harness.cluster.jobs[good.id].live.values()]
+
+
+#: Only a service has no limit.
+SHAPES_AND_FIELDS = [
+    (shape, field)
+    for shape in ("batch", "gang", "service")
+    for field in AMOUNTS
+    if (shape, field.name) != ("service", "limit_s")
+]
+
+
+@pytest.mark.parametrize("amount", [SMALLEST, 1e-9, LARGEST])
+@pytest.mark.parametrize(("shape", "field"), SHAPES_AND_FIELDS, ids=lambda part: getattr(part, "name", part))
+def test_stored_job_with_any_amount_leaves_the_others_as_they_are(shape, field, amount):
+    odd = msgspec.structs.replace(job(shape, 1, team="blue"), **{field.attribute: amount})
+    assert run_beside(odd) == ["running", "running"]
+
+
+@settings(max_examples=60, deadline=None)
+@given(st.fixed_dictionaries({field.attribute: DOUBLES for field in AMOUNTS}), st.sampled_from(["batch", "gang"]))
+def test_stored_job_with_drawn_amounts_leaves_the_others_as_they_are(amounts, shape):
+    odd = msgspec.structs.replace(job(shape, 2, team="blue"), **amounts)
+    assert run_beside(odd) == ["running", "running"]
+
+
+@given(st.fixed_dictionaries({field.attribute: DOUBLES for field in AMOUNTS}))
+def test_computable_amounts_are_within_their_bounds_and_the_others_unchanged(amounts):
+    spec = msgspec.structs.replace(job(), **amounts)
+    taken = computable(spec)
+    for field in AMOUNTS:
+        before, after = getattr(spec, field.attribute), getattr(taken, field.attribute)
+        assert after is None or field.bounds.contain(after)
+        assert after == before or not field.bounds.contain(before)
+    assert computable(taken) is taken
+
+
+@pytest.mark.parametrize("amount", [SMALLEST, LARGEST, -1.0])
+@pytest.mark.parametrize("name", ["cpus", "gpus", "ram_gb", "fetch_gb_per_s", "boot_s", "price"])
+def test_machine_type_with_such_an_amount_is_not_used_and_the_others_are(name, amount):
+    harness = LeaderHarness()
+    odd = msgspec.structs.replace(TYPE, name="odd", **{name: amount})
+    harness.cluster.set_types([odd, TYPE])
+    assert list(harness.cluster.cluster_state.types) == [TYPE.name]
+    assert harness.place(job()).live
+
+
+def test_bounds():
+    assert DURATION.contain(0.0) and DURATION.contain(1e9) and not DURATION.contain(float("nan"))
+    assert [RESOURCE.clamp(one) for one in (-1.0, 0.0, SMALLEST, 4.0, LARGEST)] == [0.0, 0.0, 1e-6, 4.0, 1e9]
+    assert round(DURATION.most * SECOND_US) < 1 << 60 and make_config().settings.workers.cancel_s < DURATION.most
