--- a/src/tideusher/scale/events.py
+++ b/src/tideusher/scale/events.py
@@ -41,7 +41,12 @@
 
 
 class Ordered(TaskEvent, tag="ordered"):
-    """The worker was ordered to run the attempt."""
+    """The worker was ordered to run the attempt.
+
+    `asked_us` is when the report was sent whose answer held the command; of a direct call, when the call arrived.
+    """
+
+    asked_us: int = msgspec.field(name="q", default=0)
 
 
 class OnMachine(TaskEvent, tag="on"):
@@ -67,9 +72,10 @@
 
 
 class CancelTold(Event, tag="cancelled"):
-    """A user received the answer that the job is cancelled."""
+    """A user received the answer that the job is cancelled, having asked for it first at `asked_us`."""
 
     job: str = msgspec.field(name="j")
+    asked_us: int = msgspec.field(name="b", default=0)
 
 
 class DoneTold(Event, tag="done"):
--- a/src/tideusher/scale/judge.py
+++ b/src/tideusher/scale/judge.py
@@ -13,12 +13,14 @@
 from tideusher.wire.workers import CAUSE_DONE
 
 RAN_TWICE, QUOTA, WRONG_PLACE, RAN_CANCELLED = "ran_twice", "quota", "wrong_place", "ran_cancelled"
+STARTED_CANCELLED = "started_cancelled"
 NOT_DONE, LEFT_WAITING, PLACED_NOTHING = "not_done", "left_waiting", "placed_nothing"
 RULES = (
     RAN_TWICE,
     QUOTA,
     WRONG_PLACE,
     RAN_CANCELLED,
+    STARTED_CANCELLED,
     NOT_DONE,
     LEFT_WAITING,
     PLACED_NOTHING,
@@ -78,6 +80,7 @@
         self._zones: dict[str, Counter[str]] = defaultdict(Counter)  # tasks on machines, by job and zone
         self._usage: dict[str, _Usage] = defaultdict(_Usage)
         self._cancelled_us: dict[str, int] = {}
+        self._orders: dict[tuple[str, int], dict[str, events.Ordered]] = defaultdict(dict)  # by task and machine
         self._done: dict[str, set[int]] = defaultdict(set)  # tasks that ended successfully, by job
         self._last_event_us = 0
         self.verdict = Verdict()
@@ -88,6 +91,8 @@
         match event:
             case events.MachineUp():
                 self._machines[event.machine] = event
+            case events.Ordered():
+                self._orders[event.job, event.index][event.machine] = event
             case events.OnMachine():
                 self._task_arrived(event)
             case events.Left():
@@ -116,6 +121,7 @@
             others = ", ".join(f"attempt {attempt} on {machine}" for machine, attempt in placements)
             self._record(RAN_TWICE, event.at_us, f"{name} while {others}")
         self._check_cancelled(event.job, event.index, event.machine, event.at_us)
+        self._check_order(event, name)
         machine = self._machines.get(event.machine)
         if machine is None:
             self._record(WRONG_PLACE, event.at_us, f"{name}, a machine that was never up")
@@ -186,6 +192,23 @@
             late_s = (at_us - cancelled_us) / 1e6
             self._record(RAN_CANCELLED, at_us, f"{job}/{index} on {machine} {late_s:.1f} s after its cancellation")
 
+    def _check_order(self, event: events.OnMachine, name: str) -> None:
+        """Records a start of a job after its user was told that it is cancelled.
+
+        A start by the answer to a report that was sent before the user was told is allowed.
+        """
+        told_us = self._cancelled_us.get(event.job)
+        order = self._orders[event.job, event.index].pop(event.machine, None)
+        if told_us is None or order is None or order.attempt != event.attempt or order.asked_us <= told_us:
+            return
+        after_s, asked_s = (event.at_us - told_us) / 1e6, (order.asked_us - told_us) / 1e6
+        self._record(
+            STARTED_CANCELLED,
+            event.at_us,
+            f"{name} began {after_s:.3f} s after its user was told of the cancellation, by the answer to a report "
+            f"sent {asked_s:.3f} s after it",
+        )
+
     def _record(self, rule: str, at_us: int, what: str) -> None:
         self.verdict.counts[rule] += 1
         if len(self.verdict.broken) < MAX_DETAILED_BREAKS:
--- a/src/tideusher/scale/machine.py
+++ b/src/tideusher/scale/machine.py
@@ -131,7 +131,7 @@
         self._update_token(commands.token, now_us)
         self.answered_us = max(self.answered_us, sent_us)
         for command in commands.commands:
-            self._execute(command, now_us)
+            self._execute(command, sent_us, now_us)
         return True
 
     def direct(self, order: DirectCommands, now_us: int) -> tuple[int, Report]:
@@ -141,7 +141,7 @@
             return 409, self.report()
         self._update_token(order.token, now_us)
         for command in order.commands:
-            self._execute(command, now_us)
+            self._execute(command, now_us, now_us)
         return 200, self.report()
 
     def _update_token(self, token: int, now_us: int) -> None:
@@ -234,20 +234,21 @@
 
     # ---------------------------------------------------------------- commands
 
-    def _execute(self, command: Command, now_us: int) -> None:
+    def _execute(self, command: Command, asked_us: int, now_us: int) -> None:
+        """Executes a command; `asked_us`: when the report that it answers was sent, or the direct call arrived."""
         try:
             job, index = parse_task_name(command.task)
         except ValueError:
             return
         task = self.tasks.get((job, index, command.attempt))
         if command.op == "run" and task is None:
-            self._run(job, index, command.attempt, now_us)
+            self._run(job, index, command.attempt, asked_us, now_us)
         elif command.op == "halt" and task is not None:
             self._halt(task, command.grace_s or 0.0, now_us)
         elif command.op == "forget" and task is not None and task.state == EXITED:
             del self.tasks[task.key]
 
-    def _run(self, job: str, index: int, attempt: int, now_us: int) -> None:
+    def _run(self, job: str, index: int, attempt: int, asked_us: int, now_us: int) -> None:
         try:
             spec: JobSpec | None = self.jobs.spec(job)
         except (IndexError, ValueError):
@@ -258,7 +259,7 @@
         if spec is None or refusal is not None:
             task.state, task.cause, self.changed = EXITED, refusal, True
             return
-        self.emit(events.Ordered(now_us, self.name, job, index, attempt))
+        self.emit(events.Ordered(now_us, self.name, job, index, attempt, asked_us))
         self.changed = True
         fetched_us = self._image_ready_us.setdefault(
             spec.image, now_us + to_us(spec.image_gb / self.kind.fetch_gb_per_s)
--- a/src/tideusher/scale/measures.py
+++ b/src/tideusher/scale/measures.py
@@ -74,6 +74,7 @@
     jobs_done: int = 0
     jobs_cancelled: int = 0
     submissions: Summary | None = None
+    cancellations: Summary | None = None  # from a user's first request until a user was told
     waits: dict[str, Summary] = {}
     waits_by_priority: dict[str, Summary] = {}
     zone_losses: list[ZoneLoss] = []
@@ -116,7 +117,8 @@
         self._waits: dict[str, Times] = defaultdict(Times)
         self._waits_by_priority: dict[str, Times] = defaultdict(Times)
         self._waiting_for_acceptance: dict[str, list[int]] = defaultdict(list)
-        self._submissions = Times()
+        self._submissions, self._cancellations = Times(), Times()
+        self._cancelled: set[str] = set()
         self._losses: list[_LossTracker] = []
         self._result = Measured()
 
@@ -142,8 +144,7 @@
             case events.Accepted():
                 self._accepted(event)
             case events.CancelTold():
-                self._result.jobs_cancelled += 1
-                self._finish_job(event.job)
+                self._cancel_told(event)
             case events.DoneTold():
                 self._result.jobs_done += 1
                 self._finish_job(event.job)
@@ -158,6 +159,7 @@
         result.peak_starts_per_s = max(self._starts_by_second.values(), default=0)
         result.peak_orders_per_s = max(self._orders_by_second.values(), default=0)
         result.submissions = self._submissions.summary()
+        result.cancellations = self._cancellations.summary()
         result.waits = {name: times.summary() for name, times in sorted(self._waits.items())}
         result.waits_by_priority = {name: times.summary() for name, times in sorted(self._waits_by_priority.items())}
         result.zone_losses = [loss.result() for loss in self._losses]
@@ -216,6 +218,13 @@
         for at_us in self._waiting_for_acceptance.pop(event.job, ()):
             self._record_first_start(event.job, at_us)
 
+    def _cancel_told(self, event: events.CancelTold) -> None:
+        self._result.jobs_cancelled += 1
+        self._finish_job(event.job)
+        if event.asked_us and event.job not in self._cancelled:
+            self._cancelled.add(event.job)
+            self._cancellations.add_us(event.at_us - event.asked_us)
+
     def _finish_job(self, job: str) -> None:
         for loss in self._losses:
             loss.drop_job(job)
--- a/src/tideusher/scale/report.py
+++ b/src/tideusher/scale/report.py
@@ -163,6 +163,8 @@
     ]
     if measured.submissions is not None:
         lines.append(_format_times("submission", measured.submissions))
+    if measured.cancellations is not None:
+        lines.append(_format_times("cancellation", measured.cancellations))
     lines += [_format_times(f"wait {name}", summary) for name, summary in measured.waits.items()]
     for loss in measured.zone_losses:
         lines.append(f"zone {loss.zone} lost at {loss.at_s:.0f} s: {loss.tasks} tasks of {loss.jobs} jobs")
@@ -193,6 +195,6 @@
 
 def _format_times(label: str, summary: Summary) -> str:
     return (
-        f"{label:24} p50 {summary.p50_s:.2f}, p95 {summary.p95_s:.2f}, p99 {summary.p99_s:.2f}, "
-        f"max {summary.max_s:.2f} s of {summary.count}"
+        f"{label:24} p50 {summary.p50_s:.3f}, p95 {summary.p95_s:.3f}, p99 {summary.p99_s:.3f}, "
+        f"max {summary.max_s:.3f} s of {summary.count}"
     )
--- a/src/tideusher/scale/users.py
+++ b/src/tideusher/scale/users.py
@@ -46,6 +46,7 @@
         self._balancer = Balancer(Layout(settings), self._controllers)
         self._rng = random.Random(f"{settings.seed}/users")
         self._answers = Answers(self._report_broken)
+        self._cancel_asked_us: dict[str, int] = {}  # by job: when its user first asked to cancel it
         self._answered_us: dict[str, int] = {}  # by unfinished job: time of the last answer about it
         self._quiet_us: int | None = None
         self.counts: Counter[str] = Counter()
@@ -124,6 +125,7 @@
 
     def _cancel(self, job: str) -> JobStatus | None:
         self._answers.cancels(job)
+        self._cancel_asked_us.setdefault(job, self._clock.now_us())
         if self._rng.random() < self._settings.users.repeats:
             for number in range(self._controllers):
                 gevent.spawn(self._send_once, job, "POST", f"/work/{job}/abort", b"{}", "cancel again", number)
@@ -179,7 +181,7 @@
         job_status: JobStatus = msgspec.json.decode(answer, type=JobStatus)
         now_us = self._clock.now_us()
         if job_status.status == CANCELLED and before.final != CANCELLED:
-            self._log.write(events.CancelTold(now_us, job))
+            self._log.write(events.CancelTold(now_us, job, self._cancel_asked_us.get(job, 0)))
         elif job_status.status == DONE and before.final != DONE:
             self._log.write(events.DoneTold(now_us, job))
         is_new = self._answers.told(job, before, job_status.status, job_status.done, request)
--- a/tests/test_scale_run.py
+++ b/tests/test_scale_run.py
@@ -418,6 +418,34 @@
     assert judged([spec_of("req-1")], *recorded) == {}
 
 
+@pytest.mark.parametrize(
+    ("asked_us", "attempt", "broken"),
+    [
+        (11, 1, {judge.STARTED_CANCELLED: 1}),
+        (10, 1, {}),  # the report was sent before the user was told
+        (11, 2, {}),  # another attempt was ordered, which did not begin
+    ],
+)
+def test_the_judge_finds_starts_by_answers_to_reports_sent_after_the_cancellation_was_told(asked_us, attempt, broken):
+    ordered = events.Ordered(12, "m1", "req-1", 0, attempt, asked_us)
+    recorded = [up("m1"), events.CancelTold(10, "req-1"), ordered, arrived(13, "m1"), left(14, "m1")]
+    assert judged([spec_of("req-1")], *recorded) == broken
+
+
+def test_the_judge_keeps_the_order_of_a_start_that_waits_for_its_image():
+    told = events.CancelTold(10, "req-1")
+    recorded = [up("m1"), events.Ordered(5, "m1", "req-1", 0, 1, 4), told, arrived(500, "m1"), left(501, "m1")]
+    assert judged([spec_of("req-1")], *recorded) == {}
+
+
+def test_a_machine_says_which_report_a_start_answers():
+    recorded = []
+    machine = machine_of(jobs_of(spec_of("req-1")), recorded)
+    machine.answer(Commands(1, [run("req-1/0", 1)]), 7, 1, 9)
+    machine.direct(DirectCommands(1, 1, [run("req-1/1", 1)]), 11)
+    assert [event.asked_us for event in recorded if isinstance(event, events.Ordered)] == [7, 11]
+
+
 def test_events_are_read_in_order_of_time_without_an_incomplete_last_one(tmp_path):
     log = events.EventLog(tmp_path / "events-1.jsonl")
     log.write(arrived(5, "m1"))
@@ -431,6 +459,14 @@
 # -------------------------------------------------------------------- measures
 
 
+def test_the_time_until_a_cancellation_is_told_counts_once_a_job():
+    measures = Measures(Workload(load_scale_settings(str(SMALL))), 0)
+    for at_us in (3, 4):
+        measures.take(events.CancelTold(at_us * SECOND_US, "req-1", 2 * SECOND_US))
+    summary = measures.result().cancellations
+    assert summary.count == 1 and 0.99 < summary.max_s < 1.02
+
+
 def test_waits_and_recovery_after_the_loss_of_a_zone():
     workload = Workload(load_scale_settings(str(SMALL)))
     job = next(f"req-2{n:07d}" for n in range(99) if workload.spec(f"req-2{n:07d}").tasks == 4)
