One rule decides what an answer may change in the mirror

Cause: the answer to a transaction was applied at the revision of that answer. Once a read had passed the removal of a key, the removal was forgotten, so an answer that came after it put the removed record back, for ever. Watches, commits and full reads each had a rule of their own.

Change: core/model/mirror.py. A change is applied if it is newer than the revision up to which the mirror is complete and than what is known of its key. A full read is made consistent with the changes since its first page before it is applied, so all of it is of one revision. Token buckets leave the store for a module of their own.

Tests of the store call txn where they called the private _apply; they assert the same.

--- a/src/tideusher/actors/cloud.py
+++ b/src/tideusher/actors/cloud.py
@@ -9,7 +9,7 @@
 
 from tideusher.actors.base import Actor
 from tideusher.actors.http import CallFailed, HttpClient
-from tideusher.actors.store import TokenBucket
+from tideusher.actors.rate_limits import TokenBucket
 from tideusher.clock import Clock
 from tideusher.config import Config
 from tideusher.metrics import Metrics
--- a/src/tideusher/actors/election.py
+++ b/src/tideusher/actors/election.py
@@ -14,7 +14,7 @@
 
 import gevent
 
-from tideusher.actors.store import Conflict, LeaseExpired, MirroredValue, Store, Unavailable, lease_of
+from tideusher.actors.store import Conflict, LeaseExpired, Store, Unavailable, lease_of
 from tideusher.clock import SECOND_US, Clock, to_us
 from tideusher.config import Config, Policy
 from tideusher.core.decide.succession import (
@@ -29,6 +29,7 @@
     takeover_reason,
 )
 from tideusher.core.model import keys
+from tideusher.core.model.mirror import MirroredValue
 from tideusher.core.model.pages import is_fenced
 from tideusher.wire import state
 
--- a/src/tideusher/actors/store.py
+++ b/src/tideusher/actors/store.py
@@ -1,13 +1,12 @@
 """The client of the state service: rate-limited requests, and a mirror of our keys kept up to date by watches.
 
-Every node answers from its mirror. Its freshness matters (safety 6 and 7), so the time at which the newest completed
-read was *sent* is kept beside it.
+Every node answers from its mirror (`core/model/mirror.py`). Its freshness matters (safety 6 and 7), so the time at
+which the newest completed read was *sent* is kept beside it.
 """
 
 import logging
 from collections.abc import Callable
-from dataclasses import dataclass
-from math import exp, inf
+from math import inf
 from typing import Any, TypeVar
 
 import gevent
@@ -16,17 +15,18 @@
 
 from tideusher.actors.base import Actor
 from tideusher.actors.http import CallFailed, HttpClient
-from tideusher.clock import SECOND_US, Clock, to_s
+from tideusher.actors.rate_limits import DemandRate, TokenBucket
+from tideusher.clock import Clock, to_s
 from tideusher.config import Config, StateRates
 from tideusher.core.model import keys
 from tideusher.core.model.job_record import is_final
+from tideusher.core.model.mirror import Change, Listener, Mirror, MirroredValue, apply_in_order
 from tideusher.core.model.pages import NULL
 from tideusher.core.model.placements import Placements
 from tideusher.metrics import Metrics
 from tideusher.wire import state
 
 T = TypeVar("T")
-Listener = Callable[[str, Any, int], None]
 
 #: How long a read waits for a change; the leader's wait less, since it starts tasks only on what it has read lately.
 LONG_POLL_MS, LEADER_LONG_POLL_MS = 1000, 500
@@ -65,69 +65,6 @@
     """The lease has expired."""
 
 
-class TokenBucket:
-    """A token bucket. Its burst is at least one second's worth, as the service itself counts."""
-
-    def __init__(self, rate: float, clock: Clock, burst: float = 0.0) -> None:
-        self._clock = clock
-        self._rate, self._burst = rate, max(rate, burst)
-        self._tokens, self._at_us = self._burst, clock.now_us()
-
-    def set(self, rate: float, burst: float = 0.0) -> None:
-        """Changes the rate and the burst from now on."""
-        self._refill()
-        self._rate, self._burst = rate, max(rate, burst)
-
-    def wait_s(self, amount: float, before: float = 0.0) -> float:
-        """Takes the amount and returns how long to wait before using it, in seconds.
-
-        `before`: tokens already taken by others that wait and let this request go first.
-        """
-        self._refill()
-        self._tokens -= amount
-        return max(0.0, -(self._tokens + before) / self._rate)
-
-    def _refill(self) -> None:
-        now_us = self._clock.now_us()
-        self._tokens = min(self._burst, self._tokens + self._rate * (now_us - self._at_us) / SECOND_US)
-        self._at_us = now_us
-
-    def refund(self, amount: float) -> None:
-        """Returns tokens that were taken and will not be used."""
-        self._tokens += amount
-
-    def drain(self) -> None:
-        """Empties the bucket after a 429: the service counts fewer tokens left than we do."""
-        self._refill()
-        self._tokens = min(self._tokens, 0.0)
-
-
-class DemandRate:
-    """Demand in units a second, averaged over about the last second."""
-
-    def __init__(self, clock: Clock) -> None:
-        self._clock, self._tokens, self._at_us = clock, 0.0, clock.now_us()
-
-    def add(self, amount: float) -> None:
-        """Adds new demand."""
-        self._tokens = self.rate() + amount
-
-    def rate(self) -> float:
-        """Returns the demand a second; older demand decays, to a third after one second."""
-        now_us = self._clock.now_us()
-        self._tokens *= exp((self._at_us - now_us) / SECOND_US)
-        self._at_us = now_us
-        return self._tokens
-
-
-@dataclass(slots=True)
-class MirroredValue:
-    """The value of a mirrored key, and its stamp: the revision of its last change."""
-
-    value: Any
-    stamp: int
-
-
 class Store(Actor):
     """Owns the mirror. The mirror is read directly; everything else is a message or a call."""
 
@@ -146,16 +83,16 @@
         self._leading = False
         self._queued_leader_writes = 0  # the leader's writes that wait for the budget
         self._client = HttpClient(config.endpoints.state, timeout_s=3.0, keep=6)
-        self.mirror: dict[str, MirroredValue] = {}
-        self._removed: dict[str, int] = {}
+        self._mirror = Mirror()
+        #: The mirrored keys, read directly.
+        self.mirror = self._mirror.items
         #: Where the record of each job's first tasks is.
         self.placements = Placements(self._is_open)
-        self.revision = 0
+        self._mirror.listen(self._update_placement)
         self.lead(False)
         self.loaded = Event()
         #: Steady time at which the newest answered read had been sent; None if none was answered.
         self.contact_us: int | None = None
-        self._listeners: list[Listener] = []
         self._waiting: list[AsyncResult] = []
         self._syncing = False
 
@@ -216,7 +153,12 @@
 
     def listen(self, listener: Listener) -> None:
         """Registers a listener, called with (key, value or None, stamp) at every change of the mirror."""
-        self._listeners.append(listener)
+        self._mirror.listen(listener)
+
+    @property
+    def revision(self) -> int:
+        """The revision up to which the mirror is complete."""
+        return self._mirror.revision
 
     def read_age_s(self) -> float:
         """Returns the seconds since the newest answered read had been sent; infinite if none was answered."""
@@ -228,8 +170,7 @@
 
     def stamp_of(self, key: str) -> int:
         """Returns the mirrored stamp; 0 if the key does not exist."""
-        stored = self.mirror.get(key)
-        return stored.stamp if stored else 0
+        return self._mirror.stamp_of(key)
 
     def tasks_of(self, job: str, number: int) -> Any:
         """Returns the record of a job's tasks from CHUNK_TASKS times `number` on; None if there is none."""
@@ -292,11 +233,7 @@
         status, answer = self._post_txn(state.Txn(guards, writes), budget)
         if status == 200:
             revision = _decoded(state.decode_txn_done, answer).revision
-            for write in writes:
-                if isinstance(write, state.Put):
-                    self._apply(write.key, {} if write.value is NULL else write.value, revision)
-                else:
-                    self._apply(write.key, None, revision)
+            self._mirror.apply_commit(_written(write, revision) for write in writes)
             return revision
         if status == 409:
             raise Conflict(_decoded(state.decode_txn_failed, answer).failed)
@@ -363,61 +300,31 @@
         if pause_s:
             gevent.sleep(pause_s)
             sent_us = self._clock.now_us()
+        changes = self._changes_since(since, wait_ms)
+        if changes is None:
+            self._load()
+            return
+        self._mirror.apply_read(changes.revision, [_changed(event) for event in changes.events])
+        self._record_contact(sent_us)
+
+    def _changes_since(self, revision: int, wait_ms: int) -> state.Changes | None:
+        """Returns the changes of our keys since a revision; None if they are not kept that far back."""
         status, answer = self.call(
             "GET",
-            f"/watch?under={keys.PREFIX}&since={since}&wait_ms={wait_ms}",
+            f"/watch?under={keys.PREFIX}&since={revision}&wait_ms={wait_ms}",
             budget=False,
             timeout_s=wait_ms / 1000 + 1.5,
         )
         if status == 410:
-            # The pages of a full read are of different revisions: for a job that ended in between, one page holds the
-            # open record and the next lacks the chunk with its done tasks. The changes since then make it consistent.
-            self._load()
-            self._poll(0)
-            return
+            return None
         if status != 200:
             raise Unavailable(f"GET /watch: {status}")
-        changes = _decoded(state.decode_changes, answer)
-        for event in changes.events:
-            if event.stamp <= self.revision:
-                # This answer was overtaken by a newer one, and removals of keys in it may have been dropped from
-                # `_removed` already. A key restored from it would stay for ever, and every transaction that takes
-                # its stamp from the mirror would fail.
-                continue
-            if event.put is not None:
-                self._apply(event.put, _present(event.value), event.stamp)
-            elif event.removed is not None:
-                self._apply(event.removed, None, event.stamp)
-        self._advance_revision(changes.revision)
-        self._record_contact(sent_us)
+        return _decoded(state.decode_changes, answer)
 
     def _record_contact(self, sent_us: int) -> None:
         if self.contact_us is None or sent_us > self.contact_us:
             self.contact_us = sent_us
 
-    def _advance_revision(self, revision: int) -> None:
-        if revision > self.revision:
-            self.revision = revision
-            if self._removed:
-                self._removed = {k: s for k, s in self._removed.items() if s > revision}
-
-    def _apply(self, key: str, value: Any, stamp: int) -> None:
-        """Applies a change if it is the newest of its key: overlapping answers and our writes come in any order."""
-        old = self.mirror.get(key)
-        if stamp <= (old.stamp if old else self._removed.get(key, 0)):
-            return
-        if value is None:
-            self.mirror.pop(key, None)
-            self._removed[key] = stamp
-        else:
-            self.mirror[key] = MirroredValue(value, stamp)
-        self._update_placement(key, value, stamp)
-        for listener in self._listeners:
-            try:
-                listener(key, value, stamp)
-            except Exception:
-                self.log.exception("listener failed on the change of key %s", key)
-
     def _update_placement(self, key: str, value: Any, stamp: int) -> None:
         if key.startswith(keys.PAGE_PREFIX):
             self.placements.page_changed(key, value, stamp)
@@ -433,32 +340,41 @@
         return stored is not None and not is_final(keys.job_key(job), stored.value)
 
     def _load(self) -> None:
-        """Reads all keys; those that no longer exist are removed from the mirror."""
+        """Reads all keys as they are at one revision; those that no longer exist are removed from the mirror.
+
+        The pages of a full read are of different revisions: for a job that ended in between, one page holds the open
+        record and the next lacks the chunk with its done tasks. The changes since the first page make it consistent.
+        """
+        first_revision, found = self._read_pages()
         sent_us = self._clock.now_us()
-        found: dict[str, state.Item] = {}
+        changes = self._changes_since(first_revision, 0)
+        if changes is None:
+            raise Unavailable("too many changes during a full read")
+        apply_in_order(found, [_changed(event) for event in changes.events])
+        changed = self._mirror.apply_state(changes.revision, found)
+        self.log.info("all %d keys read at revision %d, %d changed", len(found), changes.revision, changed)
+        self._record_contact(sent_us)
+        self.loaded.set()
+
+    def _read_pages(self) -> tuple[int, dict[str, MirroredValue]]:
+        """Returns all keys, read page by page, and the revision of the first page."""
+        found: dict[str, MirroredValue] = {}
         first_revision: int | None = None
         since = ""
         while True:
-            after = f"&since={since}" if since else ""
-            status, answer = self.call("GET", f"/keys?under={keys.PREFIX}{after}&most=1000", timeout_s=4.0)
-            if status != 200:
-                raise Unavailable(f"GET /keys: {status}")
-            page = _decoded(state.decode_items, answer)
+            page = self._list_keys(f"under={keys.PREFIX}{f'&since={since}' if since else ''}&most=1000")
             if first_revision is None:
                 first_revision = page.revision
-            for item in page.items:
-                found[item.key] = item
+            found.update((item.key, _stored(item)) for item in page.items)
             if not page.more or not page.items:
-                break
+                return first_revision, found
             since = page.items[-1].key
-        for key in [k for k, stored in self.mirror.items() if k not in found and stored.stamp <= first_revision]:
-            self._apply(key, None, first_revision)
-        for item in found.values():
-            if item.stamp > self.revision:
-                self._apply(item.key, _present(item.value), item.stamp)
-        self.revision = max(self.revision, first_revision)
-        self._record_contact(sent_us)
-        self.loaded.set()
+
+    def _list_keys(self, query: str) -> state.Items:
+        status, answer = self.call("GET", f"/keys?{query}", timeout_s=4.0)
+        if status != 200:
+            raise Unavailable(f"GET /keys: {status}")
+        return _decoded(state.decode_items, answer)
 
     def _follow(self) -> None:
         """Keeps the mirror up to date with one watch at a time, spaced to save the request budget."""
@@ -487,6 +403,22 @@
         raise Malformed(f"bad answer: {error}") from None
 
 
+def _written(write: state.Put | state.Delete, revision: int) -> Change:
+    if isinstance(write, state.Delete):
+        return Change(write.key, None, revision)
+    return Change(write.key, {} if write.value is NULL else write.value, revision)
+
+
+def _changed(event: state.Event) -> Change:
+    if event.put is not None:
+        return Change(event.put, _present(event.value), event.stamp)
+    return Change(event.removed or "", None, event.stamp)
+
+
+def _stored(item: state.Item) -> MirroredValue:
+    return MirroredValue(_present(item.value), item.stamp)
+
+
 def lease_of(answer: bytes) -> int:
     """Returns the id of the lease that the state service granted; raises Malformed."""
     return _decoded(state.decode_lease, answer).id
--- a/src/tideusher/scale/cloud.py
+++ b/src/tideusher/scale/cloud.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from tideusher.actors.store import TokenBucket
+from tideusher.actors.rate_limits import TokenBucket
 from tideusher.clock import Clock, to_s, to_us
 from tideusher.scale.layout import Layout
 from tideusher.scale.settings import ScaleSettings
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -12,11 +12,12 @@
 from standins import TYPE, FakeClock, StateStandIn, job, make_config
 from tideusher.actors.election import Election
 from tideusher.actors.replies import Reply
-from tideusher.actors.store import MirroredValue, Store, Unavailable
+from tideusher.actors.store import Store, Unavailable
 from tideusher.actors.users import Users
 from tideusher.config import Policy
 from tideusher.core.model import keys
 from tideusher.core.model.job_record import open_value
+from tideusher.core.model.mirror import MirroredValue
 from tideusher.core.model.records import JOB_DONE
 from tideusher.metrics import Metrics
 from tideusher.wire import state
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -11,13 +11,14 @@
 from tideusher.actors.gateway import Gateway
 from tideusher.actors.leader import Leader
 from tideusher.actors.replies import Reply
-from tideusher.actors.store import Conflict, MirroredValue, Throttled, Unavailable
+from tideusher.actors.store import Conflict, Throttled, Unavailable
 from tideusher.actors.users import Users
 from tideusher.cli import main
 from tideusher.config import ConfigError, Policy, load_config, load_policy
 from tideusher.core.lead import explain
 from tideusher.core.model import keys
 from tideusher.core.model.job_record import open_value
+from tideusher.core.model.mirror import MirroredValue
 from tideusher.core.model.records import JOB_CANCELLED, JOB_DONE
 from tideusher.metrics import Metrics
 from tideusher.web import MAX_USER_REQUESTS, Web
--- a/tests/test_restarts.py
+++ b/tests/test_restarts.py
@@ -8,7 +8,7 @@
 from standins import Harness, LeaderHarness, job, make_config
 from tideusher.actors.election import PREVIOUS_RUN_GRACE_US, Election
 from tideusher.actors.leader import PROCESS_PAUSE_US, TICK_US, Leader
-from tideusher.actors.store import Conflict, MirroredValue
+from tideusher.actors.store import Conflict
 from tideusher.clock import SECOND_US
 from tideusher.config import Policy
 from tideusher.core.decide.succession import Candidate
@@ -16,6 +16,7 @@
 from tideusher.core.lead.standby import Standby
 from tideusher.core.model import keys
 from tideusher.core.model.contacts import LocalContacts, WorkerContacts, ZoneContacts
+from tideusher.core.model.mirror import MirroredValue
 from tideusher.metrics import Metrics
 from tideusher.playground.standins import StateStandIn
 from tideusher.wire.peers import SoftState
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -4,7 +4,8 @@
 import pytest
 
 from standins import FakeClock, make_config
-from tideusher.actors.store import DemandRate, Store, Throttled, TokenBucket
+from tideusher.actors.rate_limits import DemandRate, TokenBucket
+from tideusher.actors.store import Store, Throttled
 from tideusher.core.model import keys
 from tideusher.core.model.write_queue import Entry, WriteQueue
 from tideusher.metrics import Metrics
@@ -20,6 +21,11 @@
     return 200, msgspec.json.encode({"tide": tide, "log": list(log)})
 
 
+def answer_commit(store, tide):
+    """Has the store's next transactions committed at this revision."""
+    store.call = lambda *args, **kwargs: (200, msgspec.json.encode({"tide": tide}))
+
+
 def test_overtaken_answer_restores_no_removed_key(store):
     # A removed key restored from a late answer blocked every transaction of the next leader.
     put = {"set": "t/x", "value": 1, "stamp": 5}
@@ -36,11 +42,13 @@
 
 
 def test_own_writes_are_visible_at_once_and_older_answers_do_not_undo_them(store):
-    store._apply("t/x", "new", 12)
+    answer_commit(store, 12)
+    store.txn([], [state.Put("t/x", "new")])
     store.call = lambda *args, **kwargs: watch_answer(11, {"set": "t/x", "value": "old", "stamp": 10})
     store._poll(0)
     assert store.mirror["t/x"].value == "new" and store.revision == 11
-    store._apply("t/x", None, 14)
+    answer_commit(store, 14)
+    store.txn([], [state.Delete("t/x")])
     store.call = lambda *args, **kwargs: watch_answer(13, {"set": "t/x", "value": "mid", "stamp": 13})
     store._poll(0)
     assert "t/x" not in store.mirror
@@ -106,7 +114,8 @@
     config = make_config()  # 50 writes a second for all nodes together
     config.node = node
     store = Store(config, FakeClock(), Metrics())
-    store._apply(keys.LEADER, {"node": leader}, 1)
+    answer_commit(store, 1)
+    store.txn([], [state.Put(keys.LEADER, {"node": leader})], budget=False)
     store.lead(leader == node)
     store.set_demand_source(lambda: demands)
     store._share_writes()
