An election answered late is no leadership once another was read

Cause: Election took the revision in the answer to its transaction for its token. If the key had changed before the answer came (the lease ended, another controller was elected and read), it led under a dead token until the next look at the key, a tenth of a second later; its transactions failed on the token.

Change: the token counts only if the mirror holds the leader's key with it, which is what the rule of the mirror decides.

--- a/src/tideusher/actors/election.py
+++ b/src/tideusher/actors/election.py
@@ -260,13 +260,21 @@
             token = self._store.txn(
                 [state.Guard(keys.LEADER, replaced_token)], [state.Put(keys.LEADER, value, self._lease)], budget=False
             )
-            self._set_leading(token)
+            self._lead_unless_replaced(token)
         except Conflict:
             self._store.sync()
         except LeaseExpired:
             self._lease = None
             raise
 
+    def _lead_unless_replaced(self, token: int) -> None:
+        """Leads under the token of an election, unless a read has shown that the key changed since."""
+        stored = self._store.mirror.get(keys.LEADER)
+        if stored is not None and stored.stamp == token:
+            self._set_leading(token)
+        else:
+            self.log.info("elected with token %d, and replaced before the answer came", token)
+
     def _renew(self) -> None:
         while True:
             gevent.sleep(self._ttl_s / 4)
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -522,3 +522,20 @@
     controllers.take_over("n1")
     controllers.run(60, lambda: controllers.running_tasks(spec) == 8)
     assert controllers.running_tasks(spec) == 8 and set(controllers.gone.values()) == {DEAD}
+
+
+def test_an_election_answered_late_is_no_leadership_after_a_read_of_the_next():
+    """The token of the answer was led under although a read had shown another leader."""
+    store = ScriptedStore()
+    made = election(store, LeaderHarness().clock)
+    commit = store.txn
+
+    def answered_late(guards, writes, budget=True):
+        token = commit(guards, writes)
+        store.state.elect("n2")
+        store.sync()
+        return token
+
+    store.txn = answered_late
+    made._stand_for_election(0, 0)
+    assert made.token is None and made.leader()[0] == "n2"
