Refused transactions are counted, and what no read explains is read anew

The leader read, found the same stamp in its mirror and sent the same again: a refusal that a newer read does not explain proves that the mirror is wrong, and nothing said so.

Change: each refusal is counted by the kind of the keys that failed (state_conflicts). RefusedGuards keeps failed guards until the mirror is complete to the revision of the refusal; one that it still does not explain is a violated invariant (mirror).

--- a/src/tideusher/actors/store.py
+++ b/src/tideusher/actors/store.py
@@ -16,13 +16,15 @@
 from tideusher.actors.base import Actor
 from tideusher.actors.http import CallFailed, HttpClient
 from tideusher.actors.rate_limits import DemandRate, TokenBucket
-from tideusher.clock import Clock, to_s
+from tideusher.clock import Clock, to_s, to_us
 from tideusher.config import Config, StateRates
+from tideusher.core.decide.refused_guards import RefusedGuards
 from tideusher.core.model import keys
 from tideusher.core.model.job_record import is_final
 from tideusher.core.model.mirror import Change, Listener, Mirror, MirroredValue, apply_in_order
 from tideusher.core.model.pages import NULL
 from tideusher.core.model.placements import Placements
+from tideusher.invariants import Invariants, Rule
 from tideusher.metrics import Metrics
 from tideusher.wire import state
 
@@ -39,6 +41,10 @@
 SPARE_WRITE_SHARE = 0.8
 #: Share of the leader's writes that other nodes may use: its assignments come in bursts and have priority.
 LEADER_LENDABLE_SHARE = 0.5
+#: Shortest time between two full reads because the mirror was found wrong: there may be a million keys.
+FULL_READ_INTERVAL_US = to_us(60.0)
+#: Attempts to read a key at a revision that the mirror has not reached yet.
+KEY_READ_ATTEMPTS = 3
 
 
 class Unavailable(Exception):
@@ -89,6 +95,8 @@
         #: Where the record of each job's first tasks is.
         self.placements = Placements(self._is_open)
         self._mirror.listen(self._update_placement)
+        self._refused_guards, self._invariants = RefusedGuards(self._mirror), Invariants(metrics)
+        self._full_read_us: int | None = None  # when all keys were last read because the mirror was found wrong
         self.lead(False)
         self.loaded = Event()
         #: Steady time at which the newest answered read had been sent; None if none was answered.
@@ -236,7 +244,11 @@
             self._mirror.apply_commit(_written(write, revision) for write in writes)
             return revision
         if status == 409:
-            raise Conflict(_decoded(state.decode_txn_failed, answer).failed)
+            refusal = _decoded(state.decode_txn_failed, answer)
+            for key in refusal.failed:
+                self._metrics.count("state_conflicts", keys.kind_of(key))
+            self._refused_guards.add(guards, refusal)
+            raise Conflict(refusal.failed)
         if b"no such lease" in answer:
             raise LeaseExpired
         raise Unavailable(f"POST /txn: {status} {answer[:200]!r}")
@@ -306,6 +318,7 @@
             return
         self._mirror.apply_read(changes.revision, [_changed(event) for event in changes.events])
         self._record_contact(sent_us)
+        self._check_refused_guards()
 
     def _changes_since(self, revision: int, wait_ms: int) -> state.Changes | None:
         """Returns the changes of our keys since a revision; None if they are not kept that far back."""
@@ -354,6 +367,7 @@
         changed = self._mirror.apply_state(changes.revision, found)
         self.log.info("all %d keys read at revision %d, %d changed", len(found), changes.revision, changed)
         self._record_contact(sent_us)
+        self._check_refused_guards()
         self.loaded.set()
 
     def _read_pages(self) -> tuple[int, dict[str, MirroredValue]]:
@@ -376,13 +390,49 @@
             raise Unavailable(f"GET /keys: {status}")
         return _decoded(state.decode_items, answer)
 
+    # ---------------------------------------------------------------- a wrong mirror
+
+    def _check_refused_guards(self) -> None:
+        """Reads anew what must be wrong in the mirror, since it does not explain why a transaction was refused.
+
+        The keys of the refused guards are read at once, before any caller of `sync` goes on, and all keys some time
+        after, as others may be wrong too.
+        """
+        unexplained = self._refused_guards.take_unexplained()
+        for guard in unexplained:
+            found = f"{guard.key} has stamp {guard.stamp} here and had another at revision {guard.revision}"
+            self._invariants.violated(Rule.MIRROR, f"{found}; {self.describe_last_read()}")
+        for guard in unexplained:
+            self._read_key(guard.key)
+        if unexplained and self._may_read_all():
+            self._full_read_us = self._clock.now_us()
+            self.spawn(self._read_all)
+
+    def _may_read_all(self) -> bool:
+        return self._full_read_us is None or self._clock.now_us() - self._full_read_us >= FULL_READ_INTERVAL_US
+
+    def _read_key(self, key: str) -> None:
+        """Reads one key anew at a revision that the mirror has not passed."""
+        self._metrics.count("mirror_rereads", "key")
+        for _ in range(KEY_READ_ATTEMPTS):
+            page = self._list_keys(f"under={key}&most=1")
+            found = next((_stored(item) for item in page.items if item.key == key), None)
+            if self._mirror.apply_key(page.revision, key, found):
+                return
+
+    def _read_all(self) -> None:
+        self._metrics.count("mirror_rereads", "all")
+        try:
+            self._load()
+        except Unavailable as error:
+            self.log.info("full read after an unexplained conflict failed: %s", error)
+
     def _follow(self) -> None:
         """Keeps the mirror up to date with one watch at a time, spaced to save the request budget."""
         while True:
             try:
                 if not self.loaded.is_set():
                     self._load()
-                    self.log.info("mirror loaded: %d keys at revision %d", len(self.mirror), self.revision)
                 self._poll(LEADER_LONG_POLL_MS if self._leading else LONG_POLL_MS)
                 pause_s = self._poll_pause_s
             except Unavailable as error:
--- a/src/tideusher/core/model/keys.py
+++ b/src/tideusher/core/model/keys.py
@@ -13,6 +13,22 @@
 SCRIPT_PREFIX = "s/"
 
 
+#: Kinds of keys by prefix, as metrics and logs name them.
+KINDS = {
+    JOB_PREFIX: "job",
+    CHUNK_PREFIX: "tasks of a job",
+    PAGE_PREFIX: "page",
+    RENTAL_PREFIX: "rental",
+    FALL_PREFIX: "fall",
+    SCRIPT_PREFIX: "script",
+}
+
+
+def kind_of(key: str) -> str:
+    """Returns the kind of a key; a key that is the only one of its kind is called by the last part of its name."""
+    return next((kind for prefix, kind in KINDS.items() if key.startswith(prefix)), key.rpartition("/")[2])
+
+
 def job_key(job: str) -> str:
     """Returns the key of the job's own record: its spec, and whether it is over."""
     return JOB_PREFIX + job
--- a/src/tideusher/invariants.py
+++ b/src/tideusher/invariants.py
@@ -22,6 +22,7 @@
     RENTAL_MACHINES = "rental_machines"  # a machine belongs to at most one rental
     MACHINE_KIND = "machine_kind"  # a machine's record agrees with its reports and with the cloud's list
     PLACE = "place"  # a task is placed only on a machine where it may start
+    MIRROR = "mirror"  # what was read since explains why the state service refused a transaction
     START = "start"  # `run` is sent only to a machine where the task may start
 
 
