The soak and the simulated cluster have transactions answered late, alone

Cause: both slowed or lost the answers of all requests of a time, so a read was as late as the answer beside it, and no mirror was looked at. A link that refuses in a scale run took the connection and closed it, which is no refusal, so no leader was ever replaced for it.

Change: state_late_answer: a share of transactions is executed at once and answered late, drawn with three moments at which the leader's peers cannot connect to it. Links that refuse close their listener. At the end of a run each controller's own metrics are compared with the state service at one revision (wrong_mirror). The simulated cluster has late answers among its drawn faults, compares each mirror with the service at every step, and finds the planted old rule.

--- a/src/tideusher/scale/coordinator.py
+++ b/src/tideusher/scale/coordinator.py
@@ -43,6 +43,7 @@
     Stop,
     Stopped,
 )
+from tideusher.scale.mirrors import MirrorCheck, check_mirrors
 from tideusher.scale.processes import Processes, ProcessUsage, Usage, controller_command, role_command
 from tideusher.scale.settings import ScaleSettings
 from tideusher.scale.waiting import Waiting
@@ -77,6 +78,7 @@
         self._began_us = 0
         self._faults = Faults(self._stage())
         self._notes: list[str] = []
+        self._mirrors = MirrorCheck()
         self._counts: Counter[str] = Counter()
         self._usage: dict[str, Usage] = {}
         self._process_usage: dict[str, ProcessUsage] = {}
@@ -104,6 +106,7 @@
         try:
             self._start()
             self._execute()
+            self._mirrors = self._check_mirrors()
             self._collect_counts()
             now_s = to_s(self._clock.now_us())
             self._usage, self._process_usage = self._processes.usage(now_s), self._processes.each(now_s)
@@ -201,6 +204,13 @@
         line = f"{self._at_s():6.0f} s: {machines} machines up, leader {self._leader or 'none'}, {memory_mb:.0f} MB"
         print(line, file=sys.stderr, flush=True)
 
+    def _check_mirrors(self) -> MirrorCheck:
+        names = map(self._layout.controller_name, range(self._settings.control.controllers))
+        running = {
+            name: self._layout.controller(number) for number, name in enumerate(names) if self._processes.runs(name)
+        }
+        return check_mirrors(self._layout.state, running)
+
     def _collect_counts(self) -> None:
         self._hub.broadcast(Finish())
         missing = self._hub.wait_counted({"state", "links", "users", *self._hosts}, _COUNTS_TIMEOUT_S)
@@ -310,6 +320,9 @@
             measures.take(event)
             waiting.take(event)
         waiting.judge(judge, self._settings.quiet_s)
+        for difference in self._mirrors.wrong:
+            judge.wrong_mirror(difference)
+        self._notes += [f"the mirror of {name} was not compared" for name in self._mirrors.not_compared]
         outcome = report.Outcome(
             judge.end(),
             measures.result(),
--- a/src/tideusher/scale/faults.py
+++ b/src/tideusher/scale/faults.py
@@ -236,6 +236,8 @@
         max((fault.delay_s for fault in active if fault.kind == "state_slow"), default=0.0),
         _max_share(active, "state_late"),
         _max_share(active, "state_lost"),
+        _max_share(active, "state_late_answer"),
+        max((fault.delay_s for fault in active if fault.kind == "state_late_answer"), default=0.0),
     )
 
 
@@ -248,6 +250,8 @@
             return f"the state service refuses {controllers}"
         case "state_slow":
             return f"the state service takes up to {fault.delay_s:.1f} s more"
+        case "state_late_answer":
+            return f"a share of {fault.share:.2f} of the transactions is answered up to {fault.delay_s:.1f} s late"
         case "state_out":
             return "the state service is out"
     return f"{fault.kind}, a share of {fault.share:.2f},"
--- a/src/tideusher/scale/judge.py
+++ b/src/tideusher/scale/judge.py
@@ -14,6 +14,7 @@
 
 RAN_TWICE, QUOTA, WRONG_PLACE, RAN_CANCELLED = "ran_twice", "quota", "wrong_place", "ran_cancelled"
 STARTED_CANCELLED = "started_cancelled"
+WRONG_MIRROR = "wrong_mirror"
 NOT_DONE, LEFT_WAITING, PLACED_NOTHING = "not_done", "left_waiting", "placed_nothing"
 RULES = (
     RAN_TWICE,
@@ -24,6 +25,7 @@
     NOT_DONE,
     LEFT_WAITING,
     PLACED_NOTHING,
+    WRONG_MIRROR,
     answers.WENT_BACK,
     answers.FORGOTTEN,
     answers.UNASKED,
@@ -176,6 +178,10 @@
             PLACED_NOTHING, self._last_event_us, f"nothing is started while there is room for {', '.join(jobs)}"
         )
 
+    def wrong_mirror(self, what: str) -> None:
+        """Records that a controller's mirror differed from the state service at the end."""
+        self._record(WRONG_MIRROR, self._last_event_us, what)
+
     def _placement_error(self, spec: JobSpec, machine: events.MachineUp) -> str:
         if not allowed_on(spec, machine.type, machine.zone, machine.spot):
             return f"a {machine.type} {'spot' if machine.spot else 'ordinary'} machine in {machine.zone}"
--- a/src/tideusher/scale/links.py
+++ b/src/tideusher/scale/links.py
@@ -29,15 +29,19 @@
         self._partitions: list[tuple[int, int]] = []
         self._link_cuts = LinkCuts([])
         self._connections: dict[socket.socket, Forward] = {}
+        self._listeners: dict[Forward, StreamServer] = {}
         self._changed = Event()
         self.traffic: dict[str, Traffic] = defaultdict(Traffic)
 
     def start(self) -> None:
         """Listens on the address of each link."""
         for forward in self._layout.forwards():
-            StreamServer(
-                split_address(forward.listen), lambda sock, _, forward=forward: self._forward(sock, forward)
-            ).start()
+            self._listen(forward)
+
+    def _listen(self, forward: Forward) -> None:
+        listener = StreamServer(split_address(forward.listen), lambda sock, _: self._forward(sock, forward))
+        listener.start()
+        self._listeners[forward] = listener
 
     def handle(self, message: Message) -> None:
         """Applies a change of the partitions or of the cut links, and closes connections that are now refused."""
@@ -45,11 +49,21 @@
             self._partitions = message.pairs
         elif isinstance(message, LinkCuts):
             self._link_cuts = message
+            for forward in self._layout.forwards():
+                self._refuse_or_listen(forward)
             for sock in [sock for sock, forward in self._connections.items() if self._refuses(forward)]:
                 sock.close()
         self._changed.set()
         self._changed.clear()
 
+    def _refuse_or_listen(self, forward: Forward) -> None:
+        """Closes the listener of a link that refuses, so that the system refuses connections; opens the others."""
+        if not self._refuses(forward):
+            if forward not in self._listeners:
+                self._listen(forward)
+        elif forward in self._listeners:
+            self._listeners.pop(forward).close()
+
     def counted(self) -> Counted:
         """Returns the forwarded traffic, by the roles at the ends."""
         return Counted("links", traffic=dict(self.traffic))
--- a/src/tideusher/scale/messages.py
+++ b/src/tideusher/scale/messages.py
@@ -137,13 +137,15 @@
 
 
 class StateTroubles(HubMessage, tag="state-troubles"):
-    """The faults of the state service from now on; `late` and `lost` are shares of its transactions."""
+    """The faults of the state service from now on; `late`, `lost` and `late_answers` are shares of transactions."""
 
     out: bool = False
     refused: list[int] = []
     slow_s: float = 0.0
     late: float = 0.0
     lost: float = 0.0
+    late_answers: float = 0.0
+    late_answer_s: float = 0.0
 
 
 class Afflict(HubMessage, tag="afflict"):
--- a/src/tideusher/scale/settings.py
+++ b/src/tideusher/scale/settings.py
@@ -165,7 +165,7 @@
 
 
 #: Faults of the state service.
-STATE_FAULTS = ("state_out", "state_refuse", "state_slow", "state_late", "state_lost")
+STATE_FAULTS = ("state_out", "state_refuse", "state_slow", "state_late", "state_lost", "state_late_answer")
 #: Faults of machines that do not stop the machine at once.
 MACHINE_FAULTS = ("hang", "deaf", "mute", "recall")
 #: Faults of the messages between workers and controllers.
@@ -189,6 +189,7 @@
     "state_slow",
     "state_late",
     "state_lost",
+    "state_late_answer",
     "hang",
     "deaf",
     "mute",
@@ -211,7 +212,8 @@
     cut (one `link` of theirs refuses connections or holds what is sent, see `mode`).
     Of the state service: state_out (503 for all), state_refuse (503 for the target), state_slow (up to `delay_s` more
     for each request), state_late (a `share` of transactions gets no answer and is executed later), state_lost (a
-    `share` of transactions is executed but its answers are lost).
+    `share` of transactions is executed but its answers are lost), state_late_answer (a `share` of transactions is
+    executed at once and answered up to `delay_s` later, while all other requests are answered at once).
     Of `count` machines: hang (no reports, calls wait), deaf (they receive nothing), mute (they reach no controller),
     recall (spot machines, which the cloud takes back after `for_s`). Of messages: copies (a `share` of reports is
     delivered a second time later), late_calls (a `share` of direct calls is delayed).
--- a/src/tideusher/scale/soak_schedule.py
+++ b/src/tideusher/scale/soak_schedule.py
@@ -209,6 +209,17 @@
     return drawn
 
 
+def _late_answers(rng: random.Random, at_s: float, controllers: int) -> list[Fault]:
+    """Transactions are answered late, each alone, while the others cannot connect to the leader and replace it."""
+    share, delay_s = rng.choice((0.3, 0.6)), rng.choice((1.5, 2.5))
+    late = Fault(at_s, "state_late_answer", for_s=9.0, share=share, delay_s=delay_s)
+    cuts = [
+        Fault(at_s + after_s + rng.random(), "cut", for_s=2.0, link="peers", mode="refuse", target="leader")
+        for after_s in (0.5, 3.5, 6.5)
+    ]
+    return [late, *cuts]
+
+
 def _machines(kind: FaultKind) -> Draw:
     def drawn(rng: random.Random, at_s: float, controllers: int) -> list[Fault]:
         return [Fault(at_s, kind, for_s=rng.uniform(2.0, MAX_MACHINE_FAULT_S), count=rng.randint(1, 6))]
@@ -242,6 +253,7 @@
     _state("state_slow"),
     _state("state_late"),
     _state("state_lost"),
+    _late_answers,
     _machines("machine"),
     _machines("hang"),
     _machines("deaf"),
--- a/src/tideusher/scale/state_service.py
+++ b/src/tideusher/scale/state_service.py
@@ -12,7 +12,7 @@
 from gevent.pywsgi import WSGIServer
 
 from tideusher.actors.handler import Handler
-from tideusher.actors.store import TokenBucket
+from tideusher.actors.rate_limits import TokenBucket
 from tideusher.clock import Clock, to_s
 from tideusher.config import split_address
 from tideusher.core.model import keys
@@ -91,7 +91,15 @@
         return self._troubles.out or self._controller_at(host) in self._troubles.refused
 
     def _with_faults(self, method: str, path: str, query: dict[str, list[str]], body: bytes) -> tuple[int, Any]:
-        """Handles a request. A transaction may be executed late, or executed without an answer in time."""
+        """Handles a request.
+
+        A transaction may be executed late, or executed without an answer in time, or executed and answered late.
+        """
+        if path == "/txn" and self._troubles.late_answers and self._rng.random() < self._troubles.late_answers:
+            self.counts["txn answered late"] += 1
+            status, answer = self._limited(method, path, query, body)
+            gevent.sleep(self._troubles.late_answer_s * self._rng.random())
+            return status, answer
         drawn = self._rng.random()
         if path != "/txn" or drawn >= self._troubles.late + self._troubles.lost:
             return self._limited(method, path, query, body)
@@ -242,16 +250,8 @@
     if key.startswith(keys.JOB_PREFIX):
         status = write.value.get("st") if isinstance(write, Put) else "removed"
         return "job accepted or changed" if status == OPEN else f"job {status}"
-    for prefix, name in (
-        (keys.CHUNK_PREFIX, "tasks of a job"),
-        (keys.PAGE_PREFIX, "page"),
-        (keys.RENTAL_PREFIX, "rental"),
-        (keys.FALL_PREFIX, "fall"),
-        (keys.SCRIPT_PREFIX, "script"),
-    ):
-        if key.startswith(prefix):
-            return f"{name} removed" if removed else name
-    return key.rpartition("/")[2]
+    kind = keys.kind_of(key)
+    return f"{kind} removed" if removed and key.count("/") > 1 else kind
 
 
 def main(arguments: list[str]) -> None:
--- a/tests/simulated_cluster.py
+++ b/tests/simulated_cluster.py
@@ -161,6 +161,7 @@
         super().__init__(sim.time.clock, StateStandIn(4096))
         self.sim, self.state = sim, self._state
         self.out, self.refused, self.slow_s, self.late, self.at_once = False, set(), 0.0, 0.0, 0.0
+        self.late_answers = 0.0  # share of transactions that are executed at once and answered late, each alone
         self.loses = lambda node, writes: False  # returns whether the answer to this transaction is lost
         self.counts = Counter()  # requests by path, and writes of transactions
 
@@ -192,6 +193,10 @@
             time.later(2 + 10 * self.sim.rng.random(), lambda: self.out or self._route(method, where, {}, data))
             time.sleep(3.0)
             raise CallFailed("no answer")
+        if where == "/txn" and self.late_answers and self.sim.rng.random() < self.late_answers:
+            answer = self._route(method, where, {}, data)
+            time.sleep(0.2 + 2.3 * self.sim.rng.random())
+            return answer[0], msgspec.json.encode(answer[1])
         asked = {name: [value] for name, _, value in (part.partition("=") for part in query.split("&"))}
         asked["wait_ms"] = ["0"]
         status, answer = self._route(method, where, asked, data or b"")
@@ -602,10 +607,20 @@
                 self.rules.check(list(self.workers.values()), began, now_us)
                 self.rules.check_starts(began)
                 self.rules.check_state(self.service.state)
+                self._check_mirrors()
             except AssertionError as error:
                 self.broken = error
                 return
 
+    def _check_mirrors(self):
+        """Checks that a mirror which is complete to the service's newest revision holds the same keys and stamps."""
+        state = self.service.state
+        expected = {key: stamp for key, (_, stamp) in state.items.items() if key.startswith(keys.PREFIX)}
+        for name, node in self.nodes.items():
+            if node.store.revision == state.tide and node.store.loaded.is_set():
+                mirrored = {key: stored.stamp for key, stored in node.store.mirror.items()}
+                assert mirrored == expected, f"wrong mirror of {name}: {mirrored.items() ^ expected.items()}"
+
     broken = None
 
     def run(self, seconds):
--- a/tests/test_random_faults.py
+++ b/tests/test_random_faults.py
@@ -20,9 +20,11 @@
 from tideusher.core.lead.cluster import Cluster
 from tideusher.core.lead.reports import Reports
 from tideusher.core.model import keys
+from tideusher.core.model.mirror import Mirror
 from tideusher.core.model.records import JOB_CANCELLED, JOB_DONE
 from tideusher.core.model.write_queue import WriteQueue
 from tideusher.wire.jobs import JobStatus
+from tideusher.wire.state import Delete
 
 SEEDS = int(os.environ.get("FAULTS_SEEDS", "12"))
 FAULTS_S, AFTER_S = 60.0, 90.0
@@ -75,6 +77,22 @@
     sim.time.later(for_s, lambda: setattr(sim.service, "late", 0.0))
 
 
+def late_answers(sim, rng, for_s):
+    """Some transactions are answered late, each alone, while the leader changes and its rentals are refused."""
+    sim.service.late_answers = 0.5
+    sim.time.later(for_s, lambda: setattr(sim.service, "late_answers", 0.0))
+    capacity, sim.capacity = sim.capacity, len(sim.workers)
+    sim.time.later(for_s, lambda: setattr(sim, "capacity", capacity))
+    for number in range(round(for_s / 4.0)):
+        sim.time.later(4.0 * number + 3.0 * rng.random(), lambda: replace_leader(sim))
+
+
+def replace_leader(sim):
+    """Removes the leader's key, as when its lease has ended, while its process goes on."""
+    if sim.leader():
+        sim.service._txn([], [Delete(keys.LEADER)])
+
+
 def slow_state_service(sim, rng, for_s):
     sim.service.slow_s = 1.5
     sim.time.later(for_s, lambda: setattr(sim.service, "slow_s", 0.0))
@@ -218,7 +236,7 @@
     odd_requests,
     quick_boots,
 ]
-FAULTS += [teams_at_their_limit, cut_zone, delayed_messages, all_controllers_down]
+FAULTS += [teams_at_their_limit, cut_zone, delayed_messages, all_controllers_down, late_answers]
 
 
 def a_job(rng):
@@ -340,6 +358,18 @@
     monkeypatch.setattr(Cluster, "_finish_if_done", early)
 
 
+def late_answers_are_applied(monkeypatch):
+    """The answer to a transaction is applied to the mirror whatever was read since."""
+
+    def apply_commit(mirror, changes):
+        for change in changes:
+            stored = mirror.items.get(change.key)
+            if stored is None or stored.stamp < change.stamp:
+                mirror._apply(change)
+
+    monkeypatch.setattr(Mirror, "apply_commit", apply_commit)
+
+
 def for_fifty_seconds(fault):
     return lambda sim, rng, for_s: fault(sim, rng, 50.0)
 
@@ -357,6 +387,7 @@
     ),
     old_reports_count_as_proof: ([rare_reports], 0.1, "ran_twice|quota|wrong_place"),
     cancelled_in_one_mirror: ([state_service_refuses_leader], 0.5, "went_back|ran_cancelled|on machines"),
+    late_answers_are_applied: ([for_fifty_seconds(late_answers)], 0.1, "wrong mirror"),
     done_before_last_task: ([crash, workers_get_no_answers], 0.1, "not_done"),
 }
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,7 +8,7 @@
 from tideusher.cli import main
 from tideusher.clock import SECOND_US
 from tideusher.config import Team
-from tideusher.scale import events, soak
+from tideusher.scale import events, mirrors, soak
 from tideusher.scale.answers import FORGOTTEN, UNASKED, WENT_BACK, Answers, Known
 from tideusher.scale.errors import ScaleError
 from tideusher.scale.faults import state_troubles
@@ -47,6 +47,7 @@
         assert all(fault.at_s + fault.for_s <= 90.0 - QUIET_S for fault in faults)
     assert kinds == {
         "kill", "pause", "cut", "state_out", "state_refuse", "state_slow", "state_late", "state_lost", "machine",
+        "state_late_answer",
         "hang", "deaf", "mute", "recall", "copies", "late_calls", "zone",
     }  # fmt: skip
     assert overlapping >= 40
@@ -308,3 +309,38 @@
     assert not look(RunResult({"wrong_place": 0}), tmp_path, set()).all
     assert not look(RunResult({RAN_CANCELLED: 2}), tmp_path, {RAN_CANCELLED}).all
     assert {RAN_CANCELLED, LEFT_WAITING} < TIMED and "wrong_place" not in TIMED
+
+
+# -------------------------------------------------------------------- late answers and mirrors
+
+
+def test_a_transaction_answered_late_is_executed_at_once(monkeypatch):
+    clock, _, server = limited_server(late_answers=1.0, late_answer_s=2.5)
+    slept = []
+    monkeypatch.setattr("tideusher.scale.state_service.gevent.sleep", lambda s: slept.append((s, server._state.tide)))
+    body = msgspec.json.encode({"guards": [], "writes": [{"set": "t/x", "value": 1}]})
+    assert server._with_faults("POST", "/txn", {}, body)[0] == 200
+    assert server._with_faults("GET", "/keys", {"under": ["t/"]}, b"")[0] == 200
+    ((seconds, revision),) = slept
+    assert 0.0 < seconds <= 2.5 and revision == 1
+
+
+def test_mirrors_are_compared_at_the_revision_of_the_service(monkeypatch):
+    """Per controller: revision and keys that its metrics show in turn; the service has two keys at revision 7."""
+    shown = {"a": [(6, 3), (7, 2)], "b": [(7, 3)], "c": [(6, 2)] * mirrors.ATTEMPTS}
+
+    class Client:
+        def __init__(self, address, timeout_s):
+            self.address = address
+
+        def call(self, method, path):
+            if path != "/metrics":
+                items = [{"key": f"t/{number}", "value": 1, "stamp": 5} for number in range(2)]
+                return 200, msgspec.json.encode({"items": items, "tide": 7})
+            revision, count = shown[self.address].pop(0)
+            return 200, f"tideusher_read_revision {revision}.0\ntideusher_mirrored_keys {count}.0\n".encode()
+
+    monkeypatch.setattr(mirrors, "HttpClient", Client)
+    monkeypatch.setattr("tideusher.scale.mirrors.gevent.sleep", lambda seconds: None)
+    check = mirrors.check_mirrors("service", {"c0": "a", "c1": "b", "c2": "c"})
+    assert check.wrong == ["the mirror of c1 has 3 keys instead of 2 at revision 7"] and check.not_compared == ["c2"]
