A machine that the cloud's list leaves out is returned

Cause: a zone of which nothing is heard counts as cut off, rightly, so nothing of it is given up. The cloud's list tells a cut from a loss, since a machine stays listed until it is gone, but only machines that it names were looked at.

A machine that a list leaves out, rented before the earliest time that the list can describe, and not heard since the list was requested, is returned; the confirmed return frees its tasks, as ever.

--- a/src/tideusher/actors/leader.py
+++ b/src/tideusher/actors/leader.py
@@ -539,19 +539,21 @@
             )
 
     def _request_listing(self, token: int) -> None:
-        self._listing_requested_us = self._clock.now_us()
-        self._cloud.submit(Cloud.READ, self._cloud.machines, lambda r: self.tell("listed", token, r))
+        requested_us = self._listing_requested_us = self._clock.now_us()
+        self._cloud.submit(
+            Cloud.READ, self._cloud.machines, lambda listing: self.tell("listed", token, listing, requested_us)
+        )
 
     def on_types(self, token: int, types: list[cloud_wire.MachineType] | None) -> None:
         """Applies machine types and prices."""
         if self._cluster is not None and self._cluster.token == token and types:
             self._cluster.set_types(types)
 
-    def on_listed(self, token: int, listing: list[cloud_wire.ListedMachine] | None) -> None:
-        """Applies the cloud's list of machines."""
+    def on_listed(self, token: int, listing: list[cloud_wire.ListedMachine] | None, requested_us: int) -> None:
+        """Applies the cloud's list of machines, which was requested at `requested_us`."""
         engine = self._engine
         if engine is not None and engine.token == token and listing is not None:
-            engine.cluster.listed(listing, self._clock.now_us())
+            engine.cluster.listed(listing, self._clock.now_us(), requested_us)
             self._act(engine)
 
     def oldest_waits(self) -> dict[tuple[str, str], float]:
--- a/src/tideusher/core/lead/cluster.py
+++ b/src/tideusher/core/lead/cluster.py
@@ -20,6 +20,7 @@
 from tideusher.core.decide.fleet import Fleet
 from tideusher.core.decide.health import Health
 from tideusher.core.decide.limits import Limits
+from tideusher.core.decide.listings import left_out
 from tideusher.core.decide.mass_failures import MASS_FAILURE_MACHINES, MassFailureDetector, SilenceReview
 from tideusher.core.decide.pass_failures import PassFailures
 from tideusher.core.decide.preempt import TeamStanding
@@ -672,8 +673,11 @@
         for rental in self.rental_index.forget(name):
             self.renting.settle(rental)
 
-    def listed(self, listing: list[ListedMachine], now_us: int) -> None:
-        """Applies the cloud's lagging list: failed machines are returned, unknown ones adopted after a while."""
+    def listed(self, listing: list[ListedMachine], now_us: int, requested_us: int | None = None) -> None:
+        """Applies the cloud's lagging list: failed machines are returned, unknown ones adopted after a while.
+
+        With the time of its request also machines that it leaves out are returned, as they are gone.
+        """
         self.health.listing_received(now_us)
         failed: dict[str, list[tuple[Machine, str]]] = {}
         for item in {item.name: item for item in listing}.values():
@@ -684,6 +688,10 @@
                 failed.setdefault(stopped.zone, []).append(
                     (stopped, "it stopped on its own, according to the cloud's list")
                 )
+        if requested_us is not None:
+            names, lag_us = {item.name for item in listing}, to_us(self.config.settings.cloud.list_lag_s)
+            for machine in left_out(self.machines.values(), names, requested_us, lag_us):
+                failed.setdefault(machine.zone, []).append((machine, "it is gone, as the cloud's list leaves it out"))
         for zone, machines in failed.items():
             self._return_failed(zone, machines, len(machines) >= MASS_FAILURE_MACHINES, now_us)
 
