Machines are held for a gang only while it can start there, and not for ever

Cause: the hold did not ask whether zone and cloud together can hold the gang, which the choice of the zone knew, and it had no end.

Change: nothing is held where the gang cannot start as far as refusals show; its request then names no zone. A hold without progress for 30 s is released for 15, 30, then 60 s at a time and taken up again.

--- a/src/tideusher/core/decide/gang_reservations.py
+++ b/src/tideusher/core/decide/gang_reservations.py
@@ -4,7 +4,8 @@
 capacity goes to smaller jobs or is returned as idle while further machines boot. So free machines of a zone are held
 for the first gang in the queue that wants them there until the rest is available. Jobs ahead of the gang in the queue
 may still use them. Only one gang per zone holds machines at a time; otherwise several would hold parts of a zone and
-none could start.
+none could start. Nothing is held in a zone that cannot hold the gang with all that the cloud may have there, and what
+is held without progress is released for a time, so that no other job waits beside it for ever.
 
 Free machines are not enough where small tasks are spread over all machines: a few one-CPU tasks block a gang that
 needs entire machines, and new ones arrive as they end. So for the first gang that has waited for long, machines that
@@ -15,12 +16,16 @@
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 
-from tideusher.clock import to_us
+from tideusher.clock import SECOND_US, to_us
 from tideusher.core.decide.placement import slots, slots_in
 from tideusher.core.model.records import BOOTING, UP, Job, Machine
 
 #: What a zone can rent for a job: the preferred kind of machine, another kind, or none now.
 BEST, OTHER, NONE = 0, 1, 2
+#: A gang that gains no machine for this long releases those that it holds: users allow others to wait for 90 s.
+MAX_HOLD_WITHOUT_PROGRESS_US = 30 * SECOND_US
+#: The duration of a gang's first release; each further one is twice as long, up to the maximum.
+FIRST_RELEASE_US, MAX_RELEASE_US = 15 * SECOND_US, 60 * SECOND_US
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,12 +37,36 @@
     zone: str | None = None
 
 
+@dataclass(slots=True)
+class _HoldProgress:
+    """What a gang has gained in the present hold, and its releases."""
+
+    slots: int
+    gained_us: int  # when it last held more than before
+    release_us: int = FIRST_RELEASE_US  # duration of its next release
+    released_until_us: int = 0
+
+    def may_hold(self, slots: int, now_us: int) -> bool:
+        """True if the gang may hold machines for this many of its tasks; False during a release."""
+        if now_us < self.released_until_us:
+            return False
+        if slots > self.slots:
+            self.slots, self.gained_us = slots, now_us
+        elif now_us - self.gained_us >= MAX_HOLD_WITHOUT_PROGRESS_US:
+            self.released_until_us = now_us + self.release_us
+            self.release_us = min(2 * self.release_us, MAX_RELEASE_US)
+            self.slots, self.gained_us = 0, self.released_until_us
+            return False
+        return True
+
+
 class GangReservations:
     """Tracks which machines are held for which gang; recomputed in each pass."""
 
     def __init__(self) -> None:
         self.held: dict[str, Job] = {}
         self._free_machines = _FreeMachines(())
+        self._progress: dict[str, _HoldProgress] = {}  # of the gangs that hold free machines or released them
         self._busy_hold: tuple[Job, str] | None = None  # the gang for which busy machines are held, and the zone
 
     def may_use(self, job: Job, machine: Machine, place: dict[str, int]) -> bool:
@@ -65,6 +94,8 @@
         the machine could be told to start a task now.
         """
         self.held = {}
+        waiting = {job.spec.id for job, _ in unplaced}
+        self._progress = {name: progress for name, progress in self._progress.items() if name in waiting}
         if not unplaced:
             self._busy_hold = None
             return []
@@ -85,19 +116,20 @@
                 free = [m for m in usable if self.held.get(m.name) is job and m.fits(job.spec)]
             else:
                 zone, free = self._best_zone(job, count, outlook, offer)
-            missing = count
-            for machine in sorted(free, key=lambda m: (m.free_gpus, m.name)):
-                if missing <= 0:
-                    break
-                missing -= slots(machine, job)
-                if zone not in zones_held:
-                    self.held[machine.name] = job
-            if zone is not None:
+            chosen, missing = _enough(job, count, free)
+            if zone is not None and zone not in zones_held and self._may_hold(job, count - missing, now_us):
+                self.held.update((machine.name, job) for machine in chosen)
                 zones_held.add(zone)
             if missing > 0:
                 requests.append(Request(job, missing, zone))
         return requests
 
+    def _may_hold(self, job: Job, slots: int, now_us: int) -> bool:
+        if slots <= 0:
+            return True  # of a zone of which it waits for all, it keeps the others out
+        progress = self._progress.setdefault(job.spec.id, _HoldProgress(slots, now_us))
+        return progress.may_hold(slots, now_us)
+
     def _hold_in_use(
         self,
         unplaced: Sequence[tuple[Job, int]],
@@ -146,7 +178,10 @@
     def _best_zone(
         self, job: Job, count: int, outlook: "_Outlook", offer: Callable[[Job, str], int]
     ) -> tuple[str | None, list[Machine]]:
-        """Returns the zone with the most capacity now or soon, of those that can ever hold the entire gang."""
+        """Returns the zone with the most capacity now or soon, of those that can ever hold the entire gang.
+
+        None if none of them can, as far as the cloud's refusals show: a rental wherever it is best may.
+        """
         booting, slots_eventually = outlook.of(job)
         free, open_slots = self._free_machines.of(job, self.held)
         slots_soon = {
@@ -155,15 +190,32 @@
         if not slots_soon:
             return None, []  # no capacity anywhere yet: rent wherever it is best
 
-        def rank(zone: str) -> tuple[bool, bool, int, str]:
+        def rank(zone: str) -> tuple[bool, int, str]:
             offered, held = offer(job, zone), slots_soon.get(zone, 0)
-            possible = offered < NONE or slots_eventually.get(zone, 0) >= count
-            return not possible, held < count and offered > BEST, -min(count, held), zone
+            return held < count and offered > BEST, -min(count, held), zone
 
-        best = min(slots_eventually.keys() | slots_soon.keys(), key=rank)
+        possible = [
+            zone
+            for zone in slots_eventually.keys() | slots_soon.keys()
+            if slots_eventually.get(zone, 0) >= count or offer(job, zone) < NONE
+        ]
+        if not possible:
+            return None, []
+        best = min(possible, key=rank)
         return best, free.get(best, [])
 
 
+def _enough(job: Job, count: int, free: Iterable[Machine]) -> tuple[list[Machine], int]:
+    """Returns machines for up to `count` tasks, the least free capacity first, and how many tasks lack one."""
+    chosen, missing = [], count
+    for machine in sorted(free, key=lambda m: (m.free_gpus, m.name)):
+        if missing <= 0:
+            break
+        missing -= slots(machine, job)
+        chosen.append(machine)
+    return chosen, missing
+
+
 def _shape(job: Job) -> tuple[object, ...]:
     spec = job.spec
     return (spec.cpus, spec.gpus, spec.ram_gb, spec.spot, spec.zone, tuple(spec.types or ()))
