Reserves are kept from a waiting job for 30 s, not for ever

Cause: what is kept free for expected work (warm GPUs, the CPUs beside them, ordinary machines for work that may not run on spot machines) was a condition of placement without an end.

Change: core/decide/reserves.py. A job of which no task has had a place for 30 s and that finds none elsewhere gets one place (a gang all of its places) in what is reserved. The rest of the job waits as before.

--- a/src/tideusher/core/lead/scheduler.py
+++ b/src/tideusher/core/lead/scheduler.py
@@ -1,7 +1,7 @@
 """The scheduling pass: places tasks, preempts others for them, rents missing machines and returns idle ones."""
 
 from collections.abc import Callable, Collection, Hashable, Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from tideusher.clock import SECOND_US, to_s, to_us
 from tideusher.core.decide.gang_reservations import GangReservations, Request
@@ -12,6 +12,7 @@
 from tideusher.core.decide.preempt import Offers, PreemptibleTasks, capacity_after_stops, choose_victims
 from tideusher.core.decide.recovery import NO_PRECEDENCE
 from tideusher.core.decide.refusal_cache import RefusalCache, placement_constraints
+from tideusher.core.decide.reserves import ReserveWaits
 from tideusher.core.decide.task_failures import at_fault, avoided_machines
 from tideusher.core.lead.cluster import Cluster
 from tideusher.core.model.records import BOOTING, NO_CAPACITY, OPEN, UP, Job, Machine, Task
@@ -46,6 +47,21 @@
         """True if it may use every machine that other jobs with the same placement constraints may use."""
         return self.may_use_warm and self.ordinary_reserve is None
 
+    @property
+    def keep_reserves(self) -> bool:
+        """True if some machines are left to other work that is expected."""
+        return not self.unrestricted or self.avoid_free_gpu_hosts
+
+    def without_reserves(self) -> "_PlacementTerms":
+        """Returns the terms of a job that may use what is reserved for others."""
+        return replace(
+            self,
+            request_kind=(self.request_kind, "without reserves"),
+            may_use_warm=True,
+            ordinary_reserve=None,
+            avoid_free_gpu_hosts=False,
+        )
+
 
 class Scheduler:
     """Runs scheduling passes over a Cluster; every change goes through the cluster's own transitions."""
@@ -56,6 +72,7 @@
         self._gang_reservations = GangReservations()
         self._placement_cache: PlacementCache | None = None
         self._queue_positions: dict[str, int] = {}  # job name to its position in the queue of waiting jobs
+        self._reserve_waits = ReserveWaits()
         self._refusals = RefusalCache()  # requests that found no capacity in this pass
         self._seen_capacity_changes = 0  # the cluster's capacity_changes as of the last check
         #: Jobs with reserved machines; the refusal cache does not apply to them.
@@ -112,6 +129,7 @@
                 if job is None or job.pending <= 0 or now_us > machine.reserved_until_us:
                     machine.reserved = ""
         waiting = [job for job in self._c.active.values() if job.waits and not self._is_quarantined(job, now_us)]
+        self._reserve_waits.update(waiting, now_us)
         self._queue_positions = {}
         if not waiting and not self._c.rents_machines:
             return  # nothing waits, and embedded machines are neither rented nor returned
@@ -270,15 +288,14 @@
             self._seen_capacity_changes = self._c.capacity_changes
             self._refusals.clear()
         min_places = count if job.is_gang else 1
-        if job.spec.id not in self._jobs_with_reservations and self._refusals.refuses(
-            terms.request_kind, job.spec, min_places
-        ):
+        attempts = [self._place_unless_refused(job, count, terms, free_capacity, now_us)]
+        if not attempts[0] and terms.keep_reserves and self._reserve_waits.may_use_reserves(job, now_us):
+            terms = terms.without_reserves()
+            attempts.append(self._place_unless_refused(job, min_places, terms, free_capacity, now_us))
+        if all(placed is None for placed in attempts):
             job.waiting_reason = describe_failing_job(job) if job_at_fault else NO_CAPACITY
             return (0 if job_at_fault else count), False
-        placed = self._place_tasks(job, count, terms, free_capacity, now_us)
-        if not placed and not (job.live or terms.avoided_machines):
-            self._refusals.refused(terms.request_kind, job.spec, min_places)
-        left = count - placed
+        left = count - sum(placed or 0 for placed in attempts)
         if job_at_fault:
             job.waiting_reason = describe_failing_job(job)
             return (left if left and self._no_machine_could_hold(job, min_places) else 0), True
@@ -288,6 +305,20 @@
             job.waiting_reason = _limit_of(job)
         return left, True
 
+    def _place_unless_refused(
+        self, job: Job, count: int, terms: _PlacementTerms, free_capacity: FreeCapacity, now_us: int
+    ) -> int | None:
+        """Places up to `count` tasks; returns how many, None if an equal request found no capacity in this pass."""
+        min_places = count if job.is_gang else 1
+        if job.spec.id not in self._jobs_with_reservations and self._refusals.refuses(
+            terms.request_kind, job.spec, min_places
+        ):
+            return None
+        placed = self._place_tasks(job, count, terms, free_capacity, now_us)
+        if not placed and not (job.live or terms.avoided_machines):
+            self._refusals.refused(terms.request_kind, job.spec, min_places)
+        return placed
+
     def _no_machine_could_hold(self, job: Job, tasks: int) -> bool:
         """True if the fleet, with all of its machines empty, could not hold this many of the job's tasks."""
         slots = 0
