--- a/src/tideusher/core/lead/scheduler.py
+++ b/src/tideusher/core/lead/scheduler.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Collection, Hashable, Iterator
 from dataclasses import dataclass, replace
 
-from tideusher.clock import SECOND_US, to_s, to_us
+from tideusher.clock import to_s, to_us
 from tideusher.core.decide.gang_reservations import GangReservations, Request
 from tideusher.core.decide.mass_failures import HUNG
 from tideusher.core.decide.order import order_jobs, urgency_us
@@ -15,12 +15,9 @@
 from tideusher.core.decide.reserves import ReserveWaits
 from tideusher.core.decide.task_failures import at_fault, avoided_machines
 from tideusher.core.lead.cluster import Cluster
+from tideusher.core.lead.consolidation import RESERVATION_S, Consolidation, is_usable
 from tideusher.core.model.records import BOOTING, NO_CAPACITY, OPEN, UP, Job, Machine, Task
 
-#: How long a machine stays reserved for the job that preempted tasks there or is to move a replica there.
-RESERVATION_S = 12.0
-#: Consolidation empties at most one in this many machines at a time.
-CONSOLIDATION_DIVISOR = 40
 #: Machines examined before a pass yields to other greenlets.
 MACHINES_PER_STEP = 1000
 #: A job that failed on this many machines is itself at fault, and avoids none.
@@ -29,7 +26,6 @@
 #: back to back would use a complete core and repeat the same results.
 FREE_STEPS, PAUSE_PER_STEP_US, PAUSE_PER_JOB_US = 50, 3_000, 400
 QUARANTINED = "its next try: a scheduling pass failed on it"
-CONSOLIDATED = "sparsely used; its tasks were moved to other machines"
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,7 +75,7 @@
         self._jobs_with_reservations: set[str] = set()
         #: The smallest demand among waiting jobs that run on ordinary machines only; None: no such job waits.
         self._ordinary_demand: Demand | None = None
-        self._next_move_us = now_us + to_us(2 * cluster.config.settings.workers.lease_s)
+        self._consolidation = Consolidation(cluster, now_us)
         self._objectives = {
             o.job_class: o.within_s
             for o in cluster.config.settings.objectives
@@ -149,7 +145,7 @@
         usable = [
             m
             for m in self._c.machines.values()
-            if _usable(m)
+            if is_usable(m)
             and now_us - m.last_report_us < max_report_age_us
             and m.free_cpus > 0
             and not avoid_placement(m, now_us)
@@ -197,7 +193,7 @@
             self._preempt(unplaced, now_us)
         yield
         unplaced = _still_pending(unplaced)
-        candidates = [m for m in candidates if _usable(m)]
+        candidates = [m for m in candidates if is_usable(m)]
         patience_us = to_us(self._c.policy.gather__patience_s)
         requests = self._gang_reservations.update(
             unplaced,
@@ -393,7 +389,7 @@
                 if short.fits(machine.free_cpus, machine.free_gpus, machine.free_ram_gb):
                     return False
             return (
-                _usable(machine)
+                is_usable(machine)
                 and machine.name not in avoid
                 and machine.reserved in ("", name)
                 and self._gang_reservations.may_use(job, machine, self._queue_positions)
@@ -443,7 +439,7 @@
             return
         stops = 0
         avoid_placement = self._c.mass_failures.avoid_placement
-        usable = [m for m in self._c.machines.values() if _usable(m) and not avoid_placement(m, now_us)]
+        usable = [m for m in self._c.machines.values() if is_usable(m) and not avoid_placement(m, now_us)]
         stopping_capacity = capacity_after_stops(usable)
         booting_gpus = sum(
             m.free_gpus for m in self._c.machines.values() if m.phase == BOOTING and not m.drain_reason and not m.spot
@@ -513,85 +509,6 @@
                 free = [m for m in free if not m.reserved]
                 gang_reserved = [m for m in gang_reserved if not m.reserved]
 
-    def _consolidate(self, now_us: int) -> None:
-        """Moves the replicas of sparsely used machines to others, so that the machines can be returned.
-
-        Services come and go and leave machines with one replica each. A move interrupts its replica for a
-        few seconds, so it is made only while no service waits, to machines that have the image already, and for
-        one machine in CONSOLIDATION_DIVISOR at a time: that bounds the share of replicas that are interrupted,
-        while one machine at a time would never consolidate a large fleet.
-        """
-        if (
-            now_us < self._next_move_us
-            or not self._c.is_writing(now_us)
-            or not self._c.takeover_readiness.all_zones_ready()
-        ):
-            return
-        if self._c.write_queue.waiting > self._c.config.settings.state.txn_ops:
-            return  # moves would wait for their writes
-        if any(job.is_service and job.waits for job in self._c.active.values()):
-            return
-        min_steady_us = to_us(self._c.policy.fleet__move_after_s)
-        up = [m for m in self._c.machines.values() if _usable(m) and not m.reserved]
-        moving = sum(m.drain_reason == CONSOLIDATED and m.phase == UP for m in self._c.machines.values())
-        quota = max(1, len(up) // CONSOLIDATION_DIVISOR) - moving
-        sources = [
-            m
-            for m in up
-            if m.tasks
-            and 2 * (m.gpus - m.free_gpus) <= m.gpus
-            and all(
-                t.job.is_service
-                and not t.job.blocked
-                and t.running_us is not None
-                and now_us - t.running_us > min_steady_us
-                for t in m.tasks.values()
-            )
-        ]
-        self._next_move_us = now_us + SECOND_US
-        # The tasks of a job move from one machine at a time: where each may go depends on where the others are,
-        # and two that moved at once both went to a zone that had capacity for one.
-        moving_jobs = {job.spec.id for job in self._c.active.values() for t in job.live.values() if t.move_to}
-        candidates = [m for m in up if m.tasks and m.free_gpus > 0 and not m.fetching]
-        for source in sorted(sources, key=lambda m: (m.gpus - m.free_gpus, m.name)):
-            if quota <= 0:
-                return
-            jobs = {task.job.spec.id for task in source.tasks.values()}
-            if source.reserved or jobs & moving_jobs:  # reserved: it is the target of another move
-                continue
-            others = [m for m in candidates if m is not source and not m.drain_reason and not m.reserved]
-            targets = self._move_targets(source, others)
-            if targets and not self._c.fleet.unmet_without(source, [m for m in up if not m.drain_reason]):
-                source.drain_reason = CONSOLIDATED
-                self._next_move_us = now_us + to_us(self._c.policy.fleet__move_pause_s)
-                quota -= 1
-                moving_jobs |= jobs
-                for task, target in targets.items():
-                    target.reserved = task.job.spec.id
-                    target.reserved_until_us = now_us + to_us(RESERVATION_S)
-                    task.move_to = target
-                    self._c.halt(task, 0.0, "its machine is sparsely used and is being returned; it moves to another")
-
-    def _move_targets(self, source: Machine, others: list[Machine]) -> dict[Task, Machine]:
-        """Returns for each task of the source a machine that has its image; empty if there is none for some task."""
-        targets: dict[Task, Machine] = {}
-        for task in source.tasks.values():
-            spec = task.job.spec
-            limit = task.job.zone_limit or spec.tasks
-            zones = [targets.get(t, t.machine) for t in task.job.live.values() if t is not task]
-            for machine in sorted(others, key=lambda m: (m.zone != source.zone, m.free_gpus, m.name)):
-                if spec.image not in machine.images or not machine.allows(spec) or not machine.fits(spec):
-                    continue
-                if machine in targets.values() or sum(m.zone == machine.zone for m in zones) >= limit:
-                    continue
-                if spec.one_zone and any(m.zone != machine.zone for m in zones):
-                    continue
-                targets[task] = machine
-                break
-            else:
-                return {}
-        return targets
-
     def _plan_fleet(self, requests: list[Request], now_us: int) -> None:
         """Rents machines for requests that the present and booting machines do not satisfy."""
         pending_rentals = [(r.type, r.zone, r.spot, r.count) for r in self._c.renting.asked()]
@@ -613,10 +530,8 @@
 
     def _shrink_fleet(self, now_us: int) -> None:
         """Returns machines that idle, and consolidates those that are sparsely used."""
-        self._consolidate(now_us)
-        for machine in self._c.machines.values():
-            if machine.drain_reason == CONSOLIDATED and machine.phase == UP and not machine.tasks:
-                self._c.request_return(machine, CONSOLIDATED)
+        self._consolidation.step(now_us)
+        self._consolidation.return_emptied()
         for machine, reason in self._c.fleet.surplus(now_us, self._not_held()):
             if self._c.takeover_readiness.zone_ready(machine.zone):
                 self._c.request_return(machine, reason)
@@ -642,8 +557,3 @@
 def _still_pending(unplaced: list[tuple[Job, int]]) -> list[tuple[Job, int]]:
     """Drops jobs that ended or were blocked during a yield, and caps the counts at what is still pending."""
     return [(job, min(left, job.pending)) for job, left in unplaced if job.waits]
-
-
-def _usable(machine: Machine) -> bool:
-    """True if tasks may be placed on the machine; never again once its return was requested (safety 5)."""
-    return machine.phase == UP and not machine.drain_reason and not machine.suspect_since_us
