--- a/src/tideusher/actors/store.py
+++ b/src/tideusher/actors/store.py
@@ -367,8 +367,8 @@
         changed = self._mirror.apply_state(changes.revision, found)
         self.log.info("all %d keys read at revision %d, %d changed", len(found), changes.revision, changed)
         self._record_contact(sent_us)
-        self._check_refused_guards()
         self.loaded.set()
+        self._check_refused_guards()
 
     def _read_pages(self) -> tuple[int, dict[str, MirroredValue]]:
         """Returns all keys, read page by page, and the revision of the first page."""
