A mirror's stamp that the service never gave is mended by a read

Where a wrong mirror held a greater stamp of a key than the service, the key read anew and the full read after it were both left out, so every transaction that guards the key would have been refused for as long as that controller leads.

Cause: a state of keys at a revision counted only if its stamp was greater than the one in the mirror, which is the rule for changes. A state tells what the service has, and nothing later than its revision is known of the key.

Change: a state counts where nothing later is known of the key and its stamp is not the mirror's. In correct operation the two rules are the same, since a greater known stamp is then of a later revision.

--- a/src/tideusher/core/model/mirror.py
+++ b/src/tideusher/core/model/mirror.py
@@ -101,14 +101,14 @@
     def _apply_keys(self, revision: int, names: Iterable[str], records: Mapping[str, MirroredValue]) -> int:
         """Has these keys be as they were at a revision not before ours, but for later changes that are known.
 
-        Other than a change, a state also mends a key of which something up to our revision is missing here.
+        Other than a change, a state also mends a key that differs here although nothing later is known of it.
         """
         changed = 0
         for key in names:
-            known, stored = self.known_stamp(key), records.get(key)
-            if known > revision:
+            if self.known_stamp(key) > revision:
                 continue
-            if stored is not None and stored.stamp > known:
+            stored = records.get(key)
+            if stored is not None and stored.stamp != self.stamp_of(key):
                 self._apply(Change(key, stored.value, stored.stamp))
                 changed += 1
             elif stored is None and key in self.items:
--- a/tests/test_refused_guards.py
+++ b/tests/test_refused_guards.py
@@ -74,6 +74,20 @@
     assert counts["mirror_rereads", "key"] == counts["mirror_rereads", "all"] == 1
 
 
+@pytest.mark.breaks_invariants
+def test_a_stamp_that_the_service_never_gave_is_mended(store, service):
+    """The failure: what was read anew counted only if its stamp was greater than the wrong one, so none ever did."""
+    service.change([(keys.FENCE, {"by": 2})])
+    assert store.sync()
+    store._mirror.items[JOB] = MirroredValue({"st": "done"}, service.state.tide)
+    refuse(store, JOB, service.state.tide)
+    assert store.mirror[JOB] == MirroredValue({"st": "open"}, service.state.stamp_of(JOB))
+    del store._mirror.items[JOB]
+    store._mirror._removed[JOB] = service.state.tide
+    store._mirror.apply_state(service.state.tide, {k: MirroredValue(*v) for k, v in service.state.items.items()})
+    assert store.stamp_of(JOB) == service.state.stamp_of(JOB)
+
+
 @pytest.mark.breaks_invariants
 def test_all_keys_are_read_anew_at_most_once_a_minute(store):
     for expected in (1, 1, 2):
