A late refusal of a renewal does not drop the next lease

A 404 to the renewal of a lease that a controller has given up after a pause, answered once it has taken another, dropped the new one: it was not renewed, and its leadership ended 3 s later.

Cause: the answer was applied to whatever lease was held when it came.

Change: it counts only for the lease that it was asked for. The renewal has a function of its own beside its loop.

Result: the new test in tests/test_succession.py; with the comparison taken out of _renew_lease it fails (None instead of 8).

--- a/src/tideusher/actors/election.py
+++ b/src/tideusher/actors/election.py
@@ -278,16 +278,19 @@
     def _renew(self) -> None:
         while True:
             gevent.sleep(self._ttl_s / 4)
-            if self._lease is None:
-                continue
             try:
-                status, _ = self._store.call(
-                    "POST", f"/holds/{self._lease}/extend", {}, budget=False, timeout_s=self._ttl_s / 2
-                )
-                if status == 404:
-                    self.log.info("our lease has expired")
-                    self._lease = None
+                self._renew_lease()
             except Unavailable as error:
                 self.log.debug("lease not renewed: %s", error)
             except Exception:
                 self.log.exception("renewal of the lease failed")
+
+    def _renew_lease(self) -> None:
+        """Renews our lease if we have one; an answer that comes after we have taken another says nothing of that."""
+        lease = self._lease
+        if lease is None:
+            return
+        status, _ = self._store.call("POST", f"/holds/{lease}/extend", {}, budget=False, timeout_s=self._ttl_s / 2)
+        if status == 404 and self._lease == lease:
+            self.log.info("our lease has expired")
+            self._lease = None
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -238,6 +238,24 @@
     assert keys.LEADER not in store.state.items and made.rests()
 
 
+def test_a_late_refusal_of_a_renewal_does_not_drop_the_next_lease():
+    """The failure: the lease taken after a pause was not renewed, so the leader lost its key 3 s later."""
+    store = ScriptedStore()
+    made = election(store, LeaderHarness().clock)
+    made._lease = 7
+
+    def answer_late(method, path, body=None, budget=True, timeout_s=None):
+        made._lease = 8  # the process was paused, dropped its lease and took another
+        return 404, b""
+
+    store.call = answer_late
+    made._renew_lease()
+    assert made._lease == 8
+    store.call = lambda *args, **more: (404, b"")
+    made._renew_lease()
+    assert made._lease is None
+
+
 # ---------------------------------------------------------------- heartbeats between controllers
 
 
