One typed answer to why a job is not placed on a machine

Callers saw: `explain` told a job beside machines with room that it waits "for room on a machine".

Cause: the conditions stood in three places: a filter in the scheduler, lists of machines there for rentals and returns, and the holds of gangs; none of them told why.

Change: core/decide/eligibility.py. Eligibility answers with a Reason (the job's own demand, the machine's state, or a precaution), with the job that the machine is kept for and the time at which it ends. Placement, gang holds, rentals, the return of idle machines and `explain` ask there. No decision changes.

--- a/src/tideusher/actors/leader.py
+++ b/src/tideusher/actors/leader.py
@@ -562,11 +562,12 @@
 
     def on_question(self, what: str, arg: str) -> Any:
         """Answers a query of an operator or a user; None if we cannot."""
-        cluster, now_us = self._cluster, self._clock.now_us()
-        if cluster is None:
+        engine, now_us = self._engine, self._clock.now_us()
+        if engine is None:
             return None
+        cluster = engine.cluster
         if what == "why":
-            return explain.explain_job(cluster, arg, now_us)
+            return explain.explain_job(cluster, arg, now_us, engine.scheduler.obstacles)
         if what == "teams":
             return explain.teams(cluster)
         if what == "falls":
--- a/src/tideusher/core/decide/gang_reservations.py
+++ b/src/tideusher/core/decide/gang_reservations.py
@@ -59,6 +59,11 @@
             return False
         return True
 
+    @property
+    def until_us(self) -> int:
+        """When the hold is released unless it gains something."""
+        return self.gained_us + MAX_HOLD_WITHOUT_PROGRESS_US
+
 
 class GangReservations:
     """Tracks which machines are held for which gang; recomputed in each pass."""
@@ -69,7 +74,7 @@
         self._progress: dict[str, _HoldProgress] = {}  # of the gangs that hold free machines or released them
         self._busy_hold: tuple[Job, str] | None = None  # the gang for which busy machines are held, and the zone
 
-    def may_use(self, job: Job, machine: Machine, place: dict[str, int]) -> bool:
+    def may_use(self, job: Job, machine: Machine, place: Mapping[str, int]) -> bool:
         """True if the job may use the machine, given the positions of jobs in the queue."""
         holder = self.held.get(machine.name)
         if holder is None or holder is job:
@@ -78,6 +83,11 @@
             return job.spec.rank < holder.spec.rank
         return place[job.spec.id] < place.get(holder.spec.id, -1)
 
+    def held_until_us(self, holder: Job) -> int | None:
+        """Returns when what is held for the gang is released unless it gains something; None if that has no end."""
+        progress = self._progress.get(holder.spec.id)
+        return progress.until_us if progress is not None else None
+
     def update(
         self,
         unplaced: Sequence[tuple[Job, int]],
--- a/src/tideusher/core/decide/placement.py
+++ b/src/tideusher/core/decide/placement.py
@@ -56,16 +56,18 @@
         job: Job,
         count: int,
         all_or_none: bool,
-        usable: Callable[[Machine], bool],
+        obstacle: Callable[[Machine], object | None],
         spread_limit: int | None,
     ) -> list[Machine]:
         """Returns a machine for each of up to `count` tasks; with all_or_none the full count or nothing.
 
-        The partition with the most capacity is tried first; what fits in no single partition may span several.
+        `obstacle` tells why the job may not be placed on a machine that it allows and fits on; None if it may. The
+        partition with the most capacity is tried first; what fits in no single partition may span several.
         """
         spec = job.spec
         allowed = [
-            [m for m in partition if m.fits(spec) and m.allows(spec) and usable(m)] for partition in self._partitions
+            [m for m in partition if m.fits(spec) and m.allows(spec) and obstacle(m) is None]
+            for partition in self._partitions
         ]
         ranked = sorted(allowed, key=lambda partition: -sum(slots(machine, job) for machine in partition))
         zones_taken = job.zone_use()
--- a/src/tideusher/core/decide/reserves.py
+++ b/src/tideusher/core/decide/reserves.py
@@ -27,5 +27,10 @@
 
     def may_use_reserves(self, job: Job, now_us: int) -> bool:
         """True if the job has been kept out for so long that it may have a place in what is reserved."""
+        until_us = self.kept_out_until_us(job)
+        return until_us is not None and now_us >= until_us
+
+    def kept_out_until_us(self, job: Job) -> int | None:
+        """Returns until when reserves are kept from the job; None while a task of it has a place."""
         since_us = self._since_us.get(job.spec.id)
-        return since_us is not None and now_us - since_us >= MAX_KEPT_OUT_US
+        return since_us + MAX_KEPT_OUT_US if since_us is not None else None
--- a/src/tideusher/core/lead/consolidation.py
+++ b/src/tideusher/core/lead/consolidation.py
@@ -1,6 +1,7 @@
 """Moves the replicas of sparsely used machines to others, so that the machines can be returned."""
 
 from tideusher.clock import SECOND_US, to_us
+from tideusher.core.decide.eligibility import is_usable
 from tideusher.core.lead.cluster import Cluster
 from tideusher.core.model.records import UP, Machine, Task
 
@@ -104,8 +105,3 @@
         for machine in self._cluster.machines.values():
             if machine.drain_reason == CONSOLIDATED and machine.phase == UP and not machine.tasks:
                 self._cluster.request_return(machine, CONSOLIDATED)
-
-
-def is_usable(machine: Machine) -> bool:
-    """True if tasks may be placed on the machine; never again once its return was requested (safety 5)."""
-    return machine.phase == UP and not machine.drain_reason and not machine.suspect_since_us
--- a/src/tideusher/core/lead/explain.py
+++ b/src/tideusher/core/lead/explain.py
@@ -1,9 +1,11 @@
 """Answers to users' questions: why a job waits, why its tasks stopped, and the state of teams and machines."""
 
+from collections.abc import Callable, Mapping
 from datetime import UTC, datetime
 from typing import Any
 
 from tideusher.clock import to_s
+from tideusher.core.decide.eligibility import Obstacle
 from tideusher.core.decide.recovery import describe_mass_failure
 from tideusher.core.lead.cluster import Cluster
 from tideusher.core.model.records import BOOTING, JOB_CANCELLED, JOB_DONE, NO_CAPACITY, SEEN, Job
@@ -13,6 +15,8 @@
 
 #: The most jobs that a list of dependencies names.
 MAX_NAMED = 8
+#: Returns what keeps a job off machines that have room for it at a time, with the number of machines.
+ObstaclesOf = Callable[[Job, int], Mapping[Obstacle, int]]
 
 
 def describe_stops(stops: list[dict[str, Any]]) -> list[dict[str, Any]]:
@@ -27,7 +31,9 @@
     return f"The service ended it: {why}." if why else "Its user cancelled it."
 
 
-def explain_job(cluster: Cluster, job_id: str, now_us: int) -> dict[str, Any] | None:
+def explain_job(
+    cluster: Cluster, job_id: str, now_us: int, obstacles_of: ObstaclesOf = lambda job, now_us: {}
+) -> dict[str, Any] | None:
     """Returns what the job waits for and why its tasks were stopped; None if this leader does not know the job.
 
     `req-000412/3` asks about one task, whose state comes first among the reasons.
@@ -44,7 +50,7 @@
         "tasks": job.spec.tasks,
         "done": job.done_count,
         "placed": len(job.live),
-        "reasons": own + _reasons(cluster, job, now_us),
+        "reasons": own + _reasons(cluster, job, now_us, obstacles_of),
         "stops": describe_stops(job.stops),
     }
     more = {"name": job.spec.name, "array": job.spec.array}
@@ -78,7 +84,7 @@
     return [f"Task {index}{number} {state}."]
 
 
-def _reasons(cluster: Cluster, job: Job, now_us: int) -> list[str]:
+def _reasons(cluster: Cluster, job: Job, now_us: int, obstacles_of: ObstaclesOf) -> list[str]:
     if job.status == JOB_CANCELLED:
         return [describe_end(job.why)[:-1] + "; what is left of it is being stopped."]
     if job.status == JOB_DONE:
@@ -102,6 +108,8 @@
             if late:
                 text += f" {late} of them are late: machines rented after them are up, and others are rented instead."
         reasons.append(text)
+        if job.waiting_reason == NO_CAPACITY:
+            reasons += _describe_obstacles(obstacles_of(job, now_us), now_us)
         ratio = cluster.ledger.ratio(job.spec.team)
         ahead = {
             other.spec.team
@@ -129,6 +137,17 @@
     return reasons or [f"{len(job.live)} tasks run; nothing holds it up."]
 
 
+def _describe_obstacles(obstacles: Mapping[Obstacle, int], now_us: int) -> list[str]:
+    """Returns what keeps a job off machines that have room for it, the most frequent first."""
+    lines = []
+    for obstacle, count in sorted(obstacles.items(), key=lambda item: (-item[1], item[0].reason.value)):
+        holder = f" ({obstacle.for_job})" if obstacle.for_job else ""
+        left_s = to_s(max(0, obstacle.until_us - now_us)) if obstacle.until_us is not None else None
+        end = f", for {left_s:.0f} s more at the most" if left_s is not None else ""
+        lines.append(f"{count} machines with room for it {obstacle.reason.value}{holder}{end}.")
+    return lines
+
+
 def _blocks(cluster: Cluster, job: Job) -> list[str]:
     """Returns what keeps the job from starting, regardless of free capacity."""
     reasons = []
--- a/src/tideusher/core/lead/scheduler.py
+++ b/src/tideusher/core/lead/scheduler.py
@@ -1,21 +1,27 @@
 """The scheduling pass: places tasks, preempts others for them, rents missing machines and returns idle ones."""
 
-from collections.abc import Callable, Collection, Hashable, Iterator
-from dataclasses import dataclass, replace
+from collections.abc import Callable, Iterator
+from dataclasses import replace
 
 from tideusher.clock import to_s, to_us
-from tideusher.core.decide.gang_reservations import GangReservations, Request
-from tideusher.core.decide.mass_failures import HUNG
+from tideusher.core.decide.eligibility import (
+    Eligibility,
+    Obstacle,
+    PlacementTerms,
+    Reason,
+    is_usable,
+    max_report_age_us,
+)
+from tideusher.core.decide.gang_reservations import Request
 from tideusher.core.decide.order import order_jobs, urgency_us
 from tideusher.core.decide.pass_failures import PassFailed
 from tideusher.core.decide.placement import Demand, FreeCapacity, PlacementCache, slots_in
 from tideusher.core.decide.preempt import Offers, PreemptibleTasks, capacity_after_stops, choose_victims
 from tideusher.core.decide.recovery import NO_PRECEDENCE
 from tideusher.core.decide.refusal_cache import RefusalCache, placement_constraints
-from tideusher.core.decide.reserves import ReserveWaits
 from tideusher.core.decide.task_failures import at_fault, avoided_machines
 from tideusher.core.lead.cluster import Cluster
-from tideusher.core.lead.consolidation import RESERVATION_S, Consolidation, is_usable
+from tideusher.core.lead.consolidation import RESERVATION_S, Consolidation
 from tideusher.core.model.records import BOOTING, NO_CAPACITY, OPEN, UP, Job, Machine, Task
 
 #: Machines examined before a pass yields to other greenlets.
@@ -28,47 +34,20 @@
 QUARANTINED = "its next try: a scheduling pass failed on it"
 
 
-@dataclass(frozen=True, slots=True)
-class _PlacementTerms:
-    """Restrictions on the machines on which a job's next tasks may be placed."""
-
-    request_kind: Hashable  # equal for all jobs that may use the same machines
-    avoided_machines: Collection[str]  # machines on which the job failed lately
-    may_use_warm: bool  # whether it may use the warm reserve
-    ordinary_reserve: Demand | None  # ordinary machines with this much free capacity are left to jobs that need them
-    avoid_free_gpu_hosts: bool  # whether it must leave the CPUs of machines with free GPUs alone
-
-    @property
-    def unrestricted(self) -> bool:
-        """True if it may use every machine that other jobs with the same placement constraints may use."""
-        return self.may_use_warm and self.ordinary_reserve is None
-
-    @property
-    def keep_reserves(self) -> bool:
-        """True if some machines are left to other work that is expected."""
-        return not self.unrestricted or self.avoid_free_gpu_hosts
-
-    def without_reserves(self) -> "_PlacementTerms":
-        """Returns the terms of a job that may use what is reserved for others."""
-        return replace(
-            self,
-            request_kind=(self.request_kind, "without reserves"),
-            may_use_warm=True,
-            ordinary_reserve=None,
-            avoid_free_gpu_hosts=False,
-        )
-
-
 class Scheduler:
     """Runs scheduling passes over a Cluster; every change goes through the cluster's own transitions."""
 
     def __init__(self, cluster: Cluster, now_us: int) -> None:
         self._c = cluster
         self._spare_gpus = 0.0
-        self._gang_reservations = GangReservations()
         self._placement_cache: PlacementCache | None = None
-        self._queue_positions: dict[str, int] = {}  # job name to its position in the queue of waiting jobs
-        self._reserve_waits = ReserveWaits()
+        self.eligibility = Eligibility(
+            max_report_age_us(cluster.config.settings.workers.report_s),
+            lambda machine, now_us: cluster.mass_failures.avoid_placement(machine, now_us),
+            lambda machine, now_us: cluster.health.boots.late(machine, now_us),
+            cluster.cluster_state.image_fetch_us,
+        )
+        self._gang_reservations, self._waits = self.eligibility.reservations, self.eligibility.waits
         self._refusals = RefusalCache()  # requests that found no capacity in this pass
         self._seen_capacity_changes = 0  # the cluster's capacity_changes as of the last check
         #: Jobs with reserved machines; the refusal cache does not apply to them.
@@ -94,7 +73,8 @@
         """
         if not self._c.rents_machines:
             return 0
-        return PAUSE_PER_STEP_US * max(0, pass_steps - FREE_STEPS) + PAUSE_PER_JOB_US * len(self._queue_positions)
+        waiting_jobs = len(self.eligibility.queue_positions)
+        return PAUSE_PER_STEP_US * max(0, pass_steps - FREE_STEPS) + PAUSE_PER_JOB_US * waiting_jobs
 
     def pass_steps(self, now_us: int) -> Iterator[None]:
         """Runs one pass step by step: places tasks, preempts, rents missing machines and returns idle ones.
@@ -125,8 +105,8 @@
                 if job is None or job.pending <= 0 or now_us > machine.reserved_until_us:
                     machine.reserved = ""
         waiting = [job for job in self._c.active.values() if job.waits and not self._is_quarantined(job, now_us)]
-        self._reserve_waits.update(waiting, now_us)
-        self._queue_positions = {}
+        self._waits.update(waiting, now_us)
+        self.eligibility.queue_positions = {}
         if not waiting and not self._c.rents_machines:
             return  # nothing waits, and embedded machines are neither rented nor returned
         within = self._within_guarantee()
@@ -140,20 +120,13 @@
             self._c.recovery.precedence,
         )
         recovering = self._c.recovery.waiting() > 0
-        max_report_age_us = to_us(3 * self._c.config.settings.workers.report_s + 1)
-        avoid_placement = self._c.mass_failures.avoid_placement
         usable = [
-            m
-            for m in self._c.machines.values()
-            if is_usable(m)
-            and now_us - m.last_report_us < max_report_age_us
-            and m.free_cpus > 0
-            and not avoid_placement(m, now_us)
+            m for m in self._c.machines.values() if m.free_cpus > 0 and self.eligibility.of_machine(m, now_us) is None
         ]
         used_gpus = sum(usage[1] for usage in self._c.usage.values())
         # While tasks lost in a mass failure still wait, no capacity is reserved for expected work.
         self._c.fleet.refresh_warm(now_us, 0.0 if recovering else used_gpus)
-        self._queue_positions = {job.spec.id: place for place, job in enumerate(queue)}
+        self.eligibility.queue_positions = {job.spec.id: place for place, job in enumerate(queue)}
         least = Demand.least_of(job.spec for job in waiting)
         candidates = [m for m in usable if least.fits(m.free_cpus, m.free_gpus, m.free_ram_gb)]
         free_capacity = FreeCapacity(candidates, self._c.policy.placement__parts)
@@ -202,9 +175,7 @@
             self._zone_rating(now_us),
             lambda job: max(0, wall_us - job.submitted_us - patience_us),
             now_us,
-            # A machine that is silent or does not report would be reserved, and the gang would wait for it.
-            lambda m: m.phase == BOOTING
-            or (now_us - m.last_report_us < max_report_age_us and not avoid_placement(m, now_us)),
+            lambda m: self.eligibility.may_start_gang(m, now_us),
         )
         yield
         requests = [request for request in requests if request.job.waits]
@@ -285,8 +256,8 @@
             self._refusals.clear()
         min_places = count if job.is_gang else 1
         attempts = [self._place_unless_refused(job, count, terms, free_capacity, now_us)]
-        if not attempts[0] and terms.keep_reserves and self._reserve_waits.may_use_reserves(job, now_us):
-            terms = terms.without_reserves()
+        if not attempts[0] and terms.keep_reserves and self._waits.may_use_reserves(job, now_us):
+            terms = terms.after_long_wait()
             attempts.append(self._place_unless_refused(job, min_places, terms, free_capacity, now_us))
         if all(placed is None for placed in attempts):
             job.waiting_reason = describe_failing_job(job) if job_at_fault else NO_CAPACITY
@@ -302,7 +273,7 @@
         return left, True
 
     def _place_unless_refused(
-        self, job: Job, count: int, terms: _PlacementTerms, free_capacity: FreeCapacity, now_us: int
+        self, job: Job, count: int, terms: PlacementTerms, free_capacity: FreeCapacity, now_us: int
     ) -> int | None:
         """Places up to `count` tasks; returns how many, None if an equal request found no capacity in this pass."""
         min_places = count if job.is_gang else 1
@@ -343,7 +314,7 @@
             return 1
         return count
 
-    def _terms(self, job: Job, count: int, now_us: int) -> _PlacementTerms:
+    def _terms(self, job: Job, count: int, now_us: int) -> PlacementTerms:
         """Returns the restrictions on the machines for the job's next tasks."""
         spec = job.spec
         failed = len(job.error_machines or ())
@@ -362,7 +333,7 @@
         avoid_free_gpu_hosts = (
             not spec.gpus and bool(self._c.fleet.warm) and not self._c.fleet.is_warm(spec.job_class)
         )
-        return _PlacementTerms(
+        return PlacementTerms(
             (placement_constraints(spec), spec.image, avoid_free_gpu_hosts, may_use_warm, short is None),
             avoid,
             may_use_warm,
@@ -370,43 +341,19 @@
             avoid_free_gpu_hosts,
         )
 
-    def _machine_filter(self, job: Job, terms: _PlacementTerms) -> Callable[[Machine], bool]:
-        """Returns a test for machines on which the job's tasks may be placed if they fit.
-
-        The test runs on most machines for each job, so it must be cheap.
-        """
-        name, avoid, short, avoid_free_gpu_hosts = (
-            job.spec.id,
-            terms.avoided_machines,
-            terms.ordinary_reserve,
-            terms.avoid_free_gpu_hosts,
-        )
-
-        def is_allowed(machine: Machine) -> bool:
-            if avoid_free_gpu_hosts and not machine.spot and machine.free_gpus > 0:
-                return False
-            if short is not None and not machine.spot:
-                if short.fits(machine.free_cpus, machine.free_gpus, machine.free_ram_gb):
-                    return False
-            return (
-                is_usable(machine)
-                and machine.name not in avoid
-                and machine.reserved in ("", name)
-                and self._gang_reservations.may_use(job, machine, self._queue_positions)
-            )
-
-        return is_allowed
+    def obstacles(self, job: Job, now_us: int) -> dict[Obstacle, int]:
+        """Returns what keeps the job off machines that have room for it, with the number of machines."""
+        terms = self._terms(job, job.pending, now_us)
+        if self._waits.may_use_reserves(job, now_us):
+            terms = terms.after_long_wait()
+        return self.eligibility.obstacles(job, terms, self._c.machines.values(), now_us)
 
     def _place_tasks(
-        self, job: Job, count: int, terms: _PlacementTerms, free_capacity: FreeCapacity, now_us: int
+        self, job: Job, count: int, terms: PlacementTerms, free_capacity: FreeCapacity, now_us: int
     ) -> int:
         """Assigns machines to up to `count` tasks; returns how many were assigned."""
         spec, limit, before = job.spec, job.zone_limit, 0
-        is_allowed = self._machine_filter(job, terms)
-
-        def is_allowed_outside_warm(machine: Machine) -> bool:
-            return is_allowed(machine) and (machine.spot or self._gang_reservations.held.get(machine.name) is job)
-
+        obstacle = self.eligibility.of_precautions(job, terms)
         cached = (
             self._placement_cache.place(job, count)
             if self._placement_cache is not None and terms.unrestricted
@@ -415,15 +362,16 @@
         if cached is not None:
             machines = cached
         else:
-            machines = free_capacity.place(
-                job, count, job.is_gang, is_allowed if terms.may_use_warm else is_allowed_outside_warm, limit
-            )
+            machines = free_capacity.place(job, count, job.is_gang, obstacle, limit)
         places_rest = not (terms.may_use_warm or job.is_gang) and len(machines) < count
         if places_rest and self._spare_gpus >= spec.gpus > 0:
             rest = min(count - len(machines), int(self._spare_gpus / spec.gpus))
             if machines:
                 before = self._assign(job, machines, now_us)
-            machines = free_capacity.place(job, rest, False, lambda m: is_allowed(m) and not m.spot, limit)
+            in_warm_reserve = self.eligibility.of_precautions(job, replace(terms, may_use_warm=True))
+            machines = free_capacity.place(
+                job, rest, False, lambda m: Reason.CONSTRAINTS if m.spot else in_warm_reserve(m), limit
+            )
         self._spare_gpus -= spec.gpus * sum(not m.spot for m in machines)
         return before + (self._assign(job, machines, now_us) if machines else 0)
 
@@ -477,7 +425,7 @@
             if job_id not in reserved and refusals.refuses(request_kind, job.spec, min_places):
                 continue
             usable_reserved = [
-                m for m in gang_reserved if self._gang_reservations.may_use(job, m, self._queue_positions)
+                m for m in gang_reserved if self._gang_reservations.may_use(job, m, self.eligibility.queue_positions)
             ]
             free_for = (
                 free + usable_reserved + ([m for m in usable if m.reserved == job_id] if job_id in reserved else [])
@@ -516,15 +464,7 @@
         # larger requests. Queued one by one, the many small rentals of a complete fleet were half a minute late.
         rentals_left = max(2, int(self._c.config.settings.cloud.rps)) - len(pending_rentals)
         if rentals_left > 0:
-            avoid_placement = self._c.mass_failures.avoid_placement
-            # No capacity is expected soon from a silent machine, unless it hangs (most of those resume before a
-            # replacement would be up), nor from a booting machine that later rentals have overtaken.
-            late = self._c.health.boots.late
-            machines = [
-                m
-                for m in self._not_held()
-                if not late(m, now_us) and (m.phase != UP or m.probe_result == HUNG or not avoid_placement(m, now_us))
-            ]
+            machines = [m for m in self._c.machines.values() if self.eligibility.counts_for_rentals(m, now_us)]
             for planned in self._c.fleet.plan(now_us, requests, machines, pending_rentals)[:rentals_left]:
                 self._c.renting.rent(planned)
 
@@ -532,14 +472,11 @@
         """Returns machines that idle, and consolidates those that are sparsely used."""
         self._consolidation.step(now_us)
         self._consolidation.return_emptied()
-        for machine, reason in self._c.fleet.surplus(now_us, self._not_held()):
+        unheld = [m for m in self._c.machines.values() if self.eligibility.may_return(m)]
+        for machine, reason in self._c.fleet.surplus(now_us, unheld):
             if self._c.takeover_readiness.zone_ready(machine.zone):
                 self._c.request_return(machine, reason)
 
-    def _not_held(self) -> list[Machine]:
-        """Returns all machines but those reserved for a gang."""
-        return [m for m in self._c.machines.values() if m.name not in self._gang_reservations.held]
-
 
 def describe_failing_job(job: Job) -> str:
     """Returns the waiting reason of a job that fails on every machine."""
--- a/src/tideusher/core/model/cluster_state.py
+++ b/src/tideusher/core/model/cluster_state.py
@@ -348,14 +348,15 @@
         if task is None:
             task = Task(job, index, attempt, machine, ASSIGNED, now_us, sent=(0, 0), inherited=True)
             first = job.mark_start_charged(index)  # charged by the leader that placed it
-            task.ready_us = 0 if self.rebuilding else now_us + self._image_fetch_us(task)
+            task.ready_us = 0 if self.rebuilding else now_us + self.image_fetch_us(task)
             if first and not self.rebuilding:
                 self.uncharged_starts.append(task)
             self.place(task)
         task.began_s = began_s
         return True
 
-    def _image_fetch_us(self, task: Task) -> int:
+    def image_fetch_us(self, task: Task) -> int:
+        """Returns how long the task's machine takes to fetch its image; 0 if it has it or is of an unknown type."""
         kind, spec = self.types.get(task.machine.type), task.job.spec
         if kind is None or spec.image in task.machine.images:
             return 0
--- a/src/tideusher/embed/instance.py
+++ b/src/tideusher/embed/instance.py
@@ -251,7 +251,9 @@
         """Explains why a job waits and why its tasks were stopped, as `GET /why` of the daemon does."""
         with self._lock:
             self._check_usable()
-            explanation = explain.explain_job(self._engine.cluster, job, self._clock.now_us())
+            explanation = explain.explain_job(
+                self._engine.cluster, job, self._clock.now_us(), self._engine.scheduler.obstacles
+            )
             if explanation is not None:
                 return explanation
             status = self._status(job)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -110,23 +110,23 @@
     machines = [*small, *big]
     pool = FreeCapacity(machines, 2)
     gang = Job(job("gang", 2, gpus=4.0), 1, 0, 0)
-    assert {m.name for m in pool.place(gang, 2, True, lambda m: True, None)} <= {m.name for m in big}
+    assert {m.name for m in pool.place(gang, 2, True, lambda m: None, None)} <= {m.name for m in big}
     wide = Job(job("gang", 8, gpus=4.0), 1, 0, 0)
-    assert len(pool.place(wide, 8, True, lambda m: True, None)) == 8
+    assert len(pool.place(wide, 8, True, lambda m: None, None)) == 8
 
 
 def test_zone_kind_and_spread_rules_consider_the_jobs_other_tasks():
     machines = [machine("host-1", "a"), machine("host-2", "a", spot=True), machine("host-3", "b")]
     pool = FreeCapacity(machines, 1)
     spread = Job(job("service", 4, spread=True), 1, 0, 0)
-    chosen = pool.place(spread, 4, False, lambda m: True, 2)
+    chosen = pool.place(spread, 4, False, lambda m: None, 2)
     assert sorted(m.zone for m in chosen) == ["a", "a", "b", "b"] and not any(m.spot for m in chosen)
     one = Job(job("gang", 5, one_zone=True, spot=True), 1, 0, 0)
-    assert {m.zone for m in pool.place(one, 5, True, lambda m: True, None)} == {"a"}
+    assert {m.zone for m in pool.place(one, 5, True, lambda m: None, None)} == {"a"}
     stuck = Job(job("gang", 2, one_zone=True, spot=True), 1, 0, 0)
     old = Task(stuck, 0, 1, machines[2], SEEN, 0)
     stuck.take(old)
-    assert {m.zone for m in pool.place(stuck, 1, False, lambda m: True, None)} == {"b"}
+    assert {m.zone for m in pool.place(stuck, 1, False, lambda m: None, None)} == {"b"}
 
 
 def test_a_machine_fetches_one_image_at_a_time():
@@ -134,9 +134,9 @@
     busy, free = machine("host-1"), machine("host-2")
     task = running(job("service", image="other"), busy)
     task.running_us, task.state = None, "pulling"
-    chosen = FreeCapacity([busy, free], 1).place(Job(job("service"), 1, 0, 0), 1, False, lambda m: True, None)
+    chosen = FreeCapacity([busy, free], 1).place(Job(job("service"), 1, 0, 0), 1, False, lambda m: None, None)
     assert [m.name for m in chosen] == ["host-2"]
-    assert FreeCapacity([busy], 1).place(Job(job("service"), 1, 0, 0), 1, False, lambda m: True, None) == []
+    assert FreeCapacity([busy], 1).place(Job(job("service"), 1, 0, 0), 1, False, lambda m: None, None) == []
 
 
 def test_the_image_cache_of_a_machine_evicts_the_least_recently_used():
@@ -160,7 +160,7 @@
         slow.completed(array, 120 * SECOND_US)
     assert slow.slow and not fair.slow
     pool = FreeCapacity([slow, fair], 1)
-    assert [m.name for m in pool.place(array, 5, False, lambda m: True, None)] == ["host-2"] * 4 + ["host-1"]
+    assert [m.name for m in pool.place(array, 5, False, lambda m: None, None)] == ["host-2"] * 4 + ["host-1"]
     for _ in range(6):
         slow.completed(array, 60 * SECOND_US)
     assert not slow.slow
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -554,7 +554,7 @@
         fields |= {"one_zone": rng.random() < 0.1, "types": rng.choice([None, [TYPE.name], ["other"]])}
         spec = job(tasks=rng.choice([1, 1, 3, 40]), **fields)
         one, count = Job(spec, 1, 0, 0), rng.choice([spec.tasks, 1])
-        expected = room.place(one, count, one.is_gang, lambda m: True, None)
+        expected = room.place(one, count, one.is_gang, lambda m: None, None)
         given = cache.place(one, count)
         assert given is None or given == expected
         plain += given is not None
