A hold of busy machines that gains nothing is released at times

A job waits for over 90 s beside machines with room, which are held for a gang of its rank until the long work on them ends.

Cause: the hold of free machines had got an end, the hold of busy ones had none: only a higher rank was let in.

Change: a hold of busy machines without a gain for 30 s is released for 15, 30, then 60 s at a time: to jobs of the gang's rank or above of which nothing has run for 30 s, one place each, and to lower ranks once a release is 60 s long.

--- a/src/tideusher/core/decide/eligibility.py
+++ b/src/tideusher/core/decide/eligibility.py
@@ -65,6 +65,7 @@
     may_use_warm: bool  # whether it may use the warm reserve
     ordinary_reserve: Demand | None  # ordinary machines with this much free capacity are left to jobs that need them
     avoid_free_gpu_hosts: bool  # whether it must leave the CPUs of machines with free GPUs alone
+    kept_out: bool = False  # whether it has waited for so long that reserves and released holds are open to it
 
     @property
     def unrestricted(self) -> bool:
@@ -77,13 +78,14 @@
         return not self.unrestricted or self.avoid_free_gpu_hosts
 
     def after_long_wait(self) -> "PlacementTerms":
-        """Returns the terms of a job that may use what is reserved for others."""
+        """Returns the terms of a job that may use what is reserved for others, and machines of released holds."""
         return replace(
             self,
             request_kind=(self.request_kind, "kept out"),
             may_use_warm=True,
             ordinary_reserve=None,
             avoid_free_gpu_hosts=False,
+            kept_out=True,
         )
 
 
@@ -113,7 +115,11 @@
         the pass began is refused too.
         """
         name, avoided, short = job.spec.id, terms.avoided_machines, terms.ordinary_reserve
-        avoid_free_gpu_hosts, may_use_warm = terms.avoid_free_gpu_hosts, terms.may_use_warm
+        avoid_free_gpu_hosts, may_use_warm, kept_out = (
+            terms.avoid_free_gpu_hosts,
+            terms.may_use_warm,
+            terms.kept_out,
+        )
         reservations, queue_positions = self.reservations, self.queue_positions
 
         def reason(machine: Machine) -> Reason | None:
@@ -128,7 +134,7 @@
                 return Reason.FAILED_THERE
             if machine.reserved not in ("", name):
                 return Reason.RESERVED
-            if not reservations.may_use(job, machine, queue_positions):
+            if not reservations.may_use(job, machine, queue_positions, kept_out):
                 return Reason.HELD
             if not (may_use_warm or machine.spot or reservations.held.get(machine.name) is job):
                 return Reason.WARM_RESERVE
--- a/src/tideusher/core/decide/gang_reservations.py
+++ b/src/tideusher/core/decide/gang_reservations.py
@@ -10,7 +10,8 @@
 Free machines are not enough where small tasks are spread over all machines: a few one-CPU tasks block a gang that
 needs entire machines, and new ones arrive as they end. So for the first gang that has waited for long, machines that
 are booting or run other work are held too, in the zone that has enough capacity soonest. Work that runs there ends
-undisturbed, and only work of a higher rank may still be placed there. One gang of the entire fleet at a time.
+undisturbed, and only work of a higher rank may still be placed there. One gang of the entire fleet at a time. While
+such a hold gains nothing, it is released at times too, to jobs of which nothing has run for long.
 """
 
 from collections.abc import Callable, Iterable, Mapping, Sequence
@@ -18,13 +19,14 @@
 
 from tideusher.clock import SECOND_US, to_us
 from tideusher.core.decide.placement import slots, slots_in
-from tideusher.core.model.records import BOOTING, UP, Job, Machine
+from tideusher.core.model.records import BOOTING, LOWEST_RANK, UP, Job, Machine
 
 #: What a zone can rent for a job: the preferred kind of machine, another kind, or none now.
 BEST, OTHER, NONE = 0, 1, 2
 #: A gang that gains no machine for this long releases those that it holds: users allow others to wait for 90 s.
 MAX_HOLD_WITHOUT_PROGRESS_US = 30 * SECOND_US
-#: The duration of a gang's first release; each further one is twice as long, up to the maximum.
+#: The duration of a gang's first release; each further one is twice as long, up to the maximum. A release of that
+#: length is open to jobs of a lower rank too where busy machines are held.
 FIRST_RELEASE_US, MAX_RELEASE_US = 15 * SECOND_US, 60 * SECOND_US
 
 
@@ -45,6 +47,7 @@
     gained_us: int  # when it last held more than before
     release_us: int = FIRST_RELEASE_US  # duration of its next release
     released_until_us: int = 0
+    present_release_us: int = 0  # duration of the present or last release
 
     def may_hold(self, slots: int, now_us: int) -> bool:
         """True if the gang may hold machines for this many of its tasks; False during a release."""
@@ -53,6 +56,7 @@
         if slots > self.slots:
             self.slots, self.gained_us = slots, now_us
         elif now_us - self.gained_us >= MAX_HOLD_WITHOUT_PROGRESS_US:
+            self.present_release_us = self.release_us
             self.released_until_us = now_us + self.release_us
             self.release_us = min(2 * self.release_us, MAX_RELEASE_US)
             self.slots, self.gained_us = 0, self.released_until_us
@@ -73,19 +77,31 @@
         self._free_machines = _FreeMachines(())
         self._progress: dict[str, _HoldProgress] = {}  # of the gangs that hold free machines or released them
         self._busy_hold: tuple[Job, str] | None = None  # the gang for which busy machines are held, and the zone
+        self._busy_progress: dict[str, _HoldProgress] = {}  # of the gangs that hold busy machines or did
+        self._released_rank: int | None = None  # the busy machines are released to jobs of at least this rank
 
-    def may_use(self, job: Job, machine: Machine, place: Mapping[str, int]) -> bool:
-        """True if the job may use the machine, given the positions of jobs in the queue."""
+    def may_use(self, job: Job, machine: Machine, place: Mapping[str, int], kept_out: bool = False) -> bool:
+        """True if the job may use the machine, given the positions of jobs in the queue.
+
+        `kept_out`: the job has waited for so long that a released hold of busy machines is open to it.
+        """
         holder = self.held.get(machine.name)
         if holder is None or holder is job:
             return True
         if self._busy_hold is not None and holder is self._busy_hold[0]:
-            return job.spec.rank < holder.spec.rank
+            released = kept_out and self._released_rank is not None and job.spec.rank <= self._released_rank
+            return released or job.spec.rank < holder.spec.rank
         return place[job.spec.id] < place.get(holder.spec.id, -1)
 
+    @property
+    def released(self) -> bool:
+        """True while held busy machines are released to jobs that have waited for long."""
+        return self._released_rank is not None
+
     def held_until_us(self, holder: Job) -> int | None:
-        """Returns when what is held for the gang is released unless it gains something; None if that has no end."""
-        progress = self._progress.get(holder.spec.id)
+        """Returns when what is held for the gang is released unless it gains something; None if nothing is free."""
+        busy = self._busy_hold is not None and holder is self._busy_hold[0]
+        progress = (self._busy_progress if busy else self._progress).get(holder.spec.id)
         return progress.until_us if progress is not None else None
 
     def update(
@@ -106,6 +122,7 @@
         self.held = {}
         waiting = {job.spec.id for job, _ in unplaced}
         self._progress = {name: progress for name, progress in self._progress.items() if name in waiting}
+        self._busy_progress = {name: progress for name, progress in self._busy_progress.items() if name in waiting}
         if not unplaced:
             self._busy_hold = None
             return []
@@ -116,6 +133,7 @@
             assert self._busy_hold is not None
             self.held[name] = self._busy_hold[0]
             zones_held.add(self._busy_hold[1])
+        self._released_rank = self._released_to([m for m in machines if m.name in self.held], now_us)
         self._free_machines = _FreeMachines(usable)
         for job, count in unplaced:
             if not (job.is_gang and job.spec.one_zone) or job.live:
@@ -140,6 +158,17 @@
         progress = self._progress.setdefault(job.spec.id, _HoldProgress(slots, now_us))
         return progress.may_hold(slots, now_us)
 
+    def _released_to(self, busy: Iterable[Machine], now_us: int) -> int | None:
+        """Returns the lowest rank (the largest number) that the held busy machines are released to; None: to none."""
+        if self._busy_hold is None:
+            return None
+        gang = self._busy_hold[0]
+        free_slots = sum(slots(machine, gang) for machine in busy if machine.phase == UP)
+        progress = self._busy_progress.setdefault(gang.spec.id, _HoldProgress(free_slots, now_us))
+        if progress.may_hold(free_slots, now_us):
+            return None
+        return LOWEST_RANK if progress.present_release_us >= MAX_RELEASE_US else gang.spec.rank
+
     def _hold_in_use(
         self,
         unplaced: Sequence[tuple[Job, int]],
--- a/src/tideusher/core/lead/scheduler.py
+++ b/src/tideusher/core/lead/scheduler.py
@@ -256,7 +256,8 @@
             self._refusals.clear()
         min_places = count if job.is_gang else 1
         attempts = [self._place_unless_refused(job, count, terms, free_capacity, now_us)]
-        if not attempts[0] and terms.keep_reserves and self._waits.may_use_reserves(job, now_us):
+        keeps_out = terms.keep_reserves or self._gang_reservations.released
+        if not attempts[0] and keeps_out and self._waits.may_use_reserves(job, now_us):
             terms = terms.after_long_wait()
             attempts.append(self._place_unless_refused(job, min_places, terms, free_capacity, now_us))
         if all(placed is None for placed in attempts):
--- a/src/tideusher/core/model/records.py
+++ b/src/tideusher/core/model/records.py
@@ -22,7 +22,7 @@
 ASSIGNED = "assigned"  # persisted; `run` is sent with the answers to reports
 SEEN = "seen"  # listed in a report of the worker
 
-CRITICAL = PRIORITIES.index("critical")  # the highest rank
+CRITICAL, LOWEST_RANK = PRIORITIES.index("critical"), len(PRIORITIES) - 1  # CRITICAL is the highest rank
 #: Waiting reason of a job that needs free capacity on a machine.
 NO_CAPACITY = "room on a machine"
 
--- a/tests/test_gang_holds.py
+++ b/tests/test_gang_holds.py
@@ -7,7 +7,7 @@
 import pytest
 
 from standins import job
-from test_core import machine
+from test_core import machine, running
 from tideusher.clock import SECOND_US
 from tideusher.config import Team
 from tideusher.core.decide import gang_reservations
@@ -81,3 +81,71 @@
         if len(sim.on_machines(gang.id)) == 4:
             return
     raise AssertionError("the gang starves")
+
+
+def busy_fleet(gang, work_gpus=2.0):
+    """Returns four machines that run long work beside which they have free capacity."""
+    machines = [machine(f"host-{number}", "a") for number in range(4)]
+    for one in machines:
+        running(job("service", gpus=work_gpus), one)
+    return machines
+
+
+def hold_busy(reservations, gang, machines, now_s):
+    reservations.update(
+        [(gang, gang.spec.tasks)],
+        machines,
+        machines,
+        lambda job, zone: NONE,
+        long_us=lambda job: 1,
+        now_us=now_s * SECOND_US,
+    )
+
+
+def opened_at(reservations, gang, machines, waiting, seconds=400):
+    """Returns the seconds at which a job that has waited for long may use a held machine."""
+    found = []
+    for second in range(seconds):
+        hold_busy(reservations, gang, machines, second)
+        assert not reservations.may_use(waiting, machines[0], {}, kept_out=False)
+        if reservations.may_use(waiting, machines[0], {}, kept_out=True):
+            found.append(second)
+    return found
+
+
+@pytest.mark.parametrize(
+    ("priority", "first_s"), [("standard", HOLD_S), ("best_effort", HOLD_S + 15 + HOLD_S + 30 + HOLD_S)]
+)
+def test_busy_machines_held_without_progress_are_released_to_jobs_that_wait_for_long(priority, first_s):
+    """The failure: jobs waited beside machines with room for as long as the work there went on."""
+    gang = Job(job("gang", 2, gpus=2.0, cpus=8.0, one_zone=True), 1, 0, 0)
+    machines = busy_fleet(gang, work_gpus=3.0)
+    for one in machines[:3]:
+        one.tasks[next(iter(one.tasks))].job.spec = job("batch", gpus=3.0, estimate_s=900.0)
+    waiting = Job(job("batch", 1, gpus=1.0, priority=priority), 1, 0, 0)
+    reservations = GangReservations()
+    opened = opened_at(reservations, gang, machines, waiting)
+    assert reservations.held and opened[0] == first_s
+    assert 0 < len(opened) < 250  # it is taken up again each time
+
+
+def test_a_small_job_runs_beside_long_work_on_machines_that_a_gang_waits_for(sim):
+    """The bound is the users': 90 s beside a machine with room; the gang still gets its machines as the work ends."""
+    sim = sim(machines=6, teams=[Team("red", gpus=32.0, gpus_max=64.0)])
+    sim.capacity = 0
+    long = [sim.submit(job("batch", 1, zone="a", cpus=10.0, gpus=1.0, estimate_s=240.0)) for _ in range(3)]
+    sim.run(10.0)
+    assert sum(len(sim.on_machines(spec.id)) for spec in long) == 3
+    gang = sim.submit(job("gang", 3, cpus=10.0, gpus=2.0, one_zone=True, zone="a", estimate_s=60.0))
+    sim.run(70.0)  # until it has waited for so long that busy machines are held for it
+    small = sim.submit(job("batch", 1, zone="a", gpus=1.0, estimate_s=300.0))
+    for _ in range(90):
+        sim.run(1.0)
+        if sim.on_machines(small.id):
+            break
+    assert sim.on_machines(small.id)
+    for _ in range(240):
+        sim.run(1.0)
+        if len(sim.on_machines(gang.id)) == 3:
+            return
+    raise AssertionError("the gang starves")
