The catalogue of machine types is stored in parts that fit a value

Cause: the list of types was one value without a bound. Past the limit of a value the transaction with it gets 400, and the same one goes first again.

Controllers and standbys read all parts; machines whose type becomes known later get their capacity then. A new leader writes only the parts that differ.

--- a/src/tideusher/actors/users.py
+++ b/src/tideusher/actors/users.py
@@ -12,7 +12,7 @@
 from tideusher.clock import Clock, to_us
 from tideusher.config import Config
 from tideusher.core.decide.conditions import unsatisfiable_reason
-from tideusher.core.model import keys
+from tideusher.core.model import keys, machine_catalogue
 from tideusher.core.model.job_record import held_value, holder, open_value, shrunk_value
 from tideusher.core.model.records import CHUNK_TASKS, JOB_CANCELLED, JOB_DONE, OPEN
 from tideusher.metrics import Metrics
@@ -68,7 +68,7 @@
         self.on_cancelled: Callable[[str], None] = lambda job_id: None
         self._max_value_bytes = int(config.settings.state.value_kb * 1024)
         self._teams = {team.name: team for team in config.settings.teams}
-        self._types_value: Any = None
+        self._types_read: list[int] = []  # stamps of the parts of the machine types that were read
         self._types: list[MachineType] = []
 
     def handle(self, method: str, path: str, body: bytes) -> Reply:
@@ -227,12 +227,23 @@
         return None
 
     def _known_types(self) -> list[MachineType]:
-        stored = self._store.mirror.get(keys.TYPES)
-        if stored is not None and stored.value is not self._types_value:
-            self._types_value = stored.value
-            self._types = msgspec.convert(stored.value, list[MachineType])
+        stamps = self._type_stamps()
+        if stamps and stamps != self._types_read:
+            self._types_read = stamps
+            self._types = machine_catalogue.read(self._value_of)
         return self._types
 
+    def _type_stamps(self) -> list[int]:
+        """Returns the stamps of the parts of the machine types."""
+        stamps: list[int] = []
+        while stamp := self._store.stamp_of(keys.types_key(len(stamps))):
+            stamps.append(stamp)
+        return stamps
+
+    def _value_of(self, key: str) -> Any:
+        stored = self._store.mirror.get(key)
+        return stored.value if stored is not None else None
+
     # ---------------------------------------------------------------- GET and abort
 
     def poll(self, job_id: str) -> Reply:
--- a/src/tideusher/core/lead/cluster.py
+++ b/src/tideusher/core/lead/cluster.py
@@ -11,8 +11,6 @@
 from functools import partial
 from typing import Any
 
-import msgspec
-
 from tideusher.clock import to_s, to_us
 from tideusher.config import Config, Policy
 from tideusher.core.decide import reachability, task_failures
@@ -29,7 +27,7 @@
 from tideusher.core.decide.takeover_readiness import TakeoverReadiness
 from tideusher.core.lead.own_machines import OwnMachines
 from tideusher.core.lead.renting import Renting
-from tideusher.core.model import keys
+from tideusher.core.model import keys, machine_catalogue
 from tideusher.core.model.cluster_state import ClusterState, RecordOf
 from tideusher.core.model.job_record import MAX_STOPS_KEPT, final_value, holder, over_limit_reason
 from tideusher.core.model.pages import NULL, Pages, ReadValue
@@ -132,7 +130,9 @@
         self.direct: list[DirectCommand] = []
         self.to_rent: list[Rental] = []
         self.to_return: list[Machine] = []
-        self._types_value: Any = None
+        self._max_value_bytes = int(settings.state.value_kb * 1024)
+        #: The parts of the machine types as they are to be stored.
+        self._type_parts: dict[int, machine_catalogue.Part] = {}
         self.failures = PassFailures()  # replaced by the caller's own if it keeps failures across terms
         self.renting = Renting(self, self.invariants, value_of)
         self.own_machines = OwnMachines(self)
@@ -160,6 +160,7 @@
         cluster_state = self.cluster_state
         self._fence.stamp = cluster_state.stamps.get(keys.FENCE, 0)
         self._take_over_pages()
+        self._type_parts = dict(cluster_state.type_parts)
         for rental in self.rentals.values():
             if not rental.answered:
                 self.to_rent.append(rental)  # the cloud repeats its first answer to a rental of the same name
@@ -550,13 +551,18 @@
         """Sets the machine types, with their prices; persists them if they changed."""
         first = not self.cluster_state.types
         self.cluster_state.set_machine_types(types)
-        value = msgspec.to_builtins(list(self.cluster_state.types.values()))
-        entry = self.entry(keys.TYPES, lambda: msgspec.to_builtins(list(self.cluster_state.types.values())))
-        if first or value != self._types_value:
-            self._types_value = value
-            self.write_queue.enqueue(entry, urgent=False)
+        parts = dict(enumerate(machine_catalogue.split(self.cluster_state.types.values(), self._max_value_bytes)))
+        for number in sorted(self._type_parts.keys() | self.cluster_state.type_parts.keys() | parts.keys()):
+            if first or parts.get(number) != self._type_parts.get(number):
+                entry = self.entry(keys.types_key(number), partial(self._type_part, number))
+                self.write_queue.enqueue(entry, urgent=False)
+        self._type_parts = parts
         self.dirty = True
 
+    def _type_part(self, number: int) -> Any:
+        """Returns a part of the machine types as it is to be stored; None if there is no such part."""
+        return self._type_parts.get(number)
+
     def adopt(self, report: Report, now_us: int) -> Machine:
         """Adds an unknown machine that reports, such as that of a late rental; it is used, or returned when idle."""
         returned = report.machine in self.gone
--- a/src/tideusher/core/model/cluster_state.py
+++ b/src/tideusher/core/model/cluster_state.py
@@ -17,7 +17,7 @@
 
 from tideusher.clock import to_us
 from tideusher.config import Config, Policy, Team
-from tideusher.core.model import audit, keys
+from tideusher.core.model import audit, keys, machine_catalogue
 from tideusher.core.model.arrivals import Arrivals
 from tideusher.core.model.contacts import ZoneContacts
 from tideusher.core.model.held_records import HeldRecord, HeldRecords, RecordName
@@ -100,6 +100,8 @@
         self.orphans: dict[str, int] = {}
         self.conditional: dict[str, None] = {}
         self.uncharged_starts: list[Task] = []
+        #: The records of the machine types by part number, as applied.
+        self.type_parts: dict[int, Any] = {}
         self._held = HeldRecords()
         self.rebuilding = False
 
@@ -129,8 +131,8 @@
                 self.mass_failures.pop(key, None)
             else:
                 self.mass_failures[key] = (value, stamp)
-        elif key == keys.TYPES and value is not None:
-            self.set_machine_types(msgspec.convert(value, list[MachineType]))
+        elif keys.is_types_key(key):
+            self._apply_types(key, value)
         elif key == keys.RATIOS and value is not None:
             self.ledger.restore(value, now_us, self._wall_us())
             self.uncharged_starts.clear()
@@ -396,22 +398,33 @@
     # ---------------------------------------------------------------- machines
 
     def set_machine_types(self, types: Iterable[MachineType]) -> None:
-        """Replaces the machine types; the first ones give the machines known by then their capacity."""
-        first = not self.types
+        """Replaces the machine types; machines of a type that was not known get their capacity."""
+        known_before = set(self.types)
         self.types.clear()
         for offered in types:
             if is_usable(offered):
                 self.types[offered.name] = offered
             else:
                 LOG.error("machine type %s has amounts that can't be computed with: it is not used", offered.name)
-        for machine in self.machines.values() if first else ():
-            kind = self.types.get(machine.type)
+        if self.types.keys() <= known_before:
+            return
+        for machine in self.machines.values():
+            kind = self.types.get(machine.type) if machine.type not in known_before else None
             if kind is not None and not machine.gpus and not machine.cpus:
                 machine.cpus, machine.gpus, machine.ram_gb = kind.cpus, kind.gpus, kind.ram_gb
                 machine.free_cpus += kind.cpus
                 machine.free_gpus += kind.gpus
                 machine.free_ram_gb += kind.ram_gb
 
+    def _apply_types(self, key: str, value: Any) -> None:
+        if value is not None:
+            self.type_parts[keys.types_number(key)] = value
+        else:
+            self.type_parts.pop(keys.types_number(key), None)
+        if self.type_parts:
+            values = {keys.types_key(number): part for number, part in self.type_parts.items()}
+            self.set_machine_types(machine_catalogue.read(values.get))
+
     def add_machine(self, name: str, rental: Rental, now_us: int) -> Machine:
         """Adds a machine of the rental."""
         kind = self.types.get(rental.type)
--- a/src/tideusher/core/model/keys.py
+++ b/src/tideusher/core/model/keys.py
@@ -5,6 +5,7 @@
 FENCE = "t/fence"
 RATIOS = "t/ratios"
 TYPES = "t/types"
+TYPES_PART_PREFIX = f"{TYPES}/"
 JOB_PREFIX = "t/j/"
 CHUNK_PREFIX = "t/r/"
 PAGE_PREFIX = "t/p/"
@@ -21,6 +22,7 @@
     RENTAL_PREFIX: "rental",
     FALL_PREFIX: "fall",
     SCRIPT_PREFIX: "script",
+    TYPES_PART_PREFIX: "types",
 }
 
 
@@ -29,6 +31,21 @@
     return next((kind for prefix, kind in KINDS.items() if key.startswith(prefix)), key.rpartition("/")[2])
 
 
+def types_key(number: int) -> str:
+    """Returns the key of a part of the machine types; the first one has the number 0."""
+    return f"{TYPES}/{number}" if number else TYPES
+
+
+def is_types_key(key: str) -> bool:
+    """Returns whether a part of the machine types is stored under the key."""
+    return key == TYPES or key.startswith(TYPES_PART_PREFIX)
+
+
+def types_number(key: str) -> int:
+    """Returns the part number of a key from types_key."""
+    return int(key[len(TYPES_PART_PREFIX) :] or 0)
+
+
 def job_key(job: str) -> str:
     """Returns the key of the job's own record: its spec, and whether it is over."""
     return JOB_PREFIX + job
