A transaction that is refused as it stands is split, and nothing waits behind it

Cause: an answer of 400 was taken for an unknown outcome, after which the same batch goes first again, unchanged, for ever. A page that needs more changes than a transaction takes stopped the queue too, without any request.

Change: answers are typed (Refused). What must come after it waits: writes of its job, and places on machines of its rental. A page of several times the limit is emptied in steps that any version can read.

--- a/src/tideusher/actors/leader.py
+++ b/src/tideusher/actors/leader.py
@@ -13,7 +13,7 @@
 from tideusher.actors.election import Election
 from tideusher.actors.halts import ForeignHaltSender
 from tideusher.actors.http import CallFailed, HttpClient
-from tideusher.actors.store import Conflict, LeaseExpired, Store, Throttled, Unavailable
+from tideusher.actors.store import Conflict, LeaseExpired, Refused, Store, Throttled, Unavailable
 from tideusher.clock import Clock, to_s, to_us
 from tideusher.config import Config, Policy
 from tideusher.core.decide import reachability
@@ -582,7 +582,7 @@
         """Writes what changed and carries out the engine's orders; rentals and returns in them are persisted."""
         # A leader that has read that another one leads writes nothing more: comparing its own state with what its
         # successor wrote would report invariant violations that are none.
-        batch = engine.batch() if self._store.stamp_of(keys.LEADER) == engine.token else None
+        batch = engine.batch(self._clock.now_us()) if self._store.stamp_of(keys.LEADER) == engine.token else None
         if batch is not None:
             self.spawn(self._commit, engine, batch)
         token, orders = engine.token, engine.orders()
@@ -734,6 +734,9 @@
             synced = self._store.sync()
             lost = keys.LEADER in conflict.failed
             self.tell("batch_failed", engine, synced, lost, False)
+        except Refused as error:
+            self.log.info("transaction of %d changes refused as it stands: %s", len(batch.writes), error)
+            self.tell("batch_refused", engine)
         except (Unavailable, LeaseExpired) as error:
             self.log.info("transaction not confirmed: %s", error)
             self.tell("unwritable", engine)
@@ -748,6 +751,16 @@
             engine.batch_committed(revision, self._clock.now_us())
             self._act(engine)
 
+    def on_batch_refused(self, engine: Engine) -> None:
+        """Splits a batch that will never be accepted as it stands."""
+        if engine is self._engine:
+            engine.batch_refused(self._store.stamp_of, self._clock.now_us())
+            self._act(engine)
+
+    def writes_set_apart(self) -> int:
+        """Returns the number of records that the state service refuses; 0 if we do not lead."""
+        return len(self._cluster.write_queue.refused) if self._cluster is not None else 0
+
     def on_unwritable(self, engine: Engine) -> None:
         """Records that the state service did not accept a write."""
         engine.mark_unwritable()
--- a/src/tideusher/actors/store.py
+++ b/src/tideusher/actors/store.py
@@ -55,6 +55,10 @@
     """The request budget is spent: nothing was done, and waiting would take too long."""
 
 
+class Refused(Unavailable):
+    """The state service refuses the transaction as it stands: nothing was done, nor will be unless it is changed."""
+
+
 class Malformed(Unavailable):
     """The answer of the state service cannot be decoded; the outcome of the request is unknown."""
 
@@ -219,7 +223,9 @@
         budget: bool = True,
         patience_s: float | None = None,
     ) -> int:
-        """Commits and returns the revision. Raises Conflict or Throttled (nothing done) or Unavailable (unknown).
+        """Commits and returns the revision.
+
+        Raises Conflict, Throttled or Refused (nothing done), LeaseExpired, or Unavailable (outcome unknown).
 
         With `patience_s` it raises Throttled at once if the budget requires a longer wait.
         """
@@ -251,6 +257,9 @@
             raise Conflict(refusal.failed)
         if b"no such lease" in answer:
             raise LeaseExpired
+        if 400 <= status < 500:
+            self._metrics.count("state_refusals", str(status))
+            raise Refused(f"POST /txn: {status} {answer[:200]!r}")
         raise Unavailable(f"POST /txn: {status} {answer[:200]!r}")
 
     def _post_txn(self, body: state.Txn, budget: bool) -> tuple[int, bytes]:
--- a/src/tideusher/core/lead/cluster.py
+++ b/src/tideusher/core/lead/cluster.py
@@ -11,6 +11,8 @@
 from functools import partial
 from typing import Any
 
+import msgspec
+
 from tideusher.clock import to_s, to_us
 from tideusher.config import Config, Policy
 from tideusher.core.decide import reachability, task_failures
@@ -49,7 +51,7 @@
     chunk_value,
 )
 from tideusher.core.model.rentals import ADOPTED, Rental
-from tideusher.core.model.write_queue import Effect, Entry, WriteQueue
+from tideusher.core.model.write_queue import Effect, Entry, RefusedWrite, WriteQueue
 from tideusher.invariants import Invariants, Rule
 from tideusher.metrics import Metrics
 from tideusher.wire import workers
@@ -262,10 +264,30 @@
             # completions did, a chunk that still waited for a write that is not urgent (a stop, a released place)
             # was not checked again: a job of 25,000 completed tasks was never marked done.
             entry.settled, entry.owner = partial(self._finish_if_done, job), job.spec.id
+            entry.depends_on = partial(self._keys_before, job, chunk)
             if job.spec.tasks <= CHUNK_TASKS and self.rents_machines:
                 entry.member = job.spec.id
         return entry
 
+    def _keys_before(self, job: Job, chunk: Chunk) -> list[str]:
+        """Returns the keys that are stored before the chunk: the job's own, and those of its machines' rentals."""
+        first = chunk.number * CHUNK_TASKS
+        tasks = [job.live[index] for index in range(first, first + CHUNK_TASKS) if index in job.live]
+        rentals = {keys.rental_key(task.machine.rental) for task in tasks}
+        return [keys.job_key(job.spec.id), *rentals]
+
+    def record_refused_write(self, refused: RefusedWrite, now_us: int) -> None:
+        """Counts and logs a record that the state service refuses as it stands."""
+        key, value = refused.entry.key, refused.entry.value()
+        self.metrics.count("writes_refused", keys.kind_of(key))
+        self.log.error(
+            "the state service refuses the record %s of %d bytes as it stands (%d times): tried again in %.0f s",
+            key,
+            len(msgspec.json.encode(value)),
+            refused.times,
+            to_s(refused.until_us - now_us),
+        )
+
     def is_saved(self, job: Job, index: int) -> bool:
         """True if the present state of the task's chunk is in the state service."""
         return self.write_queue.is_written(self._chunk_entry(job, job.chunk_of(index)))
--- a/src/tideusher/core/lead/engine.py
+++ b/src/tideusher/core/lead/engine.py
@@ -99,11 +99,14 @@
 
     # ---------------------------------------------------------------- writes, then effects
 
-    def batch(self) -> Batch | None:
-        """Returns the next transaction; None while one is in flight, or when nothing waits."""
+    def batch(self, now_us: int = 0) -> Batch | None:
+        """Returns the next transaction; None while one is in flight, or when nothing waits.
+
+        `now_us` decides what the store refused and is tried again.
+        """
         recovering = self.cluster.recovery.waiting() > 0
         return self.cluster.write_queue.next_batch(
-            self._max_ops, self._max_ops // LAZY_DIVISOR if recovering else None
+            self._max_ops, self._max_ops // LAZY_DIVISOR if recovering else None, now_us
         )
 
     def batch_committed(self, revision: int, now_us: int) -> None:
@@ -122,6 +125,12 @@
         """
         self.cluster.write_queue.batch_failed(stamp_of, unknown)
 
+    def batch_refused(self, stamp_of: Callable[[str], int], now_us: int) -> None:
+        """Notes that the store refuses the batch as it stands: it is split, and what is refused is set apart."""
+        refused = self.cluster.write_queue.batch_refused(stamp_of, now_us)
+        if refused is not None:
+            self.cluster.record_refused_write(refused, now_us)
+
     def orders(self) -> Orders:
         """Returns the effects that are due; each is returned once."""
         cluster = self.cluster
--- a/src/tideusher/core/lead/explain.py
+++ b/src/tideusher/core/lead/explain.py
@@ -123,6 +123,7 @@
             )
         if not cluster.is_writing(now_us) and cluster.write_queue.waiting:
             reasons.append("The state service does not take writes at the moment; nothing starts until it does.")
+    reasons += _describe_refused_writes(cluster, job, now_us)
     for state, text in (
         (FETCHING, f"wait for image {job.spec.image} to be fetched"),
         (WAITING, "have their place and wait for the rest of their gang"),
@@ -137,6 +138,16 @@
     return reasons or [f"{len(job.live)} tasks run; nothing holds it up."]
 
 
+def _describe_refused_writes(cluster: Cluster, job: Job, now_us: int) -> list[str]:
+    """Returns which records of the job the state service refuses, and when they are tried again."""
+    return [
+        f"The state service refuses its record {refused.entry.key}; what depends on it waits. "
+        f"It is tried again in {to_s(max(0, refused.until_us - now_us)):.0f} s."
+        for refused in cluster.write_queue.refused.all()
+        if refused.entry.owner == job.spec.id
+    ]
+
+
 def _describe_obstacles(obstacles: Mapping[Obstacle, int], now_us: int) -> list[str]:
     """Returns what keeps a job off machines that have room for it, the most frequent first."""
     lines = []
--- a/src/tideusher/core/model/entries.py
+++ b/src/tideusher/core/model/entries.py
@@ -1,6 +1,6 @@
 """Records that wait to be written by the leader."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -22,4 +22,5 @@
     valid: Callable[[], bool] = lambda: True  # False: the write is obsolete and is dropped
     settled: Effect = lambda: None  # called after each write of the entry
     owner: str = ""  # the job that the record belongs to
+    depends_on: Callable[[], Iterable[str]] = tuple  # keys whose records must be stored before this one
     member: str = ""  # its name in a shared page; empty: always stored under a key of its own
--- a/src/tideusher/core/model/pages.py
+++ b/src/tideusher/core/model/pages.py
@@ -81,6 +81,7 @@
         self._pages: dict[int, Page] = {}
         self._pages_by_job: dict[str, Page] = {}
         self._to_compact: dict[int, Page] = {}
+        self._accepted_limit: int | None = None  # the limit that refusals show; None: there was none
         self._dropped: set[str] = set()  # members dropped since the transaction in flight was built
         #: True if jobs may be stored in pages; otherwise those in pages move to records of their own.
         self.open = False
@@ -100,7 +101,18 @@
     @property
     def limit(self) -> int:
         """Maximum size of a page in bytes."""
-        return self._limit()
+        return self._limit() if self._accepted_limit is None else min(self._limit(), self._accepted_limit)
+
+    def refused(self, pages: Iterable[tuple[Page, Mapping[str, Any]]]) -> bool:
+        """Handles that pages with these members were refused: halves the limit; False if that changes nothing.
+
+        The service may have a lower limit than announced. Records that no page takes have keys of their own.
+        """
+        largest = max((len(msgspec.json.encode(members)) for _, members in pages if members), default=0)
+        if not largest or not self.limit:
+            return False
+        self._accepted_limit = min(largest, self.limit) // 2
+        return True
 
     @property
     def any(self) -> bool:
@@ -171,6 +183,13 @@
         for page, _ in pages:
             self._link_members(page)
 
+    def leave_behind(self, left: Iterable[tuple[Page, str]]) -> None:
+        """Marks the stale copies of members that moved out of pages which were not written with that."""
+        for page, member in left:
+            if self._pages_by_job.get(member) not in (page, None) and member in page.members:
+                page.obsolete.add(member)
+                self._note_compaction(page)
+
     def reread(self, pages: Iterable[Page], stamp_of: Callable[[str], int]) -> None:
         """Resets pages of a transaction with unknown outcome to what a newer read shows: all were written or none."""
         pages = list(pages)
--- a/src/tideusher/core/model/transactions.py
+++ b/src/tideusher/core/model/transactions.py
@@ -63,13 +63,17 @@
     fence_excludes_old: bool | None = None
     #: The pages that it writes, with their new members.
     pages: list[tuple[Page, dict[str, Any]]] = field(default_factory=list)
+    #: Members that it copies out of pages which it does not write, with these pages.
+    left_behind: list[tuple[Page, str]] = field(default_factory=list)
+    #: The entry for which it does so; it is written later.
+    prepares: Entry | None = None
 
 
 class TransactionDraft:
     """A transaction under construction."""
 
     def __init__(self, base_guards: list[Guard], pages: Pages, max_changes: int, max_guards: int) -> None:
-        self._pages, self._max_changes, self._max_guards = pages, max_changes, max_guards
+        self._pages, self.max_changes, self._max_guards = pages, max_changes, max_guards
         self._guards = {guard.key: guard for guard in base_guards}
         self._entries: list[Entry] = []
         self._own: dict[str, tuple[Entry, Any]] = {}  # records under keys of their own; value None: delete
@@ -79,18 +83,25 @@
         #: New page of each member that this transaction moves unchanged.
         self._moved: dict[str, Page] = {}
         self._bytes = 0
+        self._left_behind: list[tuple[Page, str]] = []
         #: As in `Batch`.
         self.fence_excludes_old: bool | None = None
+        self.prepares: Entry | None = None
 
     @property
     def changes(self) -> int:
         """Number of puts and deletes so far."""
         return len(self._own) + len(self._drafts)
 
+    @property
+    def entries(self) -> int:
+        """Number of entries so far."""
+        return len(self._entries)
+
     @property
     def full(self) -> bool:
         """True if no further change fits."""
-        return self.changes >= self._max_changes or self._bytes > MAX_VALUE_BYTES
+        return self.changes >= self.max_changes or self._bytes > MAX_VALUE_BYTES
 
     @property
     def empty(self) -> bool:
@@ -103,6 +114,7 @@
         """Adds a write of this value for the entry; returns False if it does not fit into this transaction."""
         plan = self._plan(entry, value)
         if plan is None:
+            self.prepares = entry if self._left_behind else None
             return False
         self._apply_plan(plan, entry, value)
         self._entries.append(entry)
@@ -178,7 +190,7 @@
         size = len(msgspec.json.encode(value)) if value is not None else 0
         if plan.target is not None and more_pages:
             size += plan.target.kept_size
-        if self.changes + own + more_pages > self._max_changes:
+        if self.changes + own + more_pages > self.max_changes:
             return False
         if len(self._guards) + len(plan.guards) + more_pages > self._max_guards:
             return False
@@ -197,7 +209,8 @@
     def _add_page(self, page: Page) -> bool:
         """Adds the page to the transaction; returns False if it does not fit.
 
-        From a page over the limit all excess members move out in the same transaction, or the page is not added.
+        From a page over the limit all excess members move out in the same transaction. If these are too many for one,
+        a transaction copies some of them to other pages; the page is written by a later one.
         """
         if page.number in self._drafts:
             return True
@@ -206,7 +219,9 @@
         if size > limit:
             excess, size = _largest_members(page, size - round(FILL_SHARE * limit))
         page_count = 1 + _pages_needed([page.sizes[member] for member in excess], FILL_SHARE * limit)
-        if self.changes + page_count > self._max_changes or len(self._guards) + page_count > self._max_guards:
+        if self.changes + page_count > self.max_changes or len(self._guards) + page_count > self._max_guards:
+            if self.empty and excess:
+                self._copy_out(page, excess)
             return False
         if not self.empty and self._bytes + page.kept_size > MAX_VALUE_BYTES:
             return False
@@ -215,6 +230,24 @@
             self._move_member(member, page.members[member], page)
         return True
 
+    def _copy_out(self, page: Page, members: list[str]) -> None:
+        """Copies as many of these members to other pages as the transaction takes, and leaves the page as it is.
+
+        The newer copy of a member counts for every reader (`placements`), and the older one is left out when the page
+        is written.
+        """
+        self._guards[page.key] = Guard(page.key, page.stamp)
+        for member in members:
+            size = member_size(member, page.members[member])
+            target = self._drafted_page_with_space(size, page)
+            if target is None:
+                if self.full or len(self._guards) >= self._max_guards:
+                    return
+                target = self._pages.new_page([*self.drafted(), page])
+                self._add_draft(target)
+            self._change_member(target, member, page.members[member])
+            self._left_behind.append((page, member))
+
     def _add_draft(self, page: Page) -> None:
         """Adds the page without its obsolete members, unless it was added already."""
         if page.number in self._drafts:
@@ -261,7 +294,17 @@
         for entry in self._entries:
             entry.effects, entry.dirty = [], False
         own = {entry.key for entry, value in self._own.values() if value is not None}
-        return Batch(self._entries, list(self._guards.values()), writes, effects, own, self.fence_excludes_old, pages)
+        return Batch(
+            self._entries,
+            list(self._guards.values()),
+            writes,
+            effects,
+            own,
+            self.fence_excludes_old,
+            pages,
+            self._left_behind,
+            self.prepares,
+        )
 
     def _pages_in_write_order(self) -> Iterator[PageDraft]:
         """Yields the pages in write order.
--- a/src/tideusher/core/model/write_queue.py
+++ b/src/tideusher/core/model/write_queue.py
@@ -17,10 +17,14 @@
 from tideusher.core.model.entries import Effect, Entry
 from tideusher.core.model.fair_queue import FairQueue
 from tideusher.core.model.pages import NULL, Pages
+from tideusher.core.model.refused_writes import RefusedWrite, RefusedWrites
 from tideusher.core.model.transactions import GUARDS_PER_CHANGE, Batch, TransactionDraft
 from tideusher.wire.state import Guard
 
-__all__ = ["Batch", "Effect", "Entry", "WriteQueue"]
+#: Any service takes as many changes: a record that moves is written in one place and removed in another.
+MIN_ACCEPTED_OPS = 2
+
+__all__ = ["Batch", "Effect", "Entry", "RefusedWrite", "WriteQueue"]
 
 
 class WriteQueue:
@@ -36,15 +40,21 @@
         self._deferred: dict[str, Entry] = {}
         self._queued_members: dict[str, Entry] = {}  # waiting entries that may be stored in pages
         self._in_flight: Batch | None = None
+        self._accepted_ops = max_ops  # the limit that refusals show
+        #: What the state service refuses as it stands.
+        self.refused = RefusedWrites()
 
     def enqueue(self, entry: Entry, effect: Effect | None = None, urgent: bool = True) -> None:
         """Queues an entry whose value changed; `effect` runs once the change is in the state service."""
         entry.dirty = True
-        queued = self._urgent.get(entry.key) or self._deferred.get(entry.key)
+        set_apart = self.refused.get(entry.key)
+        queued = set_apart or self._urgent.get(entry.key) or self._deferred.get(entry.key)
         if queued is not None and queued is not entry:
             self._replace(queued, entry)
         if effect is not None:
             entry.effects.append(effect)
+        if set_apart is not None:
+            return
         if urgent:
             self._deferred.pop(entry.key, None)
             self._urgent.add(entry)
@@ -57,6 +67,8 @@
         """Replaces an entry whose record was dropped and created again under the same key before it was written."""
         new.stamp = old.stamp
         new.effects[:0] = old.effects
+        if self.refused.get(old.key) is not None:
+            self.refused.replace(new)
         if old.key in self._urgent:
             self._urgent.replace(new)
         if old.key in self._deferred:
@@ -81,11 +93,11 @@
         """Number of keys that wait to be written."""
         return len(self._urgent) + len(self._deferred)
 
-    def next_batch(self, max_writes: int, lazy: int | None = None) -> Batch | None:
+    def next_batch(self, max_writes: int, lazy: int | None = None, now_us: int = 0) -> Batch | None:
         """Returns the next transaction of at most `max_writes` writes; None if nothing waits or one is in flight.
 
         `lazy`: maximum number of these that are not urgent. Where each write takes a tenth of a second, a batch
-        filled with those delays the next urgent one.
+        filled with those delays the next urgent one. `now_us` decides what was refused and is tried again.
         """
         if self._in_flight is not None or max_writes < 1:
             return None
@@ -94,16 +106,14 @@
         if self._fence is not None:
             base_guards.append(Guard(self._fence.key, self._fence.stamp))
         draft = TransactionDraft(
-            base_guards, self._pages, min(max_writes, self._max_ops), GUARDS_PER_CHANGE * self._max_ops
+            base_guards, self._pages, min(max_writes, self._accepted_ops), GUARDS_PER_CHANGE * self._max_ops
         )
         immediate_effects: list[Effect] = []  # effects of entries that are stored already
-        with closing(self._urgent.in_turn()) as entries:
-            urgent = self._fill(draft, entries, immediate_effects)
-        if urgent:
-            self._fill(draft, list(self._deferred.values()), immediate_effects, lazy)
-        for page in self._pages.pages_to_compact() if urgent else ():
-            draft.add_page(page)
-        self._add_other_members(draft, immediate_effects)
+        again = self.refused.next_due(now_us)
+        if again is not None:
+            self._add_alone(draft, again, immediate_effects, now_us)
+        else:
+            self._add_all(draft, immediate_effects, lazy, now_us)
         for effect in immediate_effects:
             effect()
         if draft.empty:
@@ -111,20 +121,53 @@
         self._in_flight = draft.batch()
         return self._in_flight
 
+    def _add_alone(self, draft: TransactionDraft, entry: Entry, immediate_effects: list[Effect], now_us: int) -> None:
+        """Adds an entry that was set apart; it stays so unless it fits and is accepted."""
+        if not self._add(draft, entry, immediate_effects) and draft.empty:
+            self.refused.set_apart(entry, now_us)
+        elif not entry.dirty and draft.empty:
+            self.refused.committed([entry])  # it needs no write any more
+
+    def _add_all(
+        self, draft: TransactionDraft, immediate_effects: list[Effect], lazy: int | None, now_us: int
+    ) -> None:
+        """Adds what waits, as far as it fits."""
+        with closing(self._urgent.in_turn()) as entries:
+            urgent = self._fill(draft, entries, immediate_effects, now_us)
+        if urgent:
+            self._fill(draft, list(self._deferred.values()), immediate_effects, now_us, lazy)
+        if self.refused.max_entries is not None:
+            return
+        for page in self._pages.pages_to_compact() if urgent else ():
+            draft.add_page(page)
+        self._add_other_members(draft, immediate_effects)
+
     def _fill(
         self,
         draft: TransactionDraft,
         entries: Iterable[Entry],
         immediate_effects: list[Effect],
+        now_us: int,
         max_changes: int | None = None,
     ) -> bool:
-        """Adds entries in their order; returns False if the next one does not fit."""
+        """Adds entries in their order; returns False if the next one does not fit.
+
+        One that does not fit into an empty transaction is set apart: nothing waits behind it.
+        """
         for entry in entries:
-            if draft.full or (max_changes is not None and max_changes <= 0 and not draft.empty):
+            if draft.full or draft.entries == self.refused.max_entries:
+                return False
+            if max_changes is not None and max_changes <= 0 and not draft.empty:
                 return False
             before = draft.changes
+            if self.refused.holds_back(entry):
+                continue
             if not self._add(draft, entry, immediate_effects):
-                return False
+                if not draft.empty or draft.max_changes < self._accepted_ops:
+                    return False
+                self._dequeue(entry)
+                self.refused.set_apart(entry, now_us)
+                continue
             if max_changes is not None:
                 max_changes -= draft.changes - before
         return True
@@ -156,7 +199,9 @@
         for page in draft.drafted():
             for member in page.members:
                 entry = self._queued_members.get(member)
-                if entry is not None and not self._add(draft, entry, immediate_effects):
+                if entry is None or self.refused.holds_back(entry):
+                    continue
+                if not self._add(draft, entry, immediate_effects):
                     break
 
     def _dequeue(self, entry: Entry) -> None:
@@ -174,7 +219,9 @@
         """Handles the commit of the batch in flight: sets the new stamps, then runs its effects."""
         batch, self._in_flight = self._in_flight, None
         assert batch is not None
+        self.refused.committed(batch.entries)
         self._pages.mark_written(batch.pages, revision)
+        self._pages.leave_behind(batch.left_behind)
         if batch.fence_excludes_old is not None:
             self._pages.fenced = batch.fence_excludes_old
         for entry in batch.entries:
@@ -187,6 +234,29 @@
         for entry in batch.entries:
             entry.settled()
 
+    def batch_refused(self, stamp_of: Callable[[str], int], now_us: int) -> RefusedWrite | None:
+        """Handles a batch that the service refuses as it stands: nothing of it is stored, and it is split.
+
+        Returns the write that is refused, once it was found.
+        """
+        batch = self._in_flight
+        assert batch is not None
+        entries = list(batch.entries) or ([batch.prepares] if batch.prepares is not None else [])
+        self.batch_failed(stamp_of, unknown=False)
+        if len(entries) == 1 and self._assume_lower_limits(batch):
+            return None  # it is tried again in smaller pages and fewer changes
+        refused = self.refused.refused(entries, now_us)
+        if refused is not None:
+            self._dequeue(refused.entry)
+        return refused
+
+    def _assume_lower_limits(self, batch: Batch) -> bool:
+        """Halves the limits that a refused batch of one entry kept; False if it can't be made smaller."""
+        fewer_changes = len(batch.writes) > MIN_ACCEPTED_OPS
+        if fewer_changes:
+            self._accepted_ops = max(MIN_ACCEPTED_OPS, len(batch.writes) // 2)
+        return self._pages.refused(batch.pages) or fewer_changes
+
     def batch_failed(self, stamp_of: Callable[[str], int], unknown: bool = True) -> None:
         """Handles a batch that failed or whose outcome is `unknown`: queues all of it again, with newly read stamps.
 
@@ -201,6 +271,7 @@
             if unknown:
                 self.enqueue(self._fence)
         self._pages.reread([page for page, _ in batch.pages], stamp_of)
+        self._pages.leave_behind(batch.left_behind)
         if batch.fence_excludes_old is not None:
             self._pages.reread_fence(stamp_of)
         for entry, effects in zip(reversed(batch.entries), reversed(batch.effects), strict=True):
--- a/src/tideusher/node.py
+++ b/src/tideusher/node.py
@@ -188,6 +188,7 @@
     def _metrics_text(self) -> bytes:
         self.metrics.gauges["leads"] = float(self.election.token is not None)
         self.metrics.gauges["leads_token"] = float(self.election.token or 0)
+        self.metrics.gauges["writes_set_apart"] = float(self.leader.writes_set_apart())
         self.metrics.gauges["read_revision"] = float(self.store.revision)
         self.metrics.gauges["read_age_seconds"] = self.store.read_age_s()
         self.metrics.gauges["in_contact"] = float(self.in_contact())
--- a/tests/test_shared_records.py
+++ b/tests/test_shared_records.py
@@ -250,6 +250,34 @@
     )
 
 
+def test_a_page_of_several_times_the_limit_is_emptied_in_steps_that_any_leader_can_read():
+    """The failure: it needed more changes than a transaction takes, and no write of the leader went on."""
+    harness = leader_with_machines()
+    submit_small_jobs(harness, 80)
+    place(harness)
+    harness.commit()
+    before = places_in_memory(harness.cluster)
+    harness.config.settings.state.value_kb, harness.config.settings.state.txn_ops = 0.5, 4
+    leader = harness.elect()
+    for one in list(leader.jobs.values()):
+        leader.enqueue_chunk(one, 0)
+    steps = 0
+    while (batch := leader.write_queue.next_batch(4)) is not None:
+        assert len(batch.writes) <= 4 and len(batch.guards) <= 16
+        assert all(len(msgspec.json.encode(write.value)) <= 512 for write in batch.writes if isinstance(write, Put))
+        steps += 1
+        if steps % 3:
+            leader.write_queue.batch_committed(harness.state.txn(batch.guards, batch.writes))
+        else:  # the answer is lost, and it was carried out at times
+            if steps % 2:
+                assert harness.state.txn(batch.guards, batch.writes) is not None
+            leader.write_queue.batch_failed(harness.state.stamp_of)
+        state = ClusterState(harness.config, Policy(), 0, harness.clock.wall_us, harness.state.record_of)
+        state.build(harness.state.items, 0)
+        assert places_in_memory(state) == before
+    assert steps > 4 and not leader.write_queue.waiting and places_on_record(harness.state) == before
+
+
 @settings(max_examples=60, deadline=None, derandomize=True)
 @given(seed=st.integers(0, 10_000))
 def test_each_transaction_keeps_its_limits_and_no_place_is_lost_or_twice(seed):
