Connections that nobody uses any more are closed; HEAD has no body

HEAD got an answer with a body, which a client that keeps its connection takes for its next answer.

Cause: the next request of a connection was waited for without a limit, and no keepalive was set. HEAD was routed as any method.

A gauge by kind. HEAD is answered as GET, without the body.

--- a/src/tideusher/node.py
+++ b/src/tideusher/node.py
@@ -12,6 +12,7 @@
 
 from tideusher.actors.cloud import Cloud
 from tideusher.actors.confirmations import Confirmations
+from tideusher.actors.connections import Connections
 from tideusher.actors.election import Election
 from tideusher.actors.gateway import MAX_READ_US, Gateway
 from tideusher.actors.leader import Leader
@@ -77,6 +78,7 @@
         self.users.on_cancelled = lambda job_id: self.leader.tell("cancelled_here", job_id)
         self.leader.set_reachability(self.peers.reads_state)
         self.leader.set_peer_candidates(self.peers.candidates)
+        self.connections = Connections(self._clock, settings.resources.max_sockets, settings.workers.lease_s)
         query_service = QueryService(config, self.store, self.election, self.leader, self.peers)
         self.web = Web(
             config.bind,
@@ -87,6 +89,7 @@
             self._metrics_text,
             self.in_contact,
             self.healthy,
+            self.connections,
         )
 
     def run(self) -> None:
@@ -199,7 +202,8 @@
         self.metrics.gauges["timer_lag_seconds"] = to_s(ours.lag_us)
         self.metrics.gauges["leader_lost"] = float(ours.lost != 0)
         self.metrics.gauges["mirrored_keys"] = float(len(self.store.mirror))
-        self.metrics.labelled_gauges = self.leader.oldest_waits()
+        open_connections = {("open_connections", kind): n for kind, n in self.connections.by_kind().items()}
+        self.metrics.labelled_gauges = self.leader.oldest_waits() | open_connections
         return self.metrics.text()
 
     def _answer(self, message: peer_wire.Message) -> peer_wire.Message | None:
--- a/src/tideusher/web.py
+++ b/src/tideusher/web.py
@@ -3,11 +3,11 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
+import gevent
 import msgspec
-from gevent.pywsgi import WSGIServer
 
+from tideusher.actors.connections import Connections, CountedServer
 from tideusher.actors.gateway import Gateway
-from tideusher.actors.handler import Handler
 from tideusher.actors.peers import Peers
 from tideusher.actors.questions import QueryService
 from tideusher.actors.replies import Reply, refusal, retry_later
@@ -51,20 +51,23 @@
         metrics: Callable[[], bytes],
         in_contact: Callable[[], bool],
         healthy: Callable[[], bool],
+        connections: Connections,
     ) -> None:
         self._users, self._gateway, self._query_service, self._peers = users, gateway, questions, peers
         self._metrics, self._in_contact, self._healthy = metrics, in_contact, healthy
         self._user_requests = 0
-        self._server = WSGIServer(split_address(bind), self, log=None, error_log=None, handler_class=Handler)
+        self._connections = connections
+        self._server = CountedServer(split_address(bind), self, connections)
 
     def start(self) -> None:
         """Starts to accept connections."""
         self._server.start()
+        gevent.spawn(self._connections.watch)
 
     def __call__(self, environ: dict[str, Any], start_response: StartResponse) -> Iterable[bytes]:
         method, path = environ["REQUEST_METHOD"], environ["PATH_INFO"]
         try:
-            reply = self._route(method, path, environ)
+            reply = self._route("GET" if method == "HEAD" else method, path, environ)
         except UnreadableBody as error:
             # Not an error of this node: treated as one, it got a 503, for which clients retry with the same body,
             # and each client that disconnected left a traceback in the log.
@@ -78,7 +81,7 @@
             STATUS_LINES[reply.status],
             [("Content-Type", "application/json"), ("Content-Length", str(len(body))), *reply.headers],
         )
-        return [body]
+        return [] if method == "HEAD" else [body]
 
     def _route(self, method: str, path: str, environ: dict[str, Any]) -> Reply:
         if path == "/checkin":
--- a/tests/test_report_path.py
+++ b/tests/test_report_path.py
@@ -8,6 +8,7 @@
 from gevent.pywsgi import WSGIServer
 
 from standins import FakeClock, make_config
+from tideusher.actors.connections import Connections
 from tideusher.actors.gateway import Gateway
 from tideusher.actors.handler import MAX_HEADERS, MAX_LINE_BYTES, Handler
 from tideusher.actors.leader import REPORT_TIMEOUT_US, Leader
@@ -199,7 +200,8 @@
 def test_incomplete_body_gets_400_and_one_debug_line(path, lines, body, caplog, capfd):
     """It got 503, for which clients retry, and a traceback of 20 lines for each client that disconnected."""
     users, gateway = Users(make_config(), FakeClock(), None), Gateway(make_config(), FakeClock(), *[None] * 4)
-    web = Web("127.0.0.1:0", users, gateway, None, None, bytes, lambda: True, lambda: True)
+    connections = Connections(FakeClock(), 1000, 20.0)
+    web = Web("127.0.0.1:0", users, gateway, None, None, bytes, lambda: True, lambda: True, connections)
     caplog.set_level("DEBUG")
     sock = FakeSocket(b"\r\n".join([b"POST %s HTTP/1.1" % path, b"Host: a", *lines, b"", body]))
     server = WSGIServer(("127.0.0.1", 0), web, log=None, error_log=None, handler_class=Handler)
