No message to a worker or user is larger than the protocol allows

Callers saw: an array of thousands of small tasks is started by an answer with one line of up to 134 KB.

Cause: commands in an answer, and in the body of a direct call, had no bound; a long answer to an operator was one line.

Change: commands are counted in bytes. What doesn't fit goes into the answers to the next reports; `run` counts as sent only in the answer that holds it. Direct calls are split. JSON answers over 64 KiB get a line for each value.

--- a/src/tideusher/actors/command_sender.py
+++ b/src/tideusher/actors/command_sender.py
@@ -59,7 +59,13 @@
         A worker that reports to another controller, such as an old leader, may be in a session that we do not know.
         Its refusal holds the session, and the call is repeated once with it.
         """
-        session = machine.session if session is None else session
+        for part in workers.split_commands(commands):
+            known = machine.session if session is None else session
+            if not self._call_part(machine, token, part, known):
+                return
+
+    def _call_part(self, machine: Machine, token: int, commands: list[workers.Command], session: int) -> bool:
+        """Sends commands that fit into one request; returns whether they were carried out."""
         for _ in range(2):
             body = workers.encode(workers.DirectCommands(token, session, commands))
             try:
@@ -67,16 +73,17 @@
                 report = workers.decode_report(answer) if status in (200, 409) else None
             except CallFailed as error:
                 self.log.debug("no answer of %s: %s", machine.name, error)
-                return
+                return False
             except msgspec.DecodeError as error:
                 self.log.error("bad answer of %s: %s", machine.name, error)
-                return
+                return False
             if report is None or report.token > token:
-                return
+                return False
             self._answered(token, answer)
             if status == 200 or report.session == session:
-                return
+                return status == 200
             session = report.session
+        return False
 
     def _client(self, machine: Machine) -> HttpClient:
         address, client = self._clients.get(machine.name, ("", None))
--- a/src/tideusher/actors/halts.py
+++ b/src/tideusher/actors/halts.py
@@ -55,7 +55,8 @@
         try:
             _, answer = client.call("GET", "/show")
             session = workers.decode_report(answer).session
-            client.call("POST", "/do", workers.encode(workers.DirectCommands(self._token, session, commands)))
+            for part in workers.split_commands(commands):
+                client.call("POST", "/do", workers.encode(workers.DirectCommands(self._token, session, part)))
         except CallFailed as error:
             self.log.debug("no answer of %s: %s", address, error)
         except msgspec.DecodeError as error:
--- a/src/tideusher/core/lead/reports.py
+++ b/src/tideusher/core/lead/reports.py
@@ -41,7 +41,10 @@
         if machine is None:
             machine = self._c.adopt(report, now_us)
         strays = self._digest(machine, report, now_us, asked=True)
-        return [] if strays is None else strays + self._commands(machine, may_start)
+        if strays is None:
+            return []
+        budget = workers.CommandBudget()
+        return [command for command in strays if budget.take(command)] + self._commands(machine, may_start, budget)
 
     def apply(self, report: Report, now_us: int) -> None:
         """Applies a report that came as the answer to a direct call.
@@ -227,19 +230,30 @@
                 return None
         return workers.forget(item.task, attempt)
 
-    def _commands(self, machine: Machine, may_start: Callable[[str], bool]) -> list[Command]:
-        """Returns the `run` and `halt` commands that are due for the machine's tasks."""
+    def _commands(
+        self, machine: Machine, may_start: Callable[[str], bool], budget: workers.CommandBudget
+    ) -> list[Command]:
+        """Returns the `run` and `halt` commands that are due for the machine's tasks, as far as they fit the answer.
+
+        The others go into the answers to its next reports.
+        """
         out = []
         for task in list(machine.tasks.values()):
             if task.halt_grace_s is not None:
                 if task.phase == SEEN or task.inherited or task.sent is not None:
-                    out.append(workers.halt(task.name, task.attempt, task.halt_grace_s))
+                    halt = workers.halt(task.name, task.attempt, task.halt_grace_s)
+                    if not budget.take(halt):
+                        break
+                    out.append(halt)
             elif task.phase == ASSIGNED and task.sent is None and machine.phase == UP and task.job.status == OPEN:
                 if not may_start(task.job.spec.id) or self._would_time_out(task) or not self._may_start(task):
                     continue
+                run = workers.run(task.name, task.attempt)
+                if not budget.take(run):
+                    break
                 # The only place where `run` is ever sent (safety 4).
                 task.sent = (machine.session, machine.serial)
-                out.append(workers.run(task.name, task.attempt))
+                out.append(run)
         return out
 
     def _may_start(self, task: Task) -> bool:
--- a/src/tideusher/web.py
+++ b/src/tideusher/web.py
@@ -14,6 +14,7 @@
 from tideusher.actors.users import Users
 from tideusher.config import split_address
 from tideusher.wire.jobs import MAX_BODY
+from tideusher.wire.workers import MAX_LINE_BYTES
 
 STATUS_LINES = {
     200: "200 OK",
@@ -76,7 +77,7 @@
         except Exception:
             self._users.log.exception("%s %s failed", method, path)
             reply = refusal(503, "internal error of this node")
-        body = reply.body if isinstance(reply.body, bytes) else msgspec.json.encode(reply.body)
+        body = _with_short_lines(reply.body if isinstance(reply.body, bytes) else msgspec.json.encode(reply.body))
         start_response(
             STATUS_LINES[reply.status],
             [("Content-Type", "application/json"), ("Content-Length", str(len(body))), *reply.headers],
@@ -139,6 +140,13 @@
         return None if len(body) > MAX_BODY else body
 
 
+def _with_short_lines(body: bytes) -> bytes:
+    """Returns a JSON body that is too long for one line with a line for each value."""
+    if len(body) <= MAX_LINE_BYTES or body[:1] not in (b"{", b"["):
+        return body
+    return msgspec.json.format(body, indent=1)
+
+
 def _read(environ: dict[str, Any], limit: int = -1) -> bytes:
     """Reads up to `limit` bytes of the body (-1: all); raises UnreadableBody."""
     try:
--- a/src/tideusher/wire/workers.py
+++ b/src/tideusher/wire/workers.py
@@ -1,6 +1,6 @@
 """Reports sent by workers and commands sent to them."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import msgspec
 
@@ -11,6 +11,11 @@
 CAUSE_INCOMPLETE, CAUSE_ERROR, CAUSE_FULL = "incomplete", "error", "full"
 CAUSE_IN_USE, CAUSE_UNKNOWN = "in_use", "unknown"
 
+#: A request body, or a line of a response, holds at most so many bytes.
+MAX_LINE_BYTES = 64 * 1024
+#: Bytes of a message around its commands, at the most.
+ENVELOPE_BYTES = 256
+
 
 class TaskReport(msgspec.Struct, omit_defaults=True):
     """The state of one task on a worker's machine."""
@@ -76,6 +81,35 @@
     node: str = msgspec.field(name="harbormaster")
 
 
+class CommandBudget:
+    """How many more bytes of commands one message may hold."""
+
+    def __init__(self) -> None:
+        self._left = MAX_LINE_BYTES - ENVELOPE_BYTES
+
+    def take(self, command: Command) -> bool:
+        """Counts a command; False if it does not fit, and then none does after it."""
+        size = len(encode(command)) + len(",")
+        if size > self._left:
+            self._left = 0
+            return False
+        self._left -= size
+        return True
+
+
+def split_commands(commands: Iterable[Command]) -> list[list[Command]]:
+    """Returns the commands in order, in parts that each fit into one message."""
+    parts: list[list[Command]] = []
+    budget = CommandBudget()
+    for command in commands:
+        if not parts or not budget.take(command):
+            parts.append([])
+            budget = CommandBudget()
+            budget.take(command)
+        parts[-1].append(command)
+    return parts
+
+
 def run(task: str, attempt: int) -> Command:
     """Returns the command to start a task. Only sent in the response to a report (see docs/safety.md, 4)."""
     return Command("run", task, attempt)
