A call without commands is sent again

Callers saw: nothing yet; the fault came with, and was found by tracing a test that had failed once. A call without commands tells a worker that doesn't report our token; split into parts, there was no part left to send.

Change: without commands one part without any is sent.

Result: a new test in tests/test_message_sizes.py, red before.

--- a/src/tideusher/actors/command_sender.py
+++ b/src/tideusher/actors/command_sender.py
@@ -59,7 +59,7 @@
         A worker that reports to another controller, such as an old leader, may be in a session that we do not know.
         Its refusal holds the session, and the call is repeated once with it.
         """
-        for part in workers.split_commands(commands):
+        for part in workers.split_commands(commands) or [[]]:  # without commands it tells the worker our token
             known = machine.session if session is None else session
             if not self._call_part(machine, token, part, known):
                 return
--- a/tests/test_message_sizes.py
+++ b/tests/test_message_sizes.py
@@ -103,6 +103,16 @@
     assert {message.session for message in decoded} == {7}
 
 
+def test_a_call_without_commands_tells_the_worker_our_token(monkeypatch):
+    """The failure: nothing was sent, and a worker that hears a deposed leader never followed the present one."""
+    monkeypatch.setattr("tideusher.actors.command_sender.HttpClient", Bodies)
+    monkeypatch.setattr(Bodies, "sent", [])
+    machine = Machine("host-1", "m4", "a", False, "r", 16.0, 4.0, 64.0, 0, phase=UP, address="a", session=7)
+    CommandSender(100, lambda *call: None, lambda token, body: None).call(machine, 3, [])
+    (body,) = Bodies.sent
+    assert msgspec.json.decode(body, type=workers.DirectCommands) == workers.DirectCommands(3, 7, [])
+
+
 def test_long_answers_to_users_and_operators_have_short_lines():
     rows = [{"machine": f"host-{number:06d}", "note": "x" * 50} for number in range(2000)]
     connections = Connections(FakeClock(), 100, 6.0)
