A report that calls have overtaken is answered with what is due

Callers saw: over links of 0.9 s each way nothing starts on machines that report to another controller than the leader; they are returned one after the other.

Cause: the leader calls a machine between two slow reports. The answer to the call has a higher number than the report on its way, which was dropped whole, although its sender waits for an answer and only that can start a task.

Change: the newest report of the worker by itself in this session is answered; what it lists is not read. A `run` counts as sent with the newest number known, so only a later report by itself proves absence (docs/safety.md, 3 and 4).

--- a/src/tideusher/core/lead/reports.py
+++ b/src/tideusher/core/lead/reports.py
@@ -42,7 +42,10 @@
             machine = self._c.adopt(report, now_us)
         strays = self._digest(machine, report, now_us, asked=True)
         if strays is None:
-            return []
+            if not self._is_overtaken_by_calls(machine, report):
+                return []
+            self._record_overtaken(machine, report, now_us)
+            strays = []
         budget = workers.CommandBudget()
         return [command for command in strays if budget.take(command)] + self._commands(machine, may_start, budget)
 
@@ -120,6 +123,21 @@
             if (command := self._stray(machine, job_id, index, attempt, item)) is not None
         ]
 
+    def _is_overtaken_by_calls(self, machine: Machine, report: Report) -> bool:
+        """True if this is the worker's newest report by itself, and only answers to calls are newer.
+
+        Over slow links a call that was made later is answered sooner. What the report lists is known by then, but the
+        worker waits for its answer, and only such an answer can start a task.
+        """
+        newest_own = (report.session, report.serial) > machine.latest_own_report
+        return machine.phase == UP and report.session == machine.session and newest_own
+
+    def _record_overtaken(self, machine: Machine, report: Report, now_us: int) -> None:
+        machine.last_report_us = now_us
+        machine.latest_own_report = (report.session, report.serial)
+        if report.token >= self._c.token:
+            machine.behind_us = 0
+
     def _listed(self, task: Task, item: TaskReport, report: Report, now_us: int) -> None:
         """Handles a task that the report lists."""
         task.phase, task.inherited = SEEN, False
