Probes and commits have modules of their own

The leader's actor had grown to 785 lines and held two loops of calls beside its messages: probes of silent machines and the commit of a batch. actors/prober.py and actors/committer.py have them, unchanged but for names; the leader has 719. The simulated cluster and one test reach the prober under its new name.

--- a/src/tideusher/actors/leader.py
+++ b/src/tideusher/actors/leader.py
@@ -10,10 +10,11 @@
 from tideusher.actors.base import Actor
 from tideusher.actors.cloud import Cloud
 from tideusher.actors.command_sender import CommandSender
+from tideusher.actors.committer import Committer
 from tideusher.actors.election import Election
 from tideusher.actors.halts import ForeignHaltSender
-from tideusher.actors.http import CallFailed, HttpClient
-from tideusher.actors.store import Conflict, LeaseExpired, Refused, Store, Throttled, Unavailable
+from tideusher.actors.prober import Prober
+from tideusher.actors.store import Store
 from tideusher.clock import Clock, to_s, to_us
 from tideusher.config import Config, Policy
 from tideusher.core.decide import reachability
@@ -33,7 +34,6 @@
 from tideusher.core.model.contacts import LocalContacts, WorkerContacts
 from tideusher.core.model.records import OPEN, RETURNING, Machine
 from tideusher.core.model.rentals import Rental
-from tideusher.core.model.write_queue import Batch
 from tideusher.invariants import Invariants, Rule
 from tideusher.metrics import Metrics
 from tideusher.wire import cloud as cloud_wire
@@ -43,7 +43,6 @@
 TICK_US = 150_000
 #: Interval between requests of the cloud's machine list while it may reveal a mass failure that nothing else shows.
 LIST_INTERVAL_US = 1_500_000
-PROBE_TIMEOUT_S = 1.5
 #: Minimum interval between rebuilds of the soft state that a leader sends to its standbys.
 SOFT_STATE_REFRESH_US = 500_000
 #: The phases of a takeover in their order. The duration of each is logged and measured from the election.
@@ -97,7 +96,6 @@
         self.lag = TimerLag(TICK_US)
         self._last_timer_us: int | None = None
         self._loading = False
-        self._probing: set[str] = set()
         self._listing_requested_us = 0  # when the cloud's machine list was last requested
         self._controller_only_zones: Callable[[], set[str]] = set
         self._peer_reads_state: Callable[[str], bool] = lambda node: True
@@ -106,6 +104,8 @@
             max_sockets, self.spawn, lambda token, body: self.tell("answered", token, body)
         )
         self._halt_sender = ForeignHaltSender(clock, max_sockets, self.spawn)
+        self._prober = Prober(clock, self.spawn, self.tell, self._command_sender)
+        self._committer = Committer(store, self.tell)
 
     def start(self) -> None:
         super().start()
@@ -346,10 +346,9 @@
             if machine.tasks and reachability.stopped_reporting(machine, report_us, last_contact_us, now_us):
                 engine.reports.release_unstarted(machine, "its machine does not report", now_us)
         cluster.mass_failures.controller_only_zones = self._controller_only_zones()
-        review = cluster.review_silent_machines(now_us, self._probing)
+        review = cluster.review_silent_machines(now_us, self._prober.under_way)
         for probe in review.probes:
-            self._probing.add(probe.machine.name)
-            self.spawn(self._probe, cluster.token, probe.machine)
+            self._prober.begin(cluster.token, probe.machine)
         if review.list_due and now_us - self._listing_requested_us > LIST_INTERVAL_US:
             self._request_listing(cluster.token)
 
@@ -584,7 +583,7 @@
         # successor wrote would report invariant violations that are none.
         batch = engine.batch(self._clock.now_us()) if self._store.stamp_of(keys.LEADER) == engine.token else None
         if batch is not None:
-            self.spawn(self._commit, engine, batch)
+            self.spawn(self._committer.commit, engine, batch)
         token, orders = engine.token, engine.orders()
         for rental in orders.rent:
             self._rent(token, rental)
@@ -666,39 +665,6 @@
         self._failures.apply_input(subject, now_us, lambda: engine.reports.apply(report, now_us))
         self._act(engine)
 
-    def _probe(self, token: int, machine: Machine) -> None:
-        """Calls a machine on a new connection: whether it can be opened tells a dead machine from a hung one."""
-        called_us = self._clock.now_us()
-        try:
-            if not machine.address:  # no controller has reported one since our election
-                gevent.sleep(PROBE_TIMEOUT_S)
-                self.tell("unanswered", token, machine, False, called_us)
-                return
-            try:
-                status, body = HttpClient(machine.address, PROBE_TIMEOUT_S, keep=0).call("GET", "/show")
-            except CallFailed as error:
-                self.tell("unanswered", token, machine, error.refused or not error.unsent, called_us)
-                return
-            self.tell("found", token, machine)
-            if status == 200:
-                self._handle_probe_answer(machine, token, body)
-        finally:
-            self._probing.discard(machine.name)
-
-    def _handle_probe_answer(self, machine: Machine, token: int, body: bytes) -> None:
-        """Sends our token to a worker that answers calls and does not report.
-
-        Only then does a task that it no longer lists prove that what an older leader placed there is gone.
-        """
-        try:
-            report = workers.decode_report(body)
-        except msgspec.DecodeError as error:
-            self.log.error("bad answer of a worker: %s", error)
-            return
-        self.tell("answered", token, body)
-        if report.token < token:
-            self._command_sender.call(machine, token, [], report.session)
-
     def on_found(self, token: int, machine: Machine) -> None:
         """Records that a probe reached a machine."""
         if self._cluster is not None and self._cluster.token == token:
@@ -712,39 +678,11 @@
 
     # ---------------------------------------------------------------- persistence
 
-    def _commit(self, engine: Engine, batch: Batch) -> None:
-        """Commits a transaction. Nothing else is written meanwhile, so the actor is notified however it ends."""
-        try:
-            self._try_to_commit(engine, batch)
-        except Exception as error:
-            self.tell("commit_failed", engine, error)
-            raise
-
     def on_commit_failed(self, engine: Engine, error: Exception) -> None:
         """Ends the term after an unexpected error: the outcome of the transaction is unknown."""
         if engine is self._engine:
             raise error
 
-    def _try_to_commit(self, engine: Engine, batch: Batch) -> None:
-        """Commits, and notifies the actor once the mirror is newer than the transaction."""
-        try:
-            revision = self._store.txn(batch.guards, batch.writes)
-        except Conflict as conflict:
-            self.log.info("transaction refused: guards failed on %s", ", ".join(conflict.failed))
-            synced = self._store.sync()
-            lost = keys.LEADER in conflict.failed
-            self.tell("batch_failed", engine, synced, lost, False)
-        except Refused as error:
-            self.log.info("transaction of %d changes refused as it stands: %s", len(batch.writes), error)
-            self.tell("batch_refused", engine)
-        except (Unavailable, LeaseExpired) as error:
-            self.log.info("transaction not confirmed: %s", error)
-            self.tell("unwritable", engine)
-            gevent.sleep(0.3)
-            self.tell("batch_failed", engine, self._store.sync(), False, not isinstance(error, Throttled))
-        else:
-            self.tell("batch_committed", engine, revision)
-
     def on_batch_committed(self, engine: Engine, revision: int) -> None:
         """Handles a committed batch: its effects may become visible."""
         if engine is self._engine:
@@ -770,15 +708,11 @@
         if engine is not self._engine or lost:
             return
         if not synced:
-            self.spawn(self._retry_sync, engine, unknown)
+            self.spawn(self._committer.read_again, engine, unknown)
             return
         engine.batch_failed(self._store.stamp_of, unknown)
         self._act(engine)
 
-    def _retry_sync(self, engine: Engine, unknown: bool) -> None:
-        gevent.sleep(0.5)
-        self.tell("batch_failed", engine, self._store.sync(), False, unknown)  # `sync` returns False on any failure
-
 
 def _zone_of(cluster_state: ClusterState, machine: str) -> str | None:
     found = cluster_state.machines.get(machine)
--- a/tests/simulated_cluster.py
+++ b/tests/simulated_cluster.py
@@ -23,7 +23,7 @@
 from tideusher.actors import cloud as cloud_actor
 from tideusher.actors import command_sender as sender_module
 from tideusher.actors import halts as halts_module
-from tideusher.actors import leader as leader_actor
+from tideusher.actors import prober as prober_module
 from tideusher.actors import store as store_actor
 from tideusher.actors.http import CallFailed
 from tideusher.clock import SECOND_US
@@ -248,7 +248,7 @@
             def call(self, method, path, body=None, timeout_s=None):
                 return sim.call(self.address, method, path, body)
 
-        for module in (store_actor, leader_actor, cloud_actor, halts_module, sender_module):
+        for module in (store_actor, prober_module, cloud_actor, halts_module, sender_module):
             monkeypatch.setattr(module, "HttpClient", Client)
         drawn = SimpleNamespace(random=self.rng.random, getrandbits=self.rng.getrandbits)
         monkeypatch.setattr(node_module, "random", SimpleNamespace(Random=lambda: drawn))
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -526,11 +526,11 @@
     harness = LeaderHarness()
     leader = Leader(harness.cluster.config, POLICY, harness.clock, None, None, None, Metrics())
     machine = Machine("host-1", TYPE.name, "a", True, "r", 16.0, 4.0, 64.0, 0)
-    leader._probing.add(machine.name)
-    leader._probe(7, machine)
+    leader._prober.under_way.add(machine.name)
+    leader._prober.probe(7, machine)
     assert (
         leader._inbox.get_nowait()[:2] == ("unanswered", (7, machine, False, harness.clock.now_us()))
-        and not leader._probing
+        and not leader._prober.under_way
     )
 
 
