A record set apart that may not be written any more stops nothing

An entry set apart that was obsolete when it was due was neither written nor dropped, and no transaction was built after it.

Change: it is dropped, and what waits is added to the same transaction.

Result: a new test in tests/test_refused_writes.py, red before.

--- a/src/tideusher/core/model/write_queue.py
+++ b/src/tideusher/core/model/write_queue.py
@@ -109,10 +109,8 @@
             base_guards, self._pages, min(max_writes, self._accepted_ops), GUARDS_PER_CHANGE * self._max_ops
         )
         immediate_effects: list[Effect] = []  # effects of entries that are stored already
-        again = self.refused.next_due(now_us)
-        if again is not None:
-            self._add_alone(draft, again, immediate_effects, now_us)
-        else:
+        self._add_refused(draft, immediate_effects, now_us)
+        if draft.empty:
             self._add_all(draft, immediate_effects, lazy, now_us)
         for effect in immediate_effects:
             effect()
@@ -121,12 +119,14 @@
         self._in_flight = draft.batch()
         return self._in_flight
 
-    def _add_alone(self, draft: TransactionDraft, entry: Entry, immediate_effects: list[Effect], now_us: int) -> None:
-        """Adds an entry that was set apart; it stays so unless it fits and is accepted."""
-        if not self._add(draft, entry, immediate_effects) and draft.empty:
-            self.refused.set_apart(entry, now_us)
-        elif not entry.dirty and draft.empty:
-            self.refused.committed([entry])  # it needs no write any more
+    def _add_refused(self, draft: TransactionDraft, immediate_effects: list[Effect], now_us: int) -> None:
+        """Adds an entry that was set apart and is to be tried again, alone."""
+        while draft.empty and (entry := self.refused.next_due(now_us)) is not None:
+            added = self._add(draft, entry, immediate_effects)
+            if added and draft.empty:
+                self.refused.committed([entry])  # it needs no write any more
+            elif not added and draft.empty:
+                self.refused.set_apart(entry, now_us)
 
     def _add_all(
         self, draft: TransactionDraft, immediate_effects: list[Effect], lazy: int | None, now_us: int
--- a/tests/test_refused_writes.py
+++ b/tests/test_refused_writes.py
@@ -129,6 +129,18 @@
     assert not len(writer.queue.refused) and writer.stored == ["t/x/bad"]
 
 
+def test_a_refused_record_that_may_not_be_written_any_more_stops_nothing():
+    """The failure: it was neither written nor dropped, and no transaction came after it."""
+    writer, valid = Writer(), [True]
+    writer.bad = {"t/x/bad"}
+    writer.put("t/x/bad", valid=lambda: valid[0])
+    writer.write_all()
+    valid[0] = False
+    writer.put("t/x/other")
+    writer.wait(FIRST_PAUSE_US)
+    assert writer.stored == ["t/x/other"] and not len(writer.queue.refused)
+
+
 def test_answers_to_transactions_are_told_apart():
     store = Store(make_config(), FakeClock(), Metrics())
     for status, answer, kind in (
