Users' idle connections are kept for ten minutes

PROTOCOL lets a connection stay open until one side closes it, and load balancers keep theirs for later users: closing these after 30 s made requests fail for nothing. What is left behind for ever are the connections of machines.

--- a/src/tideusher/actors/connections.py
+++ b/src/tideusher/actors/connections.py
@@ -16,8 +16,10 @@
 
 #: A connection on which nothing was asked for so many leases of a worker is closed: its machine is gone by then.
 IDLE_LEASES = 3
-#: The shortest time after which an idle connection is closed: users poll less often than workers report.
+#: The shortest time after which such a connection is closed.
 MIN_IDLE_US = 30 * SECOND_US
+#: A user's connection that has had a request may be idle for longer: load balancers keep connections for later users.
+USER_IDLE_US = 600 * SECOND_US
 #: Share of the process's sockets that connections from outside may take; the others are for calls of our own.
 SERVED_SOCKET_SHARE = 0.9
 #: After so many seconds without a packet the system probes a connection, at this interval and so many times.
@@ -73,9 +75,15 @@
             known.pop(connection, None)
 
     def close_stale(self) -> int:
-        """Closes the connections without any activity within the limit; returns how many."""
-        limit_us = self._clock.now_us() - self._limit_us
-        stale = [*_before(limit_us, self._idle), *_before(limit_us, self._busy)]
+        """Closes the connections without any activity within their limit; returns how many."""
+        now_us = self._clock.now_us()
+        limit_us, user_limit_us = now_us - self._limit_us, now_us - USER_IDLE_US
+        stale = [
+            connection
+            for connection in _before(limit_us, self._idle)
+            if self._kinds[connection] != USER or self._idle[connection] <= user_limit_us
+        ]
+        stale += _before(limit_us, self._busy)
         for connection in stale:
             self._close(connection)
         return len(stale)
