--- a/src/tideusher/actors/users.py
+++ b/src/tideusher/actors/users.py
@@ -13,7 +13,15 @@
 from tideusher.config import Config
 from tideusher.core.decide.conditions import unsatisfiable_reason
 from tideusher.core.model import keys, machine_catalogue
-from tideusher.core.model.job_record import held_value, holder, open_value, shrunk_value
+from tideusher.core.model.job_record import (
+    cancelled_value,
+    held_value,
+    holder,
+    open_value,
+    reserved_size,
+    shrunk_value,
+    without_extras,
+)
 from tideusher.core.model.records import CHUNK_TASKS, JOB_CANCELLED, JOB_DONE, OPEN
 from tideusher.metrics import Metrics
 from tideusher.wire import jobs as wire
@@ -134,8 +142,8 @@
         self._metrics.count_job("asked", spec.job_class, spec.team if spec.team in self._teams else "unknown")
         key, value = keys.job_key(spec.id), open_value(spec, self._clock.wall_us())
         problem = self._requirements_refusal(spec) or self._conditions_refusal(spec)
-        if problem is None and len(msgspec.json.encode(value)) > self._max_value_bytes:
-            # The state service would refuse it every time, so the user must not be told to retry.
+        if problem is None and reserved_size(value) > self._max_value_bytes:
+            # The state service would refuse it, or its cancellation, every time: the user must not be told to retry.
             problem = 400, "the job's description is too long"
         if problem is not None:
             status, reason = problem
@@ -292,8 +300,8 @@
 
         def cancelled(value: dict[str, Any]) -> dict[str, Any]:
             # Jobs that wait for this one to start must be able to tell later whether it did.
-            started = {"b": 1} if self._store.tasks_of(job_id, 0) is not None else {}
-            return {**value, "st": JOB_CANCELLED, **started}
+            changed = cancelled_value(value, begun=self._store.tasks_of(job_id, 0) is not None)
+            return changed if self._fits(changed) else without_extras(changed)
 
         # The leader is asked meanwhile, so that its promise is there when the cancellation is stored.
         request = self._request_promise(job_id)
@@ -307,6 +315,10 @@
                 return reply if self._confirmations.wait(job_id, request) else refusal(503, UNCONFIRMED)
         return reply
 
+    def _fits(self, value: dict[str, Any]) -> bool:
+        """True if the state service takes a record of this size."""
+        return len(msgspec.json.encode(value)) <= self._max_value_bytes
+
     def _request_promise(self, job_id: str) -> PromiseRequest | None:
         """Asks the leader to start nothing of a job that is about to be cancelled; None if it can't be cancelled."""
         stored = self._store.mirror.get(keys.job_key(job_id))
@@ -386,6 +398,8 @@
             changed = change(stored.value)
             if changed == stored.value:
                 return None
+            if not self._fits(changed):
+                return refusal(422, f"the record of {job_id} has no room for that")
             guards = [Guard(key, stored.stamp)]
             if same_leader:
                 guards.append(Guard(keys.LEADER, self._store.stamp_of(keys.LEADER)))
--- a/src/tideusher/core/model/job_record.py
+++ b/src/tideusher/core/model/job_record.py
@@ -5,11 +5,13 @@
 import msgspec
 
 from tideusher.core.model import keys
-from tideusher.core.model.records import OPEN, Job
+from tideusher.core.model.records import JOB_CANCELLED, OPEN, Job
 from tideusher.wire.jobs import JobSpec
 
 #: Stops of a job that its record keeps while it is open.
 MAX_STOPS_KEPT = 6
+#: Optional fields of a description that matter only while the job may start.
+DROPPED_WHEN_CANCELLED = frozenset(("name", "hold", "not_before", "after", "array", "due_s", "min_run_s", "hulls"))
 
 
 def open_value(spec: JobSpec, wall_us: int) -> dict[str, Any]:
@@ -18,6 +20,26 @@
     return held_value(value, spec.hold) if spec.hold else value
 
 
+def cancelled_value(value: dict[str, Any], begun: bool) -> dict[str, Any]:
+    """Returns the record of an open job as its user cancels it; `begun`: a task of it may have started."""
+    started = {"b": 1} if begun else {}
+    return {**value, "st": JOB_CANCELLED, **started}
+
+
+def without_extras(value: dict[str, Any]) -> dict[str, Any]:
+    """Returns a cancelled job's record with only what its tasks on machines are still accounted by."""
+    spec = {name: part for name, part in value["spec"].items() if name not in DROPPED_WHEN_CANCELLED}
+    return {**held_value(value, ""), "spec": spec}
+
+
+def reserved_size(value: dict[str, Any]) -> int:
+    """Returns the size in bytes that an accepted job's record may grow to without a choice of its user's.
+
+    It can always be cancelled; whoever holds it can be told that the name is too long.
+    """
+    return len(msgspec.json.encode(cancelled_value(value, begun=True)))
+
+
 def is_final(key: str, value: Any) -> bool:
     """Returns whether this is the record of a job that is over."""
     return key.startswith(keys.JOB_PREFIX) and value is not None and value.get("st", OPEN) != OPEN
--- a/src/tideusher/embed/instance.py
+++ b/src/tideusher/embed/instance.py
@@ -22,7 +22,7 @@
 from tideusher.core.lead import explain
 from tideusher.core.lead.engine import Engine
 from tideusher.core.model import keys
-from tideusher.core.model.job_record import held_value, open_value
+from tideusher.core.model.job_record import cancelled_value, held_value, open_value
 from tideusher.core.model.records import JOB_CANCELLED, JOB_DONE, OPEN
 from tideusher.embed.directory import Directory
 from tideusher.embed.disk import Disk
@@ -208,7 +208,7 @@
 
     def cancel(self, job: str) -> JobStatus:
         """Cancels a job; none of its tasks starts after this returns, and running tasks are requested to stop."""
-        return self._update_job(job, lambda value: {**value, "st": JOB_CANCELLED})
+        return self._update_job(job, lambda value: cancelled_value(value, begun=False))
 
     def hold(self, job: str, by: str = "its program") -> JobStatus:
         """Prevents further tasks of the job from starting; running tasks continue."""
