A sound amount is never refused: what it counts as is our matter

Users saw 400 for a job whose expect_s is 1e-60: "must be 0 or from 1e-06 to 1e+09 seconds". The cause is a limit of ours, answered as a fault of the user's: AMOUNTS bounds what passes can compute with, and the door asked for it, though the protocol bounds no amount. The same held for every amount, below and above its bounds.

The door now refuses only what is no number of at least 0. What a sound amount becomes in the decisions is decided by computable() alone, for new records and for those of earlier versions; an amount above 0 stays above 0 (a share of a machine rounded down to 0 would be free for 100,000 tasks; mark_s of 0 means "never saves"; due_s of 0 is due at once). The record holds the amounts that are counted, so that every earlier version can read it, and beside them what was sent, which explain shows with the other.

What is negative, NaN or infinite is refused with its field as before.

--- a/src/tideusher/actors/users.py
+++ b/src/tideusher/actors/users.py
@@ -14,10 +14,10 @@
 from tideusher.core.decide.conditions import unsatisfiable_reason
 from tideusher.core.model import keys, machine_catalogue
 from tideusher.core.model.job_record import (
+    accepted_value,
     cancelled_value,
     held_value,
     holder,
-    open_value,
     reserved_size,
     shrunk_value,
     without_extras,
@@ -140,7 +140,7 @@
         if self._store.mirror.get(keys.job_key(spec.id)) is not None:
             return self._state(spec.id)
         self._metrics.count_job("asked", spec.job_class, spec.team if spec.team in self._teams else "unknown")
-        key, value = keys.job_key(spec.id), open_value(spec, self._clock.wall_us())
+        key, value = keys.job_key(spec.id), accepted_value(spec, self._clock.wall_us())
         problem = self._requirements_refusal(spec) or self._conditions_refusal(spec)
         if problem is None and reserved_size(value) > self._max_value_bytes:
             # The state service would refuse it, or its cancellation, every time: the user must not be told to retry.
--- a/src/tideusher/core/lead/explain.py
+++ b/src/tideusher/core/lead/explain.py
@@ -10,7 +10,7 @@
 from tideusher.core.lead.cluster import Cluster
 from tideusher.core.model.records import BOOTING, JOB_CANCELLED, JOB_DONE, NO_CAPACITY, SEEN, Job
 from tideusher.wire.arrays import parse_indexes
-from tideusher.wire.jobs import MAX_TASKS
+from tideusher.wire.jobs import AMOUNTS, MAX_TASKS
 from tideusher.wire.workers import FETCHING, SAVING, WAITING
 
 #: The most jobs that a list of dependencies names.
@@ -53,7 +53,7 @@
         "reasons": own + _reasons(cluster, job, now_us, obstacles_of),
         "stops": describe_stops(job.stops),
     }
-    more = {"name": job.spec.name, "array": job.spec.array}
+    more = {"name": job.spec.name, "array": job.spec.array, "amounts": _amounts(job)}
     return answer | {name: value for name, value in more.items() if value is not None}
 
 
@@ -70,6 +70,16 @@
     return waits
 
 
+def _amounts(job: Job) -> dict[str, dict[str, float | None]] | None:
+    """Returns the amounts that are counted with others than the user sent, by field; None if there are none."""
+    sent = job.sent_amounts or {}
+    return {
+        field.name: {"sent": sent[field.name], "counted": getattr(job.spec, field.attribute)}
+        for field in AMOUNTS
+        if field.name in sent
+    } or None
+
+
 def _task(job: Job, index: int) -> list[str]:
     task = job.live.get(index)
     if job.is_done(index):
--- a/src/tideusher/core/model/cluster_state.py
+++ b/src/tideusher/core/model/cluster_state.py
@@ -21,7 +21,7 @@
 from tideusher.core.model.arrivals import Arrivals
 from tideusher.core.model.contacts import ZoneContacts
 from tideusher.core.model.held_records import HeldRecord, HeldRecords, RecordName
-from tideusher.core.model.job_record import holder, is_final
+from tideusher.core.model.job_record import holder, is_final, sent_amounts
 from tideusher.core.model.ledger import Ledger
 from tideusher.core.model.pages import is_fenced
 from tideusher.core.model.placements import Placements
@@ -165,6 +165,7 @@
             LOG.info("job %s has amounts that nothing can be computed with: the nearest bounds are used", job_id)
         job = self.jobs[job_id] = Job(spec, stamp, value["at"], now_us, status=value["st"])
         job.hold, job.why = holder(value), value.get("why", "")
+        job.sent_amounts = sent_amounts(value) or None
         return job
 
     def change_job(self, job: Job, value: dict[str, Any], stamp: int) -> tuple[bool, list[Task]]:
--- a/src/tideusher/core/model/job_record.py
+++ b/src/tideusher/core/model/job_record.py
@@ -6,7 +6,7 @@
 
 from tideusher.core.model import keys
 from tideusher.core.model.records import JOB_CANCELLED, OPEN, Job
-from tideusher.wire.jobs import JobSpec
+from tideusher.wire.jobs import AMOUNTS, JobSpec, computable
 
 #: Stops of a job that its record keeps while it is open.
 MAX_STOPS_KEPT = 6
@@ -20,6 +20,26 @@
     return held_value(value, spec.hold) if spec.hold else value
 
 
+def accepted_value(spec: JobSpec, wall_us: int) -> dict[str, Any]:
+    """Returns the record of a job as its user sent it: with the amounts that every version can count with.
+
+    Those that its user sent, where they differ, are kept beside them.
+    """
+    counted = computable(spec)
+    value = open_value(counted, wall_us)
+    sent = {
+        field.name: getattr(spec, field.attribute)
+        for field in AMOUNTS
+        if getattr(spec, field.attribute) != getattr(counted, field.attribute)
+    }
+    return {**value, "sent": sent} if sent else value
+
+
+def sent_amounts(value: dict[str, Any]) -> dict[str, float]:
+    """Returns the amounts that are counted with others than the user sent, as they were sent."""
+    return value.get("sent", {})
+
+
 def cancelled_value(value: dict[str, Any], begun: bool) -> dict[str, Any]:
     """Returns the record of an open job as its user cancels it; `begun`: a task of it may have started."""
     started = {"b": 1} if begun else {}
--- a/src/tideusher/core/model/records.py
+++ b/src/tideusher/core/model/records.py
@@ -119,6 +119,7 @@
     seen_running: bool = False  # was a task of it reported running to this leader?
     all_started: bool = False  # were all its tasks reported running to this leader?
     why: str = ""  # why the scheduler ended it
+    sent_amounts: dict[str, float] | None = None  # by field: what its user sent, where another amount is counted
 
     @property
     def is_gang(self) -> bool:
--- a/src/tideusher/wire/amounts.py
+++ b/src/tideusher/wire/amounts.py
@@ -1,7 +1,7 @@
-"""The bounds of the amounts in a job's description, and of those that the cloud tells of its machine types.
+"""The bounds within which amounts are counted: those of a job's description, and of the cloud's machine types.
 
 Decisions compute with amounts in whole microseconds, by sums and by division. An amount that is so large or so small
-that this fails would fail in every scheduling pass, of every leader.
+that this fails would fail in every scheduling pass, of every leader. No bound is a reason to refuse an amount.
 """
 
 import math
@@ -26,10 +26,6 @@
             return 0.0
         return min(self.most, max(self.least, amount))
 
-    def describe(self) -> str:
-        """Returns the bounds as text for a refusal."""
-        return f"0 or from {self.least:g} to {self.most:g} {self.unit}"
-
 
 #: Some thirty years; the steady clocks and due times in microseconds stay far below 2^62.
 DURATION = Bounds(1e-6, 1e9, "seconds")
--- a/src/tideusher/wire/jobs.py
+++ b/src/tideusher/wire/jobs.py
@@ -1,6 +1,7 @@
 """Job submissions and the responses to them."""
 
 import re
+import sys
 from dataclasses import dataclass
 
 import msgspec
@@ -25,7 +26,14 @@
 
 
 class InvalidJob(ValueError):
-    """The submission is invalid; the message is a one-line reason for the user (HTTP 400)."""
+    """The submission is invalid; the message is a one-line reason for the user (HTTP 400).
+
+    `field` is the name of the invalid field on the wire, empty if the body as a whole is invalid.
+    """
+
+    def __init__(self, reason: str, field: str = "") -> None:
+        super().__init__(reason)
+        self.field = field
 
 
 class After(msgspec.Struct, frozen=True):
@@ -83,19 +91,21 @@
 
 @dataclass(frozen=True, slots=True)
 class AmountField:
-    """An amount of a job: its name on the wire and in JobSpec, its bounds, and what an amount above them is."""
+    """An amount of a job: its name on the wire and in JobSpec, and the bounds within which decisions count it.
+
+    The protocol allows every number of at least 0. One outside the bounds is counted as the nearest one within.
+    """
 
     name: str
     attribute: str
     bounds: Bounds
-    above_fits_no_machine: bool = False  # it is not malformed: the job can never run (HTTP 422)
     above_means_none: bool = False  # it is taken for null
 
 
 AMOUNTS = (
-    AmountField("cores", "cpus", RESOURCE, above_fits_no_machine=True),
-    AmountField("gpus", "gpus", RESOURCE, above_fits_no_machine=True),
-    AmountField("ram_gb", "ram_gb", RESOURCE, above_fits_no_machine=True),
+    AmountField("cores", "cpus", RESOURCE),
+    AmountField("gpus", "gpus", RESOURCE),
+    AmountField("ram_gb", "ram_gb", RESOURCE),
     AmountField("image_gb", "image_gb", IMAGE),
     AmountField("expect_s", "estimate_s", DURATION),
     AmountField("mark_s", "checkpoint_s", DURATION),
@@ -135,7 +145,9 @@
     if not 1 <= spec.tasks <= MAX_TASKS:
         raise InvalidJob(f"pieces must be from 1 to {MAX_TASKS}")
     for field in AMOUNTS:
-        _check_amount(field, getattr(spec, field.attribute))
+        amount = getattr(spec, field.attribute)
+        if amount is not None and not 0 <= amount <= sys.float_info.max:
+            raise InvalidJob(f"{field.name} must be a number of at least 0", field.name)
     for name, text in (("jobclass", spec.job_class), ("owner", spec.team), ("bundle", spec.image)):
         if not text:
             raise InvalidJob(f"{name} must not be empty")
@@ -145,16 +157,12 @@
     return spec
 
 
-def _check_amount(field: AmountField, amount: float | None) -> None:
-    if amount is None or field.bounds.contain(amount):
-        return
-    if amount > field.bounds.most and (field.above_fits_no_machine or field.above_means_none):
-        return
-    raise InvalidJob(f"{field.name} must be {field.bounds.describe()}")
-
-
 def computable(spec: JobSpec) -> JobSpec:
-    """Returns a stored job with all amounts within their bounds: versions before this one accepted any number."""
+    """Returns a job with the amounts that decisions count with: the nearest ones within their bounds.
+
+    An amount above 0 stays above 0: as 0, a share of a machine would be free, however many tasks take it, and
+    `mark_s` and `due_s` would mean "never" and "at once".
+    """
     changes: dict[str, float | None] = {}
     for field in AMOUNTS:
         amount = getattr(spec, field.attribute)
