A submission is read as the protocol has it, in every spelling

Users saw 400 or 422 for bodies that are sound by the protocol: a count written as 3.0, a number above the largest double, an unknown field with half a surrogate pair, and every body with a field that the protocol does not have and we gave a meaning (hold, limit_s, after, ...), whose value is none of ours; also with jobs.conditions off. The cause is the same class as that of the refused amounts: a limit of our decoder or of our extensions, answered as the user's fault. In the other direction, bytes that are not UTF-8 in an unknown field were accepted, though that is no JSON.

wire/submissions.py reads a body in one step as before, and only if that fails field by field with the standard library's decoder. A field of ours beside the protocol counts if its value is valid for it (and, for conditions, if jobs.conditions is on); otherwise it is a field that we do not know, is ignored, and the answer names it in `ignored`. Scripts, the embedded library and `tideusher submit` still refuse an invalid value of such a field by name.

The test that asked for 422 where conditions are disabled contradicted "must ignore fields that it does not know"; in its place the job is accepted, its record is that of the job without them, the answer names all five, and a script that asks for one is still refused.

--- a/src/tideusher/actors/users.py
+++ b/src/tideusher/actors/users.py
@@ -28,6 +28,7 @@
 from tideusher.wire.cloud import MachineType
 from tideusher.wire.jobs import InvalidJob, JobSpec, JobStatus
 from tideusher.wire.state import Guard, Put, Write
+from tideusher.wire.submissions import parse_submission
 
 if TYPE_CHECKING:
     from tideusher.actors.scripts import Scripts
@@ -126,14 +127,18 @@
     def submit(self, body: bytes) -> Reply:
         """Accepts a job once it is in the state service, never before."""
         try:
-            spec = wire.parse_job(body)
+            submission = parse_submission(body, self._conditions)
         except InvalidJob as error:
             known = self.known_ref(body)
             if known is not None:
                 return known
             self.log.info("submission refused: %s", error)
             return refusal(400, str(error))
-        return self.accept(spec)
+        reply = self.accept(submission.spec)
+        if submission.ignored and reply.status == 201:
+            self.log.info("%s has fields that are ignored: %s", submission.spec.id, ", ".join(submission.ignored))
+            reply.body.ignored = list(submission.ignored)
+        return reply
 
     def accept(self, spec: JobSpec, more: Sequence[Write] = ()) -> Reply:
         """Accepts a well-formed job; `more` holds further writes for the same transaction."""
--- a/src/tideusher/cli.py
+++ b/src/tideusher/cli.py
@@ -91,7 +91,15 @@
 @JSON
 def submit(file: Any, node: str, as_json: bool) -> None:
     """Submit the job described by a JSON FILE (- for standard input)."""
-    call_and_show(node, as_json, lambda client: client.submit(file.read()), show_status)
+    from tideusher.wire.jobs import InvalidJob
+    from tideusher.wire.submissions import parse_job
+
+    body = file.read()
+    try:
+        parse_job(body)
+    except InvalidJob as error:  # a controller ignores a field beside the protocol whose value is invalid
+        fail(error, 2)
+    call_and_show(node, as_json, lambda client: client.submit(body), show_status)
 
 
 @main.command()
--- a/src/tideusher/cli_common.py
+++ b/src/tideusher/cli_common.py
@@ -47,7 +47,8 @@
     counts = "" if status.done is None else f", {status.done} tasks done, {status.running or 0} placed"
     held = f", held by {status.held}" if status.held else ""
     reason = f", as {status.why}" if status.why else ""
-    click.echo(f"{status.id}: {status.status}{counts}{held}{reason}")
+    ignored = f", ignored: {', '.join(status.ignored)}" if status.ignored else ""
+    click.echo(f"{status.id}: {status.status}{counts}{held}{reason}{ignored}")
 
 
 def show_explanation(explanation: dict[str, Any]) -> None:
--- a/src/tideusher/wire/jobs.py
+++ b/src/tideusher/wire/jobs.py
@@ -2,6 +2,7 @@
 
 import re
 import sys
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import msgspec
@@ -23,6 +24,8 @@
 MAX_AFTER = 64
 #: Characters of a job's name and of the name of who holds it.
 MAX_NAME = 230
+#: Times are Unix times in seconds, before the year 5139.
+MAX_UNIX_TIME_S = 1e11
 
 
 class InvalidJob(ValueError):
@@ -115,48 +118,38 @@
     AmountField("limit_s", "limit_s", DURATION),
 )
 
-_decoder: msgspec.json.Decoder[JobSpec] = msgspec.json.Decoder(JobSpec)
-
-
-def parse_job(body: bytes) -> JobSpec:
-    """Decodes and validates a submission; raises InvalidJob with a reason for the user."""
-    if len(body) > MAX_BODY:
-        raise InvalidJob("the body is over 64 KiB")
-    try:
-        spec = _decoder.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise InvalidJob(str(error)) from None
-    except RecursionError:  # also from an unknown field; permanent, as a retry would fail the same way
-        raise InvalidJob("it is nested too deeply") from None
-    return check_job(spec)
-
 
 def check_job(spec: JobSpec) -> JobSpec:
-    """Raises InvalidJob if a field is out of range or contradicts another; returns the job as it is to be stored.
+    """Raises InvalidJob if a field is invalid, also one beside the protocol; returns the job as it is to be stored.
 
     A deadline above the bounds is none: some clients send the largest double for that.
     """
     if not JOB_ID.fullmatch(spec.id):
-        raise InvalidJob("ref must look like req-000412")
+        raise InvalidJob("ref must look like req-000412", "ref")
     if spec.shape not in (BATCH, GANG, SERVICE):
-        raise InvalidJob("shape must be batch, gang or service")
+        raise InvalidJob("shape must be batch, gang or service", "shape")
     if spec.priority not in PRIORITIES:
-        raise InvalidJob("rank must be one of " + ", ".join(PRIORITIES))
+        raise InvalidJob("rank must be one of " + ", ".join(PRIORITIES), "rank")
     if not 1 <= spec.tasks <= MAX_TASKS:
-        raise InvalidJob(f"pieces must be from 1 to {MAX_TASKS}")
+        raise InvalidJob(f"pieces must be from 1 to {MAX_TASKS}", "pieces")
     for field in AMOUNTS:
-        amount = getattr(spec, field.attribute)
-        if amount is not None and not 0 <= amount <= sys.float_info.max:
-            raise InvalidJob(f"{field.name} must be a number of at least 0", field.name)
+        check_amount(field, getattr(spec, field.attribute))
     for name, text in (("jobclass", spec.job_class), ("owner", spec.team), ("bundle", spec.image)):
         if not text:
-            raise InvalidJob(f"{name} must not be empty")
-    _check_extensions(spec)
+            raise InvalidJob(f"{name} must not be empty", name)
+    for check in EXTENSION_CHECKS.values():
+        check(spec)
     if spec.deadline_s is not None and spec.deadline_s > DURATION.most:
         return msgspec.structs.replace(spec, deadline_s=None)
     return spec
 
 
+def check_amount(field: AmountField, amount: float | None) -> None:
+    """Raises InvalidJob if the amount is no number of at least 0."""
+    if amount is not None and not 0 <= amount <= sys.float_info.max:
+        raise InvalidJob(f"{field.name} must be a number of at least 0", field.name)
+
+
 def computable(spec: JobSpec) -> JobSpec:
     """Returns a job with the amounts that decisions count with: the nearest ones within their bounds.
 
@@ -172,37 +165,65 @@
     return msgspec.structs.replace(spec, **changes) if changes else spec
 
 
-def _check_extensions(spec: JobSpec) -> None:
-    """Checks the optional fields that are not part of the platform's protocol."""
-    for name, text in (("name", spec.name), ("hold", spec.hold)):
-        if text is not None and (not 0 < len(text) <= MAX_NAME or not text.isprintable()):
-            raise InvalidJob(f"{name} must be 1 to {MAX_NAME} printable characters")
-    if spec.not_before is not None and not 0 <= spec.not_before < 1e11:  # also rejects NaN
-        raise InvalidJob("not_before must be a Unix time in seconds (since 1970)")
-    if spec.limit_s is not None:
-        if not spec.limit_s > 0:
-            raise InvalidJob("limit_s must be a number above 0")
-        if spec.shape == SERVICE:
-            raise InvalidJob("limit_s is not allowed for a service, which runs until it is cancelled")
+def _check_text(name: str, text: str | None) -> None:
+    if text is not None and (not 0 < len(text) <= MAX_NAME or not text.isprintable()):
+        raise InvalidJob(f"{name} must be 1 to {MAX_NAME} printable characters", name)
+
+
+def _check_not_before(spec: JobSpec) -> None:
+    if spec.not_before is not None and not 0 <= spec.not_before < MAX_UNIX_TIME_S:  # also rejects NaN
+        raise InvalidJob("not_before must be a Unix time in seconds (since 1970)", "not_before")
+
+
+def _check_limit(spec: JobSpec) -> None:
+    if spec.limit_s is None:
+        return
+    if not spec.limit_s > 0:
+        raise InvalidJob("limit_s must be a number above 0", "limit_s")
+    if spec.shape == SERVICE:
+        raise InvalidJob("limit_s is not allowed for a service, which runs until it is cancelled", "limit_s")
+
+
+def _check_at_once(spec: JobSpec) -> None:
     if spec.at_once is not None and (spec.at_once < 1 or spec.shape != BATCH):
-        raise InvalidJob("at_once must be at least 1 and is allowed for a batch only")
+        raise InvalidJob("at_once must be at least 1 and is allowed for a batch only", "at_once")
+
+
+def _check_after(spec: JobSpec) -> None:
     after = spec.after or []
     if len(after) > MAX_AFTER:
-        raise InvalidJob(f"after names {len(after)} jobs; {MAX_AFTER} are possible")
+        raise InvalidJob(f"after names {len(after)} jobs; {MAX_AFTER} are possible", "after")
     for dependency in after:
         if dependency.on not in (AFTER, AFTER_OK, AFTER_NOT_OK, AFTER_ANY):
-            raise InvalidJob(f"after: {dependency.on!r} is not one of after, afterok, afternotok, afterany")
+            raise InvalidJob(f"after: {dependency.on!r} is not one of after, afterok, afternotok, afterany", "after")
         if not JOB_ID.fullmatch(dependency.job):
-            raise InvalidJob("after: ref must look like req-000412")
-    if spec.array is not None:
-        if spec.shape != BATCH:
-            raise InvalidJob("array is allowed for a batch only")
-        try:
-            indexes = parse_indexes(spec.array, MAX_TASKS)
-        except InvalidArray as error:
-            raise InvalidJob(f"array: {error}") from None
-        if len(indexes) != spec.tasks:
-            raise InvalidJob(f"array names {len(indexes)} tasks, pieces says {spec.tasks}")
+            raise InvalidJob("after: ref must look like req-000412", "after")
+
+
+def _check_array(spec: JobSpec) -> None:
+    if spec.array is None:
+        return
+    if spec.shape != BATCH:
+        raise InvalidJob("array is allowed for a batch only", "array")
+    try:
+        indexes = parse_indexes(spec.array, MAX_TASKS)
+    except InvalidArray as error:
+        raise InvalidJob(f"array: {error}", "array") from None
+    if len(indexes) != spec.tasks:
+        raise InvalidJob(f"array names {len(indexes)} tasks, pieces says {spec.tasks}", "array")
+
+
+#: The fields beside the protocol, each with the check that raises InvalidJob for an invalid value.
+EXTENSION_CHECKS: dict[str, Callable[[JobSpec], None]] = {
+    "name": lambda spec: _check_text("name", spec.name),
+    "hold": lambda spec: _check_text("hold", spec.hold),
+    "not_before": _check_not_before,
+    "limit_s": _check_limit,
+    "at_once": _check_at_once,
+    "after": _check_after,
+    "array": _check_array,
+    "min_run_s": lambda spec: None,
+}
 
 
 class JobStatus(msgspec.Struct, omit_defaults=True):
@@ -215,3 +236,5 @@
     #: Extensions, absent if not applicable: who holds the job, and why the service ended it.
     held: str | None = None
     why: str | None = None
+    #: Extension, in the answer to a submission: fields beside the protocol that were not taken into account.
+    ignored: list[str] | None = None
--- a/tests/test_amounts.py
+++ b/tests/test_amounts.py
@@ -16,8 +16,9 @@
 from tideusher.core.model.records import OPEN
 from tideusher.playground.servers import SETTINGS
 from tideusher.wire.amounts import DURATION, RESOURCE
-from tideusher.wire.jobs import AMOUNTS, InvalidJob, JobSpec, check_job, computable, parse_job
+from tideusher.wire.jobs import AMOUNTS, InvalidJob, JobSpec, check_job, computable
 from tideusher.wire.state import Guard, Put
+from tideusher.wire.submissions import parse_job
 
 LARGEST, SMALLEST = 1.7976931348623157e308, 5e-324
 #: Every double from 0 on.
--- a/tests/test_pbs.py
+++ b/tests/test_pbs.py
@@ -33,7 +33,7 @@
 from tideusher.pbs.storage import Damaged, ScriptTooLarge, compress_text, decompress_text, pack, unpack
 from tideusher.pbs.translate import RunSettings
 from tideusher.wire.arrays import parse_indexes
-from tideusher.wire.jobs import parse_job
+from tideusher.wire.submissions import parse_job
 
 SAMPLES = Path(__file__).parent.parent / "samples" / "pbs"
 PROFILE = load_settings(str(SAMPLES / "profile.properties")).profile
--- a/tests/test_report_path.py
+++ b/tests/test_report_path.py
@@ -19,7 +19,8 @@
 from tideusher.web import Web
 from tideusher.wire import peers as wire
 from tideusher.wire import workers
-from tideusher.wire.jobs import InvalidJob, parse_job
+from tideusher.wire.jobs import InvalidJob
+from tideusher.wire.submissions import parse_job
 
 
 class FakeSocket:
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -5,7 +5,8 @@
 
 from standins import job
 from tideusher.wire import peers, workers
-from tideusher.wire.jobs import InvalidJob, parse_job
+from tideusher.wire.jobs import InvalidJob
+from tideusher.wire.submissions import parse_job
 
 VALID = msgspec.to_builtins(job("gang", 2, deadline_s=30.0))
 
