Only what the protocol names is refused: one home for "can never run"

Users saw 400 "the job's description is too long" for a sound body whose texts or list of machine types exceed a value of the state service, though the protocol bounds only the body. And a job that needs a little more than any machine has (64.0000000001 GB of 64) was accepted by a tolerance of 1e-9 and refused by every machine as "full"; team limits had the same tolerance without a relation to the amounts. Same class: what our records and arithmetic can't take was settled at the door, in two places (users and the embedded library) with different words.

core/decide/admission.py decides for both, exactly: fits are compared without a tolerance, limits as the decimal numbers that were sent where doubles differ by rounding only. A record that would be too large holds names of class and image as their beginning and a digest, and of the allowed types those on which the job fits.

--- a/src/tideusher/actors/users.py
+++ b/src/tideusher/actors/users.py
@@ -11,6 +11,14 @@
 from tideusher.actors.store import Conflict, LeaseExpired, Store, Throttled, Unavailable
 from tideusher.clock import Clock, to_us
 from tideusher.config import Config
+from tideusher.core.decide.admission import (
+    JobRefusal,
+    RefusalKind,
+    exceeds_limit,
+    fits_no_machine,
+    fitting_types,
+    unknown_team,
+)
 from tideusher.core.decide.conditions import unsatisfiable_reason
 from tideusher.core.model import keys, machine_catalogue
 from tideusher.core.model.job_record import (
@@ -19,6 +27,8 @@
     held_value,
     holder,
     reserved_size,
+    short_text,
+    shortened,
     shrunk_value,
     without_extras,
 )
@@ -38,10 +48,16 @@
 MAX_BUDGET_WAIT_S = 2.0
 #: Why a cancellation that is stored is not told yet.
 UNCONFIRMED = "its cancellation is stored and cannot be confirmed yet"
+#: Characters of a user's value in a log line.
+MAX_SHOWN = 80
 #: After a slower acceptance the job's state is read again: other nodes read it at once, and users act on it.
 PROMPT_ACCEPTANCE_US = to_us(0.1)
 
 
+class NotKnownYet(Exception):
+    """What the answer depends on is not known here yet; the request may be repeated."""
+
+
 class HoldRequest(msgspec.Struct):
     """The body of a hold request; it may be empty."""
 
@@ -129,11 +145,7 @@
         try:
             submission = parse_submission(body, self._conditions)
         except InvalidJob as error:
-            known = self.known_ref(body)
-            if known is not None:
-                return known
-            self.log.info("submission refused: %s", error)
-            return refusal(400, str(error))
+            return self.known_ref(body) or self._refuse_malformed(body, error)
         reply = self.accept(submission.spec)
         if submission.ignored and reply.status == 201:
             self.log.info("%s has fields that are ignored: %s", submission.spec.id, ", ".join(submission.ignored))
@@ -142,23 +154,24 @@
 
     def accept(self, spec: JobSpec, more: Sequence[Write] = ()) -> Reply:
         """Accepts a well-formed job; `more` holds further writes for the same transaction."""
-        if self._store.mirror.get(keys.job_key(spec.id)) is not None:
+        key = keys.job_key(spec.id)
+        if self._store.mirror.get(key) is not None:
             return self._state(spec.id)
-        self._metrics.count_job("asked", spec.job_class, spec.team if spec.team in self._teams else "unknown")
-        key, value = keys.job_key(spec.id), accepted_value(spec, self._clock.wall_us())
-        problem = self._requirements_refusal(spec) or self._conditions_refusal(spec)
-        if problem is None and reserved_size(value) > self._max_value_bytes:
+        job_class = short_text(spec.job_class)
+        self._metrics.count_job("asked", job_class, spec.team if spec.team in self._teams else "unknown")
+        types = self._known_types()
+        try:
+            never = self._never_runs(spec, types)
+        except NotKnownYet as error:
+            return refusal(503, str(error))
+        value = accepted_value(spec, self._clock.wall_us())
+        if never is None and reserved_size(value) > self._max_value_bytes:
+            value = accepted_value(shortened(spec, fitting_types(spec, types)), self._clock.wall_us())
+        if never is None and reserved_size(value) > self._max_value_bytes:
             # The state service would refuse it, or its cancellation, every time: the user must not be told to retry.
-            problem = 400, "the job's description is too long"
-        if problem is not None:
-            status, reason = problem
-            # Only a read shows that this is not a repeat of a job that another node has just accepted.
-            if not self._store.sync():
-                return refusal(503, "the state service does not answer")
-            if key in self._store.mirror:
-                return self._state(spec.id)
-            self.log.info("refused %s: %s", spec.id, reason)
-            return refusal(status, reason)
+            never = JobRefusal(RefusalKind.TOO_LONG, "the job's description is too long")
+        if never is not None:
+            return self._refuse(spec.id, never)
         sent_us = self._clock.now_us()
         try:
             revision = self._store.txn([Guard(key, 0)], [Put(key, value), *more], patience_s=MAX_BUDGET_WAIT_S)
@@ -171,7 +184,7 @@
             self.log.info("could not accept %s now: %s", spec.id, error)
             return refusal(503, "the state service does not answer")
         self.log.info("accepted %s of %s: %s of %d", spec.id, spec.team, spec.shape, spec.tasks)
-        self._metrics.count_job("accepted", spec.job_class, spec.team)
+        self._metrics.count_job("accepted", job_class, spec.team)
         if self._clock.now_us() - sent_us > PROMPT_ACCEPTANCE_US or self._store.stamp_of(key) > revision:
             # Other nodes may have read the job before our answer came. Without the new read a user who had learned
             # from one of them that it ended was then told here that it is pending.
@@ -180,11 +193,7 @@
 
     def known_ref(self, body: bytes) -> Reply | None:
         """Returns the job's state if the body's `ref` is known, whatever else it holds; None if it is not."""
-        try:
-            raw = msgspec.json.decode(body)
-        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
-            return None
-        ref = raw.get("ref") if isinstance(raw, dict) else None
+        ref = _decoded_object(body).get("ref")
         if not isinstance(ref, str) or not wire.JOB_ID.fullmatch(ref):
             return None
         if self._store.mirror.get(keys.job_key(ref)) is None:
@@ -194,30 +203,39 @@
                 return None
         return self._state(ref)
 
-    def _requirements_refusal(self, spec: JobSpec) -> tuple[int, str] | None:
+    def _refuse_malformed(self, body: bytes, error: InvalidJob) -> Reply:
+        """Refuses a malformed submission; the log names job, field and value."""
+        fields = _decoded_object(body)
+        kind = RefusalKind.FIELD if error.field else RefusalKind.NO_JSON
+        self._metrics.count("submissions_refused", RefusalKind.TOO_LONG if len(body) > wire.MAX_BODY else kind)
+        job, value = _shown(fields.get("ref")), _shown(fields.get(error.field))
+        self.log.info("submission refused: %s; job %s, %s is %s", error, job, error.field or "nothing", value)
+        return refusal(400, str(error))
+
+    def _refuse(self, job_id: str, never: JobRefusal) -> Reply:
+        """Refuses a job that can never run, unless it is a repeat of one that another node has just accepted."""
+        if not self._store.sync():
+            return refusal(503, "the state service does not answer")
+        if keys.job_key(job_id) in self._store.mirror:
+            return self._state(job_id)
+        self._metrics.count("submissions_refused", never.kind)
+        self.log.info("refused %s: %s", job_id, never.reason)
+        return refusal(400 if never.kind == RefusalKind.TOO_LONG else 422, never.reason)
+
+    def _never_runs(self, spec: JobSpec, types: list[MachineType]) -> JobRefusal | None:
+        """Returns why the job can never run, None if it can; raises NotKnownYet."""
         team = self._teams.get(spec.team)
         if team is None:
-            return 422, f"unknown team {spec.team}"
-        simultaneous_tasks = 1 if spec.shape == wire.BATCH else spec.tasks
-        for name, need, limit in (("CPUs", spec.cpus, team.cpus_max), ("GPUs", spec.gpus, team.gpus_max)):
-            if limit and need * simultaneous_tasks > limit + 1e-9:
-                return 422, f"the job needs {need * simultaneous_tasks:g} {name}, team {team.name} may use {limit:g}"
-        types = self._known_types()
+            return unknown_team(spec.team)
+        over_limit = exceeds_limit(spec, team)
+        if over_limit is not None:
+            return over_limit
         if not types:
-            return 503, "the machine types are not known yet"
-        fitting = [
-            machine_type
-            for machine_type in types
-            if (spec.types is None or machine_type.name in spec.types)
-            and (spec.zone is None or spec.zone in machine_type.zones)
-            and machine_type.cpus + 1e-9 >= spec.cpus
-            and machine_type.gpus + 1e-9 >= spec.gpus
-            and machine_type.ram_gb + 1e-9 >= spec.ram_gb
-        ]
-        return None if fitting else (422, "a task fits no allowed machine type")
-
-    def _conditions_refusal(self, spec: JobSpec) -> tuple[int, str] | None:
-        """Returns a refusal if the job's conditions are not supported or can never be met, otherwise None.
+            raise NotKnownYet("the machine types are not known yet")
+        return self._condition_refusal(spec) if fitting_types(spec, types) else fits_no_machine()
+
+    def _condition_refusal(self, spec: JobSpec) -> JobRefusal | None:
+        """Returns a refusal if the job's conditions are not supported or can never be met; raises NotKnownYet.
 
         The jobs that it names need no guard: if one ends while this job is accepted, the leader reads that, as
         it sees this job's record only after the record of every job that it names.
@@ -225,18 +243,20 @@
         if not spec.conditional:
             return None
         if not self._conditions:
-            return 422, "hold, not_before, after, at_once and limit_s are not switched on here (jobs.conditions)"
+            reason = "hold, not_before, after, at_once and limit_s are not switched on here (jobs.conditions)"
+            return JobRefusal(RefusalKind.CONDITION, reason)
         after = spec.after or []
         for is_fresh in (False, True):
             missing = [condition.job for condition in after if keys.job_key(condition.job) not in self._store.mirror]
             if missing and not is_fresh and not self._store.sync():
-                return 503, "the state service does not answer"
+                raise NotKnownYet("the state service does not answer")
         if missing:
-            return 422, f"it is to start after {missing[0]}, and there is no such job"
+            reason = f"it is to start after {missing[0]}, and there is no such job"
+            return JobRefusal(RefusalKind.CONDITION, reason)
         for condition in after:
-            reason = unsatisfiable_reason(condition, self._store.mirror[keys.job_key(condition.job)].value)
-            if reason:
-                return 422, reason
+            unsatisfiable = unsatisfiable_reason(condition, self._store.mirror[keys.job_key(condition.job)].value)
+            if unsatisfiable:
+                return JobRefusal(RefusalKind.CONDITION, unsatisfiable)
         return None
 
     def _known_types(self) -> list[MachineType]:
@@ -417,3 +437,18 @@
             self.log.info("%s %s for its user", verb, job_id)
             return None
         return refusal(503, "the state service does not answer")
+
+
+def _decoded_object(body: bytes) -> dict[str, Any]:
+    """Returns the fields of a body that is a JSON object; none of any other."""
+    try:
+        fields = msgspec.json.decode(body)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
+        return {}
+    return fields if isinstance(fields, dict) else {}
+
+
+def _shown(value: Any) -> str:
+    """Returns a value of a user's for a log line, cut to a length."""
+    text = repr(value)
+    return text if len(text) <= MAX_SHOWN else text[:MAX_SHOWN] + "..."
--- a/src/tideusher/core/model/job_record.py
+++ b/src/tideusher/core/model/job_record.py
@@ -3,10 +3,11 @@
 from typing import Any
 
 import msgspec
+import xxhash
 
 from tideusher.core.model import keys
 from tideusher.core.model.records import JOB_CANCELLED, OPEN, Job
-from tideusher.wire.jobs import AMOUNTS, JobSpec, computable
+from tideusher.wire.jobs import AMOUNTS, MAX_NAME, JobSpec, computable
 
 #: Stops of a job that its record keeps while it is open.
 MAX_STOPS_KEPT = 6
@@ -35,6 +36,27 @@
     return {**value, "sent": sent} if sent else value
 
 
+def short_text(text: str) -> str:
+    """Returns a text that names a class or an image, short enough for a record; different texts stay different."""
+    if len(text) <= MAX_NAME:
+        return text
+    return f"{text[: MAX_NAME // 4]}~{xxhash.xxh3_128_hexdigest(text.encode())}"
+
+
+def shortened(spec: JobSpec, fitting: list[str]) -> JobSpec:
+    """Returns the job for a record that is too large otherwise: the protocol bounds its body only.
+
+    `fitting`: the machine types on which it fits, of those that it allows. Only these can be rented for it; a name
+    that the cloud does not know yet is given up.
+    """
+    return msgspec.structs.replace(
+        spec,
+        job_class=short_text(spec.job_class),
+        image=short_text(spec.image),
+        types=None if spec.types is None else fitting,
+    )
+
+
 def sent_amounts(value: dict[str, Any]) -> dict[str, float]:
     """Returns the amounts that are counted with others than the user sent, as they were sent."""
     return value.get("sent", {})
--- a/src/tideusher/embed/instance.py
+++ b/src/tideusher/embed/instance.py
@@ -19,6 +19,7 @@
 
 from tideusher.clock import Clock, to_us
 from tideusher.config import Policy
+from tideusher.core.decide.admission import exceeds_limit, unknown_team
 from tideusher.core.lead import explain
 from tideusher.core.lead.engine import Engine
 from tideusher.core.model import keys
@@ -361,16 +362,15 @@
             raise Refused(str(error)) from None
         team = self._engine.cluster.teams.get(spec.team)
         if team is None:
-            raise Refused(f"unknown team {spec.team}")
+            raise Refused(unknown_team(spec.team).reason)
         if spec.gpus != int(spec.gpus):
             raise Refused("gpus: must be a whole number")
         for dependency in spec.after or ():
             if self._state.record_of(dependency.job) is None:
                 raise Refused(f"after: there is no job {dependency.job}")
-        at_once = 1 if spec.shape == BATCH else spec.tasks
-        for name, need, limit in (("CPUs", spec.cpus, team.cpus_max), ("GPUs", spec.gpus, team.gpus_max)):
-            if limit and need * at_once > limit + 1e-9:
-                raise Refused(f"the job needs {need * at_once:g} {name}, the limit of team {team.name} is {limit:g}")
+        over_limit = exceeds_limit(spec, team)
+        if over_limit is not None:
+            raise Refused(over_limit.reason)
         for kind in self._kinds.values():
             fits = kind.cpus >= spec.cpus and kind.gpus >= spec.gpus and kind.ram_gb >= spec.ram_gb
             if fits and (spec.types is None or kind.name in spec.types):
