Machine types, notices and ages are counted with the nearest amount too

A machine type of the cloud with one amount outside our bounds (a price or boot time of 1e12, a tiny cache) was left out, so that every job that fits it got 422 "fits no machine", which is final for users. A worker's recall_s of 1e300 made the answer to each of its reports fail, so its lease ran out with all tasks; an age of 1e300 in the cloud's list failed likewise.

Types are now used with the nearest amounts and with no more than they have (a capacity below a millionth counts as 0); only an amount that is negative, NaN or infinite leaves a type out. Times of notices and ages are bounded where they are read.

--- a/src/tideusher/core/lead/cluster.py
+++ b/src/tideusher/core/lead/cluster.py
@@ -55,6 +55,7 @@
 from tideusher.invariants import Invariants, Rule
 from tideusher.metrics import Metrics
 from tideusher.wire import workers
+from tideusher.wire.amounts import DURATION
 from tideusher.wire.cloud import FAILED, ListedMachine, MachineType
 from tideusher.wire.jobs import JobSpec
 from tideusher.wire.state import Guard
@@ -729,12 +730,12 @@
         if machine is None:
             if item.name not in self.gone and item.age_s > 6 * self.config.settings.cloud.list_lag_s + 20:
                 self.log.info("adopt machine %s: the cloud lists it and no rental names it", item.name)
-                self._add_unrented(item.name, item, now_us - to_us(item.age_s))
+                self._add_unrented(item.name, item, now_us - to_us(DURATION.clamp(item.age_s)))
             return None
         self.check_kind(machine, Kind(item.type, item.zone, item.spot), "the cloud's list")
         machine.listed = item.status
         machine.address = machine.address or item.address
-        machine.rented_us = min(machine.rented_us, now_us - to_us(item.age_s))
+        machine.rented_us = min(machine.rented_us, now_us - to_us(DURATION.clamp(item.age_s)))
         return machine if item.status == FAILED and machine.phase != RETURNING else None
 
     # ---------------------------------------------------------------- decisions of a scheduling pass
--- a/src/tideusher/core/lead/reports.py
+++ b/src/tideusher/core/lead/reports.py
@@ -14,6 +14,7 @@
 from tideusher.core.model.records import ASSIGNED, BOOTING, COMMITTING, OPEN, SEEN, UP, Job, Machine, Task
 from tideusher.invariants import Rule
 from tideusher.wire import workers
+from tideusher.wire.amounts import DURATION
 from tideusher.wire.workers import Command, Report, TaskReport
 
 #: A fetch takes up to this many times as long as the machine type's rate implies: rates differ by a third.
@@ -97,7 +98,7 @@
                 self.log.info("machine %s is up; it was rented under an earlier leader", machine.name)
             self._c.dirty = True
         if report.recall_s is not None:
-            self._recalled(machine, report.recall_s, now_us)
+            self._recalled(machine, DURATION.clamp(report.recall_s), now_us)
         listed: dict[tuple[str, int, int], TaskReport] = {}
         for item in report.tasks:
             try:
--- a/src/tideusher/core/model/cluster_state.py
+++ b/src/tideusher/core/model/cluster_state.py
@@ -39,7 +39,7 @@
     read_chunk,
 )
 from tideusher.core.model.rentals import Rental, RentalIndex
-from tideusher.wire.cloud import MachineType, is_usable
+from tideusher.wire.cloud import MachineType, computable_type
 from tideusher.wire.jobs import JobSpec, computable
 
 LOG = logging.getLogger("cluster")
@@ -403,10 +403,11 @@
         known_before = set(self.types)
         self.types.clear()
         for offered in types:
-            if is_usable(offered):
-                self.types[offered.name] = offered
+            counted = computable_type(offered)
+            if counted is not None:
+                self.types[offered.name] = counted
             else:
-                LOG.error("machine type %s has amounts that can't be computed with: it is not used", offered.name)
+                LOG.error("machine type %s has amounts that are no numbers from 0 on: it is not used", offered.name)
         if self.types.keys() <= known_before:
             return
         for machine in self.machines.values():
--- a/src/tideusher/wire/cloud.py
+++ b/src/tideusher/wire/cloud.py
@@ -1,5 +1,6 @@
 """Messages of the cloud's rental API."""
 
+import sys
 from collections.abc import Callable
 
 import msgspec
@@ -13,6 +14,19 @@
 MAX_MACHINES_PER_PAGE = 500
 
 
+_CAPACITIES = ("cpus", "gpus", "ram_gb")
+_TYPE_AMOUNTS = {
+    "cpus": RESOURCE,
+    "gpus": RESOURCE,
+    "ram_gb": RESOURCE,
+    "cache_gb": IMAGE,
+    "fetch_gb_per_s": IMAGE,
+    "price": PRICE,
+    "spot_price": PRICE,
+    "boot_s": DURATION,
+}
+
+
 class MachineType(msgspec.Struct):
     """One entry of GET /machine_types. Prices are per hour."""
 
@@ -28,19 +42,16 @@
     zones: list[str] = msgspec.field(name="harbors", default_factory=list)
 
 
-def is_usable(kind: MachineType) -> bool:
-    """True if all amounts of a machine type are within their bounds."""
-    amounts = (
-        (RESOURCE, kind.cpus),
-        (RESOURCE, kind.gpus),
-        (RESOURCE, kind.ram_gb),
-        (IMAGE, kind.cache_gb),
-        (IMAGE, kind.fetch_gb_per_s),
-        (PRICE, kind.price),
-        (PRICE, kind.spot_price),
-        (DURATION, kind.boot_s),
-    )
-    return all(bounds.contain(amount) for bounds, amount in amounts)
+def computable_type(kind: MachineType) -> MachineType | None:
+    """Returns the machine type with the amounts that decisions count with; None if an amount is no number from 0 on.
+
+    What a machine has is never rounded up: a task that is placed on more than there is would be refused there.
+    """
+    nearest = {name: bounds.clamp(getattr(kind, name)) for name, bounds in _TYPE_AMOUNTS.items()}
+    if any(not 0 <= getattr(kind, name) <= sys.float_info.max for name in _TYPE_AMOUNTS):
+        return None
+    capacity = {name: nearest[name] if nearest[name] <= getattr(kind, name) else 0.0 for name in _CAPACITIES}
+    return msgspec.structs.replace(kind, **{**nearest, **capacity})
 
 
 class MachineTypes(msgspec.Struct):
