Tests: a start held up past its job's confirmed cancellation is gone in time

The users named it among what they saw on like services: a start command that was held up on its way ran after its job's time for cancelling was over. It can't happen here, by the protocol's own periods: a start is sent only in the answer to a report, which the worker drops after 4 s; a machine that hangs carries it out within its lease, which counts from the sending of the last report that was answered, so before the cancellation was confirmed (docs/safety.md, 12); it ends with the lease, or with the next report's answer, which halts it: at most lease_s and drift after the confirmation, where cancel_s is longer.

--- a/tests/simulated_cluster.py
+++ b/tests/simulated_cluster.py
@@ -237,6 +237,9 @@
         self.cut_zones, self.held_reports, self.held_calls = set(), 0.0, 0.0  # and the shares delayed
         self.only_node = ""  # if not empty, the controller to which all workers report
         self.calls = True  # whether direct calls reach workers
+        self.run_answers_held_s = 0.0  # how long an answer that starts a task is held up on its way
+        self.hang_before_run_s = 0.0  # how long a machine hangs between such an answer and the start
+        self.runs_executed = []  # (time, task) of each start that a machine carried out
         self.zone_of = {f"n{number}": zones[number % len(zones)] for number in range(nodes)}
         self.copies = 0.0  # share of reports of which a copy arrives later
         sim = self
@@ -463,7 +466,12 @@
                 self.time.later(2 + 10 * self.rng.random(), lambda body=body: gevent.spawn(self._copy, body))
             with gevent.Timeout(4.0, False):
                 lost = held or worker.name in self.mute or not self.reaches(worker.zone, self.zone_of[node])
-                answer = None if lost else self._ask(node, body)
+                arriving = None if lost else self._ask(node, body)
+                if arriving is not None and b'"run"' in arriving.body:
+                    gevent.sleep(self.run_answers_held_s)
+                    if self.hang_before_run_s:
+                        self.hang(worker.name, self.hang_before_run_s)
+                answer = arriving
             while worker.name in self.hanging:
                 gevent.sleep(0.1)
             if answer is None or worker.name in self.deaf or answer.status not in (200, 421):
@@ -472,7 +480,10 @@
                 to = msgspec.json.decode(answer.body).get("harbormaster")
                 at, pause_s = (self.names.index(to), 0.1) if to in self.names else (at + 1, 1.0)
             else:
-                worker.answer(workers.decode_commands(answer.body), sent_us, report.session)
+                commands = workers.decode_commands(answer.body)
+                known = set(worker.tasks)
+                worker.answer(commands, sent_us, report.session)
+                self.runs_executed += [(self.clock.now_us(), key[0]) for key in worker.tasks.keys() - known]
             gevent.sleep(pause_s)
 
     def _ask(self, node, body):
