Tests: machines that come late, are returned late or come back empty run nothing unknown

The users named machines whose rental or deletion was carried out late, or that came back within a second, and that ran tasks which no controller knew of. It can't happen here: a start is sent only in the answer to a machine's own report, by a leader that has the place on record; a machine that reports and is in no rental is adopted under a rental of its own; a return is on record before the cloud is asked, so no later leader uses the machine (docs/safety.md, 5 and 9).

--- a/tests/simulated_cluster.py
+++ b/tests/simulated_cluster.py
@@ -239,6 +239,7 @@
         self.calls = True  # whether direct calls reach workers
         self.run_answers_held_s = 0.0  # how long an answer that starts a task is held up on its way
         self.hang_before_run_s = 0.0  # how long a machine hangs between such an answer and the start
+        self.rentals_late_s = self.returns_late_s = 0.0  # how late, and without an answer, the cloud carries them out
         self.runs_executed = []  # (time, task) of each start that a machine carried out
         self.zone_of = {f"n{number}": zones[number % len(zones)] for number in range(nodes)}
         self.copies = 0.0  # share of reports of which a copy arrives later
@@ -287,8 +288,8 @@
         node.cloud.submit = lambda kind, *asked: self.time.later(0.1, lambda: self._cloud_answers(name, *asked))
         node.cloud.types = lambda: [TYPE]
         node.cloud.machines = self._listed
-        node.cloud.rent = lambda wish: self.rent(wish.name, wish.zone, wish.spot, wish.count)
-        node.cloud.request_return = self._give_back
+        node.cloud.rent = self._request_rental
+        node.cloud.request_return = self._request_return
         with self.time.inside(name):
             for part in (node.store, node.election, node.leader):
                 part.start()
@@ -414,6 +415,30 @@
             for w in self.workers.values()
         ]
 
+    def _request_rental(self, wish):
+        """Rents at once, or later and without an answer."""
+
+        def carry_out():
+            return self.rent(wish.name, wish.zone, wish.spot, wish.count)
+
+        return self._late(self.rentals_late_s, carry_out)
+
+    def _request_return(self, names):
+        """Takes machines back at once, or later and without an answer."""
+        return self._late(self.returns_late_s, lambda: self._give_back(names))
+
+    def _late(self, late_s, carry_out):
+        if not late_s:
+            return carry_out()
+        self.time.later(late_s, carry_out)
+        return None
+
+    def restart_machine(self, name, after_s):
+        """Ends a machine; after a time it is back under its name with nothing on it, and its worker begins anew."""
+        worker = self.workers.pop(name)
+        worker.dead = True
+        self.time.later(after_s, lambda: self.time.spawn(self._run_worker, name, worker.zone, worker.spot))
+
     def rent(self, charter, zone, spot, count, boots_s=None):
         boots_s = self.boot_s if boots_s is None else boots_s
         if charter not in self.rented:
