The suite runs in several processes, and known red tests are told there too

The list of known red tests was read only where tests are collected, which with xdist is not the process that prints the summary: listed failures were passed over without being named. It is read at configuration now; a test runs the small suite in two processes.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from known_red import pytest_collection_modifyitems, pytest_terminal_summary  # noqa: F401
+from known_red import pytest_collection_modifyitems, pytest_configure, pytest_terminal_summary  # noqa: F401
 from simulated_cluster import SimulatedCluster
 from standins import LeaderHarness
 from tideusher.embed.disk import Disk
--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -50,14 +50,18 @@
     return entries
 
 
-@pytest.hookimpl(tryfirst=True)
-def pytest_collection_modifyitems(config: pytest.Config, items: list[pytest.Item]) -> None:
-    """Marks the listed tests; a run of the complete suite also rejects listed ids that no test has."""
+def pytest_configure(config: pytest.Config) -> None:
+    """Reads the list, also in a process that collects no tests itself but hands them to others (pytest-xdist)."""
     try:
-        listed = read(config.rootpath / NAME)
+        config.stash[LISTED] = read(config.rootpath / NAME)
     except ValueError as error:
         raise pytest.UsageError(str(error)) from None
-    config.stash[LISTED] = listed
+
+
+@pytest.hookimpl(tryfirst=True)
+def pytest_collection_modifyitems(config: pytest.Config, items: list[pytest.Item]) -> None:
+    """Marks the listed tests; a run of the complete suite also rejects listed ids that no test has."""
+    listed = config.stash[LISTED]
     collected = {item.nodeid for item in items}
     if config.args_source == pytest.Config.ArgsSource.TESTPATHS:
         for test in {test for test in listed if not test.startswith(SOAK)} - collected:
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -59,6 +59,13 @@
     )
 
 
+def test_run_in_several_processes_reports_listed_failures_and_fails_for_an_unlisted_one(suite):
+    result = suite(*ALL[:2], words=("-q", "-n", "2"))
+    assert result.ret == 1
+    result.assert_outcomes(xfailed=2, passed=2, errors=1)
+    result.stdout.fnmatch_lines_random([f"KNOWN RED {RED}: it was never true (issue 38)"])
+
+
 def test_unlisted_failure_fails_the_run(suite):
     result = suite(*ALL[:2])
     assert result.ret == 1
