--- a/src/tideusher/actors/connections.py
+++ b/src/tideusher/actors/connections.py
@@ -9,13 +9,12 @@
 import itertools
 import socket
 from collections.abc import Iterable
-from functools import partial
 from typing import Any, Protocol
 
 import gevent
 from gevent.pywsgi import WSGIServer
 
-from tideusher.actors.handler import BODY_UNREAD, Handler
+from tideusher.actors.handler import Handler
 from tideusher.clock import SECOND_US, Clock, to_s, to_us
 
 #: A connection on which nothing was asked for so many leases of a worker is closed: its machine is gone by then.
@@ -24,14 +23,10 @@
 MIN_IDLE_US = 30 * SECOND_US
 #: A user's connection that has had a request may be idle for longer: load balancers keep connections for later users.
 USER_IDLE_US = 600 * SECOND_US
-#: From its first byte a request has to be here within the time after which users give up.
+#: After its first line a request has to be here within the time after which users give up.
 MAX_RECEIVING_US = 5 * SECOND_US
 #: How often requests that arrive too slowly are looked for.
 RECEIVING_LOOK_S = 1.0
-#: Bytes of an unread body that are taken and dropped, so that the client reads the answer before its connection ends.
-MAX_DROPPED_BYTES = 256 * 1024
-#: Time for which they are waited for.
-DROP_TIMEOUT_S = 1.0
 #: Share of the process's sockets that connections from outside may take; the others are for calls of our own.
 SERVED_SOCKET_SHARE = 0.9
 #: After so many seconds without a packet the system probes a connection, at this interval and so many times.
@@ -39,13 +34,14 @@
 #: Number of looks for idle connections within the limit.
 LOOKS_PER_LIMIT = 6
 NEW, WORKER, USER = "new", "worker", "user"
-#: Key of a request's environment: a function to call when its body has been read.
-BODY_ARRIVED = "tideusher.body_arrived"
 
 
 class Connection(Protocol):
     """An open connection."""
 
+    #: Whether all of the request that keeps it busy is here.
+    has_arrived: bool
+
     def close(self) -> None:
         """Closes it; whoever reads from it is told of its end."""
 
@@ -57,9 +53,8 @@
         self._clock = clock
         self._limit_us = max(MIN_IDLE_US, to_us(IDLE_LEASES * lease_s))
         self._max_open = max(1, int(max_sockets * SERVED_SOCKET_SHARE))
-        # By connection: when it became idle, began to receive a request, or became busy; the longest one first.
+        # By connection: when it became idle, or busy; the longest one first.
         self._idle: dict[Connection, int] = {}
-        self._receiving: dict[Connection, int] = {}
         self._busy: dict[Connection, int] = {}
         self._kinds: dict[Connection, str] = {}
 
@@ -75,24 +70,18 @@
         if connection not in self._kinds:
             return
         self._busy.pop(connection, None)
-        self._receiving.pop(connection, None)
         self._idle.pop(connection, None)
         self._idle[connection] = self._clock.now_us()
         self._kinds[connection] = kind or self._kinds[connection]
 
-    def receiving(self, connection: Connection) -> None:
-        """Notes that a request has begun to arrive."""
-        if self._idle.pop(connection, None) is not None:
-            self._receiving[connection] = self._clock.now_us()
-
     def busy(self, connection: Connection) -> None:
-        """Notes that a request has arrived whole."""
-        if self._receiving.pop(connection, None) is not None:
+        """Notes that a request has begun."""
+        if self._idle.pop(connection, None) is not None:
             self._busy[connection] = self._clock.now_us()
 
     def closed(self, connection: Connection) -> None:
         """Forgets a connection that has ended."""
-        for known in (self._idle, self._receiving, self._busy, self._kinds):
+        for known in (self._idle, self._busy, self._kinds):
             known.pop(connection, None)
 
     def close_stale(self) -> int:
@@ -111,7 +100,8 @@
 
     def close_slow(self) -> int:
         """Closes the connections whose request has not arrived in time; returns how many."""
-        slow = list(_before(self._clock.now_us() - MAX_RECEIVING_US, self._receiving))
+        begun = _before(self._clock.now_us() - MAX_RECEIVING_US, self._busy)
+        slow = [connection for connection in begun if not connection.has_arrived]
         for connection in slow:
             self._close(connection)
         return len(slow)
@@ -165,40 +155,11 @@
         connections: Connections = self.server.connections
         path = getattr(self, "path", None)
         connections.idle(self, "" if path is None else WORKER if path == "/checkin" else USER)
-        if not self.rfile.peek(1):
-            return ""
-        connections.receiving(self)
         line: str = super().read_requestline()
+        connections.busy(self)
+        self.has_arrived = False
         return line
 
-    def get_environ(self) -> dict[str, Any]:
-        """Returns the request for the application, which calls `BODY_ARRIVED` once it has read the body."""
-        environ = super().get_environ()
-        environ[BODY_ARRIVED] = partial(self.server.connections.busy, self)
-        if not self.content_length and not environ["wsgi.input"].chunked_input:
-            environ[BODY_ARRIVED]()
-        return environ
-
-    def handle_one_request(self) -> Any:
-        """Serves one request; of a body that the application did not read only a bounded part is taken."""
-        result = super().handle_one_request()
-        environ = self.__dict__.get("environ") or {}
-        if result is None and environ.get(BODY_UNREAD):
-            self._drop_unread()
-        return result
-
-    def _drop_unread(self) -> None:
-        """Closing a connection with unread data resets it, and the client might not read the answer."""
-        left = MAX_DROPPED_BYTES
-        try:
-            with gevent.Timeout(DROP_TIMEOUT_S, False):
-                self.socket.shutdown(socket.SHUT_WR)
-                while left > 0 and (data := self.socket.recv(16 * 1024)):
-                    left -= len(data)
-                    gevent.sleep(0)
-        except OSError:
-            pass  # the other side has closed it already
-
     def close(self) -> None:
         """Closes the connection; the greenlet that reads from it gets its end."""
         sock = self.__dict__.get("socket")
--- a/src/tideusher/actors/handler.py
+++ b/src/tideusher/actors/handler.py
@@ -19,8 +19,10 @@
 MAX_CHUNKED_BYTES = 512 * 1024
 #: Bytes of a chunked body after which other connections are served; gevent reads its framing byte by byte.
 CHUNKED_BYTES_PER_TURN = 16 * 1024
-#: Key of a request's environment: part of its body is left unread.
-BODY_UNREAD = "tideusher.body_unread"
+#: Bytes of a body over the limit that are taken and dropped.
+MAX_DROPPED_BYTES = 256 * 1024
+#: Key of a request's environment: the handler of its connection.
+HANDLER = "tideusher.handler"
 
 
 class ChunkedBytes:
@@ -52,12 +54,13 @@
 
 
 def stop_reading(environ: dict[str, Any]) -> None:
-    """Leaves the rest of a request's body unread; its connection has to be closed."""
-    environ[BODY_UNREAD] = True
+    """Leaves a request's body but for a bounded part, which is dropped; its connection has to be closed.
+
+    Closing a connection with unread data resets it, and the client might not read the answer.
+    """
     body = environ["wsgi.input"]
-    if isinstance(body, Input):
-        body.content_length = body.position
-        body.chunked_input = False
+    if isinstance(body, Input) and body.content_length is not None:
+        body.content_length = min(body.content_length, body.position + MAX_DROPPED_BYTES)
 
 
 class RequestHeaders:
@@ -116,6 +119,8 @@
     """Serves one connection. Answers leave in one packet, and no access log is formatted."""
 
     MessageClass = RequestHeaders
+    #: Whether all of the request is here.
+    has_arrived = False
 
     def _headers(self) -> Iterator[tuple[str, str]]:
         for name, value in self.headers.items():
@@ -125,9 +130,12 @@
     def get_environ(self) -> dict[str, Any]:
         """Returns the request for the application."""
         environ: dict[str, Any] = super().get_environ()
-        body = environ["wsgi.input"]
+        body = self.wsgi_input
         if body.chunked_input:
             body.rfile = ChunkedBytes(body.rfile)
+        elif not self.content_length:
+            self.has_arrived = True
+        environ[HANDLER] = self
         return environ
 
     def log_request(self) -> None:
--- a/src/tideusher/actors/users.py
+++ b/src/tideusher/actors/users.py
@@ -240,7 +240,7 @@
         The jobs that it names need no guard: if one ends while this job is accepted, the leader reads that, as
         it sees this job's record only after the record of every job that it names.
         """
-        if not spec.conditional:
+        if not spec.has_extensions or not spec.conditional:
             return None
         if not self._conditions:
             reason = "hold, not_before, after, at_once and limit_s are not switched on here (jobs.conditions)"
--- a/src/tideusher/core/model/job_record.py
+++ b/src/tideusher/core/model/job_record.py
@@ -28,12 +28,14 @@
     """
     counted = computable(spec)
     value = open_value(counted, wall_us)
+    if counted is spec:
+        return value
     sent = {
         field.name: getattr(spec, field.attribute)
         for field in AMOUNTS
         if getattr(spec, field.attribute) != getattr(counted, field.attribute)
     }
-    return {**value, "sent": sent} if sent else value
+    return {**value, "sent": sent}
 
 
 def short_text(text: str) -> str:
--- a/src/tideusher/web.py
+++ b/src/tideusher/web.py
@@ -6,9 +6,9 @@
 import gevent
 import msgspec
 
-from tideusher.actors.connections import BODY_ARRIVED, Connections, CountedServer
+from tideusher.actors.connections import Connections, CountedServer
 from tideusher.actors.gateway import Gateway
-from tideusher.actors.handler import stop_reading
+from tideusher.actors.handler import HANDLER, stop_reading
 from tideusher.actors.peers import Peers
 from tideusher.actors.questions import QueryService
 from tideusher.actors.replies import Reply, refusal, retry_later
@@ -185,7 +185,7 @@
         raise UnreadableBody(f"the body cannot be read: {error}") from None
     if len(body) > MAX_BODY:
         raise UnreadableBody("the body is over 64 KiB")
-    arrived = environ.get(BODY_ARRIVED)
-    if arrived is not None:
-        arrived()
+    handler = environ.get(HANDLER)
+    if handler is not None:
+        handler.has_arrived = True
     return body
--- a/src/tideusher/wire/jobs.py
+++ b/src/tideusher/wire/jobs.py
@@ -4,6 +4,7 @@
 import sys
 from collections.abc import Callable
 from dataclasses import dataclass
+from operator import attrgetter
 
 import msgspec
 
@@ -85,6 +86,14 @@
         """The position in PRIORITIES; 0 is the highest priority."""
         return PRIORITIES.index(self.priority)
 
+    @property
+    def has_extensions(self) -> bool:
+        """True if the job uses a field beside the platform's protocol. Evaluated for each submission."""
+        return not (
+            self.name is self.hold is self.not_before is self.after is self.at_once is None
+            and self.limit_s is self.array is self.min_run_s is None
+        )
+
     @property
     def conditional(self) -> bool:
         """True if the job uses features that require the setting `jobs.conditions`."""
@@ -117,6 +126,9 @@
     AmountField("min_run_s", "min_run_s", DURATION),
     AmountField("limit_s", "limit_s", DURATION),
 )
+_amounts_of = attrgetter(*(field.attribute for field in AMOUNTS))
+_LEAST_COUNTED = max(field.bounds.least for field in AMOUNTS)
+_MOST_COUNTED = min(field.bounds.most for field in AMOUNTS)
 
 
 def check_job(spec: JobSpec) -> JobSpec:
@@ -132,13 +144,15 @@
         raise InvalidJob("rank must be one of " + ", ".join(PRIORITIES), "rank")
     if not 1 <= spec.tasks <= MAX_TASKS:
         raise InvalidJob(f"pieces must be from 1 to {MAX_TASKS}", "pieces")
-    for field in AMOUNTS:
-        check_amount(field, getattr(spec, field.attribute))
+    if not _are_counted_as_sent(spec):
+        for field in AMOUNTS:
+            check_amount(field, getattr(spec, field.attribute))
     for name, text in (("jobclass", spec.job_class), ("owner", spec.team), ("bundle", spec.image)):
         if not text:
             raise InvalidJob(f"{name} must not be empty", name)
-    for check in EXTENSION_CHECKS.values():
-        check(spec)
+    if spec.has_extensions:
+        for check in EXTENSION_CHECKS.values():
+            check(spec)
     if spec.deadline_s is not None and spec.deadline_s > DURATION.most:
         return msgspec.structs.replace(spec, deadline_s=None)
     return spec
@@ -156,6 +170,8 @@
     An amount above 0 stays above 0: as 0, a share of a machine would be free, however many tasks take it, and
     `mark_s` and `due_s` would mean "never" and "at once".
     """
+    if _are_counted_as_sent(spec):
+        return spec
     changes: dict[str, float | None] = {}
     for field in AMOUNTS:
         amount = getattr(spec, field.attribute)
@@ -165,6 +181,12 @@
     return msgspec.structs.replace(spec, **changes) if changes else spec
 
 
+def _are_counted_as_sent(spec: JobSpec) -> bool:
+    """True if all amounts are within the bounds of each of them; False for NaN. Evaluated for each submission."""
+    amounts = [amount for amount in _amounts_of(spec) if amount]
+    return not amounts or (min(amounts) >= _LEAST_COUNTED and sum(amounts) <= _MOST_COUNTED)
+
+
 def _check_text(name: str, text: str | None) -> None:
     if text is not None and (not 0 < len(text) <= MAX_NAME or not text.isprintable()):
         raise InvalidJob(f"{name} must be 1 to {MAX_NAME} printable characters", name)
--- a/src/tideusher/wire/submissions.py
+++ b/src/tideusher/wire/submissions.py
@@ -7,7 +7,6 @@
 
 import json
 import sys
-from dataclasses import dataclass
 from typing import Any, NoReturn, get_type_hints
 
 import msgspec
@@ -25,8 +24,7 @@
 _decoder: msgspec.json.Decoder[JobSpec] = msgspec.json.Decoder(JobSpec)
 
 
-@dataclass(frozen=True, slots=True)
-class Submission:
+class Submission(msgspec.Struct, frozen=True):
     """A valid submission, and the fields beside the protocol that were ignored."""
 
     spec: JobSpec
@@ -62,11 +60,11 @@
     except (msgspec.DecodeError, InvalidJob):
         spec, problems = _read_fields(body)
         ignored += [problem.field for problem in problems]
-    if spec.conditional and not conditions:
+    if not conditions and spec.has_extensions and spec.conditional:
         unknown = [name for name in CONDITIONS if getattr(spec, name) is not None]
         spec = msgspec.structs.replace(spec, **dict.fromkeys(unknown, None))
         ignored += unknown
-    return Submission(spec, tuple(sorted(ignored)))
+    return Submission(spec, tuple(sorted(ignored)) if ignored else ())
 
 
 def _check_body(body: bytes) -> None:
