Admission has a module of its own; a repeat is answered where machine types are unknown

The store of test_answers raises Conflict and Unavailable in transactions as the real one does: a repetition with a long text gets that far now, and was an error of the stand-in.

--- a/src/tideusher/actors/users.py
+++ b/src/tideusher/actors/users.py
@@ -6,21 +6,14 @@
 
 import msgspec
 
+from tideusher.actors.admission import Admission, NotKnownYet
 from tideusher.actors.confirmations import Confirmations, PromiseRequest
 from tideusher.actors.replies import Reply, refusal
 from tideusher.actors.store import Conflict, LeaseExpired, Store, Throttled, Unavailable
 from tideusher.clock import Clock, to_us
 from tideusher.config import Config
-from tideusher.core.decide.admission import (
-    JobRefusal,
-    RefusalKind,
-    exceeds_limit,
-    fits_no_machine,
-    fitting_types,
-    unknown_team,
-)
-from tideusher.core.decide.conditions import unsatisfiable_reason
-from tideusher.core.model import keys, machine_catalogue
+from tideusher.core.decide.admission import JobRefusal, RefusalKind
+from tideusher.core.model import keys
 from tideusher.core.model.job_record import (
     accepted_value,
     cancelled_value,
@@ -35,7 +28,6 @@
 from tideusher.core.model.records import CHUNK_TASKS, JOB_CANCELLED, JOB_DONE, OPEN
 from tideusher.metrics import Metrics
 from tideusher.wire import jobs as wire
-from tideusher.wire.cloud import MachineType
 from tideusher.wire.jobs import InvalidJob, JobSpec, JobStatus
 from tideusher.wire.state import Guard, Put, Write
 from tideusher.wire.submissions import parse_submission
@@ -54,10 +46,6 @@
 PROMPT_ACCEPTANCE_US = to_us(0.1)
 
 
-class NotKnownYet(Exception):
-    """What the answer depends on is not known here yet; the request may be repeated."""
-
-
 class HoldRequest(msgspec.Struct):
     """The body of a hold request; it may be empty."""
 
@@ -93,8 +81,7 @@
         self.on_cancelled: Callable[[str], None] = lambda job_id: None
         self._max_value_bytes = int(config.settings.state.value_kb * 1024)
         self._teams = {team.name: team for team in config.settings.teams}
-        self._types_read: list[int] = []  # stamps of the parts of the machine types that were read
-        self._types: list[MachineType] = []
+        self._admission = Admission(config.settings.teams, store, conditions)
 
     def handle(self, method: str, path: str, body: bytes) -> Reply:
         """Routes a request on jobs by its path and method."""
@@ -159,14 +146,13 @@
             return self._state(spec.id)
         job_class = short_text(spec.job_class)
         self._metrics.count_job("asked", job_class, spec.team if spec.team in self._teams else "unknown")
-        types = self._known_types()
         try:
-            never = self._never_runs(spec, types)
+            never = self._admission.refusal_of(spec)
         except NotKnownYet as error:
-            return refusal(503, str(error))
+            return self._state_of_repeat(spec.id) or refusal(503, str(error))
         value = accepted_value(spec, self._clock.wall_us())
         if never is None and reserved_size(value) > self._max_value_bytes:
-            value = accepted_value(shortened(spec, fitting_types(spec, types)), self._clock.wall_us())
+            value = accepted_value(shortened(spec, self._admission.fitting_types(spec)), self._clock.wall_us())
         if never is None and reserved_size(value) > self._max_value_bytes:
             # The state service would refuse it, or its cancellation, every time: the user must not be told to retry.
             never = JobRefusal(RefusalKind.TOO_LONG, "the job's description is too long")
@@ -196,12 +182,7 @@
         ref = _decoded_object(body).get("ref")
         if not isinstance(ref, str) or not wire.JOB_ID.fullmatch(ref):
             return None
-        if self._store.mirror.get(keys.job_key(ref)) is None:
-            if not self._store.sync():
-                return refusal(503, "the state service does not answer")
-            if self._store.mirror.get(keys.job_key(ref)) is None:
-                return None
-        return self._state(ref)
+        return self._state(ref) if keys.job_key(ref) in self._store.mirror else self._state_of_repeat(ref)
 
     def _refuse_malformed(self, body: bytes, error: InvalidJob) -> Reply:
         """Refuses a malformed submission; the log names job, field and value."""
@@ -213,69 +194,19 @@
         return refusal(400, str(error))
 
     def _refuse(self, job_id: str, never: JobRefusal) -> Reply:
-        """Refuses a job that can never run, unless it is a repeat of one that another node has just accepted."""
-        if not self._store.sync():
-            return refusal(503, "the state service does not answer")
-        if keys.job_key(job_id) in self._store.mirror:
-            return self._state(job_id)
+        """Refuses a job that can never run, unless it is known."""
+        repeat = self._state_of_repeat(job_id)
+        if repeat is not None:
+            return repeat
         self._metrics.count("submissions_refused", never.kind)
         self.log.info("refused %s: %s", job_id, never.reason)
         return refusal(400 if never.kind == RefusalKind.TOO_LONG else 422, never.reason)
 
-    def _never_runs(self, spec: JobSpec, types: list[MachineType]) -> JobRefusal | None:
-        """Returns why the job can never run, None if it can; raises NotKnownYet."""
-        team = self._teams.get(spec.team)
-        if team is None:
-            return unknown_team(spec.team)
-        over_limit = exceeds_limit(spec, team)
-        if over_limit is not None:
-            return over_limit
-        if not types:
-            raise NotKnownYet("the machine types are not known yet")
-        return self._condition_refusal(spec) if fitting_types(spec, types) else fits_no_machine()
-
-    def _condition_refusal(self, spec: JobSpec) -> JobRefusal | None:
-        """Returns a refusal if the job's conditions are not supported or can never be met; raises NotKnownYet.
-
-        The jobs that it names need no guard: if one ends while this job is accepted, the leader reads that, as
-        it sees this job's record only after the record of every job that it names.
-        """
-        if not spec.has_extensions or not spec.conditional:
-            return None
-        if not self._conditions:
-            reason = "hold, not_before, after, at_once and limit_s are not switched on here (jobs.conditions)"
-            return JobRefusal(RefusalKind.CONDITION, reason)
-        after = spec.after or []
-        for is_fresh in (False, True):
-            missing = [condition.job for condition in after if keys.job_key(condition.job) not in self._store.mirror]
-            if missing and not is_fresh and not self._store.sync():
-                raise NotKnownYet("the state service does not answer")
-        if missing:
-            reason = f"it is to start after {missing[0]}, and there is no such job"
-            return JobRefusal(RefusalKind.CONDITION, reason)
-        for condition in after:
-            unsatisfiable = unsatisfiable_reason(condition, self._store.mirror[keys.job_key(condition.job)].value)
-            if unsatisfiable:
-                return JobRefusal(RefusalKind.CONDITION, unsatisfiable)
-        return None
-
-    def _known_types(self) -> list[MachineType]:
-        stamps = self._type_stamps()
-        if stamps and stamps != self._types_read:
-            self._types_read = stamps
-            self._types = machine_catalogue.read(self._value_of)
-        return self._types
-
-    def _type_stamps(self) -> list[int]:
-        """Returns the stamps of the parts of the machine types."""
-        stamps: list[int] = []
-        while stamp := self._store.stamp_of(keys.types_key(len(stamps))):
-            stamps.append(stamp)
-        return stamps
-
-    def _value_of(self, key: str) -> Any:
-        stored = self._store.mirror.get(key)
-        return stored.value if stored is not None else None
+    def _state_of_repeat(self, job_id: str) -> Reply | None:
+        """Returns the job's state if it is known; only a read shows that another node has not just accepted it."""
+        if not self._store.sync():
+            return refusal(503, "the state service does not answer")
+        return self._state(job_id) if keys.job_key(job_id) in self._store.mirror else None
 
     # ---------------------------------------------------------------- GET and abort
 
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -12,7 +12,7 @@
 from standins import TYPE, FakeClock, StateStandIn, job, make_config
 from tideusher.actors.election import Election
 from tideusher.actors.replies import Reply
-from tideusher.actors.store import Store, Unavailable
+from tideusher.actors.store import Conflict, Store, Unavailable
 from tideusher.actors.users import Users
 from tideusher.config import Policy
 from tideusher.core.model import keys
@@ -50,7 +50,11 @@
         return stored.value if stored else None
 
     def txn(self, guards, writes, patience_s=None):
+        if not self.answers:
+            raise Unavailable("cut")
         revision = self.state.txn(guards, writes)
+        if revision is None:
+            raise Conflict([guards[0].key])
         for write in writes:
             self.mirror[write.key] = MirroredValue(write.value, revision)
         self.while_txn()
