Tests: the refused body by a forwarding controller, sound amounts in the embedded library

A controller that alone is refused by the state service passes the refused body on, and it is accepted; explain tells 1e-60 as sent and 1e-6 as counted. A job of the embedded library with one of four odd amounts in each of six fields is accepted and done (24 cases).

--- a/tests/test_embed.py
+++ b/tests/test_embed.py
@@ -94,6 +94,14 @@
     assert instance.teams()[0]["used_gpus"] == 0.0
 
 
+@pytest.mark.parametrize("amount", [5e-324, 1e-60, 1e12, 1.7976931348623157e308])
+@pytest.mark.parametrize("name", ["estimate_s", "checkpoint_s", "save_s", "deadline_s", "image_gb", "min_run_s"])
+def test_a_job_with_any_sound_amount_is_accepted_and_done(program, name, amount):
+    assert program.instance.submit(small_job("req-1", "red", gpus=1.0, **{name: amount})).status == "pending"
+    program.end("req-1/0")
+    assert program.instance.wait("req-1", 0).status == "done"
+
+
 @pytest.mark.parametrize(
     "fields, words",
     [
--- a/tests/test_sound_submissions.py
+++ b/tests/test_sound_submissions.py
@@ -37,6 +37,21 @@
     assert replies[-1] == (200, {"ref": "req-977276", "status": "done", "done": 3, "running": 0})
 
 
+def test_refused_body_is_accepted_through_a_controller_that_forwards_it_and_explained_with_both_amounts(sim):
+    cluster = sim(machines=1)
+    leader = cluster.leader()
+    refused = next(name for name in cluster.names if name != leader)
+    cluster.service.refused.add(refused)  # it alone does not reach the state service
+    cluster.run(4.0)
+    replies = []
+    cluster.time.spawn(lambda: replies.append(cluster.ask(refused, "POST", "/work", REFUSED_BODY)))
+    cluster.run(2.0)
+    assert replies[0][0] == 201
+    cluster.time.spawn(lambda: replies.append(cluster.ask(leader, "GET", "/why/req-977276")))
+    cluster.run(1.0)
+    assert replies[1][1]["amounts"] == {"expect_s": {"sent": 1e-60, "counted": 1e-6}}
+
+
 # Submissions drawn from the protocol's own grammar
 
 #: A failure is printed as drawn: the seed of a spelling can't be made smaller.
