A body that nobody reads is left too

Found on reading the change again: at a path that does not exist, or with a method that is not allowed, nobody reads the body, and gevent read all of it after the answer: 64 MiB of an announced terabyte were taken in the test, with nothing to end it but the sender. Whatever of a body is unread once the answer is known is now left but for 256 KiB, and the connection closed; the same place serves bodies over the limit.

--- a/src/tideusher/actors/handler.py
+++ b/src/tideusher/actors/handler.py
@@ -53,14 +53,20 @@
             gevent.sleep(0)
 
 
-def stop_reading(environ: dict[str, Any]) -> None:
-    """Leaves a request's body but for a bounded part, which is dropped; its connection has to be closed.
+def leave_unread(body: Any) -> bool:
+    """Leaves what is unread of a request's body but for a bounded part, which is dropped; False if all was read.
 
-    Closing a connection with unread data resets it, and the client might not read the answer.
+    The connection has to be closed then. What is sent meanwhile is read for a while: closing a connection with unread
+    data resets it, and the client might not read the answer.
     """
-    body = environ["wsgi.input"]
-    if isinstance(body, Input) and body.content_length is not None:
-        body.content_length = min(body.content_length, body.position + MAX_DROPPED_BYTES)
+    if not isinstance(body, Input):
+        return False
+    if body.chunked_input:
+        return body.chunk_length != 0
+    if body.position >= (body.content_length or 0):
+        return False
+    body.content_length = min(body.content_length, body.position + MAX_DROPPED_BYTES)
+    return True
 
 
 class RequestHeaders:
--- a/src/tideusher/web.py
+++ b/src/tideusher/web.py
@@ -8,7 +8,7 @@
 
 from tideusher.actors.connections import Connections, CountedServer
 from tideusher.actors.gateway import Gateway
-from tideusher.actors.handler import HANDLER, stop_reading
+from tideusher.actors.handler import HANDLER, leave_unread
 from tideusher.actors.peers import Peers
 from tideusher.actors.questions import QueryService
 from tideusher.actors.replies import Reply, refusal, retry_later
@@ -83,15 +83,15 @@
             # Not an error of this node: treated as one, it got a 503, for which clients retry with the same body,
             # and each client that disconnected left a traceback in the log.
             self._users.log.debug("%s %s: %s", method, path, error)
-            stop_reading(environ)
             reply = Reply(400, {"error": str(error)}, [CLOSE])
         except Exception:
             self._users.log.exception("%s %s failed", method, path)
             reply = refusal(503, "internal error of this node")
+        headers = [*reply.headers, CLOSE] if leave_unread(environ["wsgi.input"]) else reply.headers
         body = _with_short_lines(reply.body if isinstance(reply.body, bytes) else msgspec.json.encode(reply.body))
         start_response(
             STATUS_LINES[reply.status],
-            [("Content-Type", "application/json"), ("Content-Length", str(len(body))), *reply.headers],
+            [("Content-Type", "application/json"), ("Content-Length", str(len(body))), *headers],
         )
         return [] if method == "HEAD" else [body]
 
@@ -121,8 +121,7 @@
             raise UnreadableBody("the body is over 64 KiB")
         kept_bytes = size if size > SMALL_BODY_BYTES else 0
         if self._body_bytes + kept_bytes > self._max_body_bytes:
-            stop_reading(environ)
-            return Reply(503, {"error": "too many large requests at once"}, [*retry_later(503), CLOSE])
+            return refusal(503, "too many large requests at once")
         self._body_bytes += kept_bytes
         try:
             return answer(_read(environ))
--- a/tests/test_hostile_requests.py
+++ b/tests/test_hostile_requests.py
@@ -107,6 +107,9 @@
 
 
 ENDLESS = {
+    "a body that nobody reads": (head("/nowhere", "Content-Length: 1000000000000"), b"x" * 65536),
+    "a body that nobody reads, in chunks": (head("/nowhere", "Transfer-Encoding: chunked"), chunk(b"x" * 65536)),
+    "a body of a method that is not allowed": (head("/metrics", "Content-Length: 1000000000000"), b"x" * 65536),
     "a body of a terabyte": (head("/checkin", "Content-Length: 1000000000000"), b"x" * 65536),
     "chunks without an end": (head("/checkin", "Transfer-Encoding: chunked"), chunk(b"x" * 65536)),
     "chunk extensions": (head("/work", "Transfer-Encoding: chunked"), b"1;" + b"e" * 4000 + b"\r\nx\r\n"),
