Nothing more is imported at a start

The whole suite found it: json and xxhash were imported with the modules that read submissions and write job records, by each start of a controller and compiled again each time, as run.py does not know of them (test_startup, 1 of 1,677 failed). Both are imported when a body or a text first needs them.

--- a/src/tideusher/core/model/job_record.py
+++ b/src/tideusher/core/model/job_record.py
@@ -3,7 +3,6 @@
 from typing import Any
 
 import msgspec
-import xxhash
 
 from tideusher.core.model import keys
 from tideusher.core.model.records import JOB_CANCELLED, OPEN, Job
@@ -42,6 +41,8 @@
     """Returns a text that names a class or an image, short enough for a record; different texts stay different."""
     if len(text) <= MAX_NAME:
         return text
+    import xxhash  # imported with the first long text, not at each start
+
     return f"{text[: MAX_NAME // 4]}~{xxhash.xxh3_128_hexdigest(text.encode())}"
 
 
--- a/src/tideusher/wire/submissions.py
+++ b/src/tideusher/wire/submissions.py
@@ -5,9 +5,9 @@
 it; with any other value it is a field that we do not know, and is ignored.
 """
 
-import json
 import sys
-from typing import Any, NoReturn, get_type_hints
+from functools import cache
+from typing import TYPE_CHECKING, Any, NoReturn, get_type_hints
 
 import msgspec
 
@@ -18,6 +18,9 @@
 #: Digits of an integer that is read as such, less than the largest double has; a longer one is read as a double.
 MAX_INTEGER_DIGITS = 300
 
+if TYPE_CHECKING:
+    from json import JSONDecoder
+
 _FIELDS = {field.encode_name: field.name for field in msgspec.structs.fields(JobSpec)}
 _TYPES = get_type_hints(JobSpec)
 _AMOUNTS = {field.name: field for field in AMOUNTS}
@@ -114,10 +117,12 @@
 
 def _decode_object(body: bytes) -> dict[str, Any]:
     try:
-        raw = _json.decode(body.decode())
+        raw = _json_decoder().decode(body.decode())
     except RecursionError:
         raise InvalidJob("it is nested too deeply") from None
-    except json.JSONDecodeError as error:
+    except InvalidJob:
+        raise
+    except ValueError as error:
         raise InvalidJob(f"the body is not JSON: {error}") from None
     if not isinstance(raw, dict):
         raise InvalidJob("the body is not an object")
@@ -150,4 +155,8 @@
     raise InvalidJob(f"the body is not JSON: {name}")
 
 
-_json = json.JSONDecoder(parse_int=_integer, parse_constant=_no_constant)
+@cache
+def _json_decoder() -> "JSONDecoder":
+    from json import JSONDecoder  # imported with the first body that needs it, not at each start
+
+    return JSONDecoder(parse_int=_integer, parse_constant=_no_constant)
