--- a/src/tideusher/web.py
+++ b/src/tideusher/web.py
@@ -87,7 +87,7 @@
         except Exception:
             self._users.log.exception("%s %s failed", method, path)
             reply = refusal(503, "internal error of this node")
-        headers = [*reply.headers, CLOSE] if leave_unread(environ["wsgi.input"]) else reply.headers
+        headers = [*reply.headers, CLOSE] if leave_unread(environ.get("wsgi.input")) else reply.headers
         body = _with_short_lines(reply.body if isinstance(reply.body, bytes) else msgspec.json.encode(reply.body))
         start_response(
             STATUS_LINES[reply.status],
