--- a/src/tideusher/scale/answers.py
+++ b/src/tideusher/scale/answers.py
@@ -8,7 +8,7 @@
 
 from tideusher.wire.jobs import CANCELLED, DONE
 
-WENT_BACK, FORGOTTEN, UNASKED = "went_back", "forgotten", "unasked"
+WENT_BACK, FORGOTTEN, UNASKED, REJECTED = "went_back", "forgotten", "unasked", "rejected"
 FINAL = (DONE, CANCELLED)
 ReportBreak = Callable[[str, str, str], None]
 
@@ -43,6 +43,11 @@
         if before.accepted and status in (400, 404, 422):
             self._report_break(job, FORGOTTEN, f"{where}: {status} after it was accepted")
 
+    def rejected(self, job: str, status: int, where: str) -> None:
+        """Checks an error answer to the submission of a job that is sound and can run."""
+        if status in (400, 422):
+            self._report_break(job, REJECTED, f"{where}: {status} for a sound submission")
+
     def told(self, job: str, before: Known, state: str, done: int | None, where: str) -> bool:
         """Checks the state in an answer; True if it is news. `done`: the number of finished tasks, if given."""
         if before.final and state != before.final:
--- a/src/tideusher/scale/judge.py
+++ b/src/tideusher/scale/judge.py
@@ -29,6 +29,7 @@
     answers.WENT_BACK,
     answers.FORGOTTEN,
     answers.UNASKED,
+    answers.REJECTED,
     events.UNANSWERED,
 )
 #: Rules with time bounds: a machine too busy to simulate the run in real time can break them.
--- a/src/tideusher/scale/users.py
+++ b/src/tideusher/scale/users.py
@@ -19,6 +19,7 @@
 from tideusher.scale.layout import Layout
 from tideusher.scale.messages import Begin, Counted, Cut, LinkCuts, Message, Quiet, Traffic
 from tideusher.scale.settings import ScaleSettings, load_scale_settings
+from tideusher.scale.spelling import spell
 from tideusher.scale.workload import Submission, Workload
 from tideusher.wire.jobs import CANCELLED, DONE, JobStatus
 
@@ -30,6 +31,8 @@
 UNANSWERED_S = 30.0
 #: Instead of a controller's number: the load balancer chooses the controller.
 ANYWHERE = -1
+SUBMIT, SUBMIT_AGAIN = "submit", "submit again"
+SUBMISSIONS = (SUBMIT, SUBMIT_AGAIN)
 
 
 class Unanswered(Exception):
@@ -45,6 +48,7 @@
         self._workload = Workload(settings)
         self._balancer = Balancer(Layout(settings), self._controllers)
         self._rng = random.Random(f"{settings.seed}/users")
+        self._spelling_rng = random.Random(f"{settings.seed}/spelling")
         self._answers = Answers(self._report_broken)
         self._cancel_asked_us: dict[str, int] = {}  # by job: when its user first asked to cancel it
         self._answered_us: dict[str, int] = {}  # by unfinished job: time of the last answer about it
@@ -97,8 +101,8 @@
     def _follow(self, submission: Submission, began_us: int) -> None:
         """Follows a job from its submission until its user has seen it end."""
         submitted_us = self._clock.now_us()
-        body = msgspec.json.encode(self._workload.spec(submission.job))
-        if self._send_until_answered(submission.job, "POST", "/work", body, "submit", submitted_us) is None:
+        body = self._submission_of(submission.job)
+        if self._send_until_answered(submission.job, "POST", "/work", body, SUBMIT, submitted_us) is None:
             self.counts["gave up"] += 1
             return
         self._log.write(events.Accepted(self._clock.now_us(), submission.job, submitted_us))
@@ -136,11 +140,15 @@
 
     def _query_all(self, job: str) -> None:
         """Polls all controllers within milliseconds and repeats the submission at each."""
-        body = msgspec.json.encode(self._workload.spec(job))
         for number in range(self._controllers):
+            body = self._submission_of(job)
             after_s = QUERY_ALL_WITHIN_S * self._rng.random()
             gevent.spawn_later(after_s, self._send_once, job, "GET", f"/work/{job}", None, "look", number)
-            gevent.spawn_later(after_s, self._send_once, job, "POST", "/work", body, "submit again", number)
+            gevent.spawn_later(after_s, self._send_once, job, "POST", "/work", body, SUBMIT_AGAIN, number)
+
+    def _submission_of(self, job: str) -> bytes:
+        """Returns the job's submission, in another spelling each time."""
+        return spell(self._workload.spec(job), self._spelling_rng)
 
     # ---------------------------------------------------------------- requests
 
@@ -177,6 +185,8 @@
         """Checks an answer and returns the state in it, or None if it has none."""
         if status not in (200, 201):
             self._answers.refused(job, before, status, request)
+            if request in SUBMISSIONS:
+                self._answers.rejected(job, status, request)
             return None
         job_status: JobStatus = msgspec.json.decode(answer, type=JobStatus)
         now_us = self._clock.now_us()
