--- a/src/tideusher/actors/connections.py
+++ b/src/tideusher/actors/connections.py
@@ -1,17 +1,21 @@
 """The open connections of users and workers: one that stays idle is closed, and there are never too many.
 
+A request has to arrive within the time for which users wait for an answer; one that is sent more slowly is closed.
+
 A machine that is gone sends no end of its connection, and a client may keep one for ever. Each is a socket of this
 process, which has only so many: once none is left no worker and no user gets in.
 """
 
+import itertools
 import socket
 from collections.abc import Iterable
+from functools import partial
 from typing import Any, Protocol
 
 import gevent
 from gevent.pywsgi import WSGIServer
 
-from tideusher.actors.handler import Handler
+from tideusher.actors.handler import BODY_UNREAD, Handler
 from tideusher.clock import SECOND_US, Clock, to_s, to_us
 
 #: A connection on which nothing was asked for so many leases of a worker is closed: its machine is gone by then.
@@ -20,6 +24,14 @@
 MIN_IDLE_US = 30 * SECOND_US
 #: A user's connection that has had a request may be idle for longer: load balancers keep connections for later users.
 USER_IDLE_US = 600 * SECOND_US
+#: From its first byte a request has to be here within the time after which users give up.
+MAX_RECEIVING_US = 5 * SECOND_US
+#: How often requests that arrive too slowly are looked for.
+RECEIVING_LOOK_S = 1.0
+#: Bytes of an unread body that are taken and dropped, so that the client reads the answer before its connection ends.
+MAX_DROPPED_BYTES = 256 * 1024
+#: Time for which they are waited for.
+DROP_TIMEOUT_S = 1.0
 #: Share of the process's sockets that connections from outside may take; the others are for calls of our own.
 SERVED_SOCKET_SHARE = 0.9
 #: After so many seconds without a packet the system probes a connection, at this interval and so many times.
@@ -27,6 +39,8 @@
 #: Number of looks for idle connections within the limit.
 LOOKS_PER_LIMIT = 6
 NEW, WORKER, USER = "new", "worker", "user"
+#: Key of a request's environment: a function to call when its body has been read.
+BODY_ARRIVED = "tideusher.body_arrived"
 
 
 class Connection(Protocol):
@@ -43,8 +57,9 @@
         self._clock = clock
         self._limit_us = max(MIN_IDLE_US, to_us(IDLE_LEASES * lease_s))
         self._max_open = max(1, int(max_sockets * SERVED_SOCKET_SHARE))
-        # By connection: when it became idle, or busy; the longest one first.
+        # By connection: when it became idle, began to receive a request, or became busy; the longest one first.
         self._idle: dict[Connection, int] = {}
+        self._receiving: dict[Connection, int] = {}
         self._busy: dict[Connection, int] = {}
         self._kinds: dict[Connection, str] = {}
 
@@ -60,18 +75,24 @@
         if connection not in self._kinds:
             return
         self._busy.pop(connection, None)
+        self._receiving.pop(connection, None)
         self._idle.pop(connection, None)
         self._idle[connection] = self._clock.now_us()
         self._kinds[connection] = kind or self._kinds[connection]
 
-    def busy(self, connection: Connection) -> None:
-        """Notes that a request has begun."""
+    def receiving(self, connection: Connection) -> None:
+        """Notes that a request has begun to arrive."""
         if self._idle.pop(connection, None) is not None:
+            self._receiving[connection] = self._clock.now_us()
+
+    def busy(self, connection: Connection) -> None:
+        """Notes that a request has arrived whole."""
+        if self._receiving.pop(connection, None) is not None:
             self._busy[connection] = self._clock.now_us()
 
     def closed(self, connection: Connection) -> None:
         """Forgets a connection that has ended."""
-        for known in (self._idle, self._busy, self._kinds):
+        for known in (self._idle, self._receiving, self._busy, self._kinds):
             known.pop(connection, None)
 
     def close_stale(self) -> int:
@@ -86,7 +107,14 @@
         stale += _before(limit_us, self._busy)
         for connection in stale:
             self._close(connection)
-        return len(stale)
+        return len(stale) + self.close_slow()
+
+    def close_slow(self) -> int:
+        """Closes the connections whose request has not arrived in time; returns how many."""
+        slow = list(_before(self._clock.now_us() - MAX_RECEIVING_US, self._receiving))
+        for connection in slow:
+            self._close(connection)
+        return len(slow)
 
     def by_kind(self) -> dict[str, int]:
         """Returns the number of open connections by kind."""
@@ -96,10 +124,14 @@
         return counts
 
     def watch(self) -> None:
-        """Closes stale connections from now on."""
-        while True:
-            gevent.sleep(to_s(self._limit_us) / LOOKS_PER_LIMIT)
-            self.close_stale()
+        """Closes stale and slow connections from now on."""
+        looks_per_stale_look = max(1, round(to_s(self._limit_us) / LOOKS_PER_LIMIT / RECEIVING_LOOK_S))
+        for look in itertools.count(1):
+            gevent.sleep(RECEIVING_LOOK_S)
+            if look % looks_per_stale_look == 0:
+                self.close_stale()
+            else:
+                self.close_slow()
 
     def _close(self, connection: Connection) -> None:
         self.closed(connection)
@@ -133,10 +165,40 @@
         connections: Connections = self.server.connections
         path = getattr(self, "path", None)
         connections.idle(self, "" if path is None else WORKER if path == "/checkin" else USER)
+        if not self.rfile.peek(1):
+            return ""
+        connections.receiving(self)
         line: str = super().read_requestline()
-        connections.busy(self)
         return line
 
+    def get_environ(self) -> dict[str, Any]:
+        """Returns the request for the application, which calls `BODY_ARRIVED` once it has read the body."""
+        environ = super().get_environ()
+        environ[BODY_ARRIVED] = partial(self.server.connections.busy, self)
+        if not self.content_length and not environ["wsgi.input"].chunked_input:
+            environ[BODY_ARRIVED]()
+        return environ
+
+    def handle_one_request(self) -> Any:
+        """Serves one request; of a body that the application did not read only a bounded part is taken."""
+        result = super().handle_one_request()
+        environ = self.__dict__.get("environ") or {}
+        if result is None and environ.get(BODY_UNREAD):
+            self._drop_unread()
+        return result
+
+    def _drop_unread(self) -> None:
+        """Closing a connection with unread data resets it, and the client might not read the answer."""
+        left = MAX_DROPPED_BYTES
+        try:
+            with gevent.Timeout(DROP_TIMEOUT_S, False):
+                self.socket.shutdown(socket.SHUT_WR)
+                while left > 0 and (data := self.socket.recv(16 * 1024)):
+                    left -= len(data)
+                    gevent.sleep(0)
+        except OSError:
+            pass  # the other side has closed it already
+
     def close(self) -> None:
         """Closes the connection; the greenlet that reads from it gets its end."""
         sock = self.__dict__.get("socket")
--- a/src/tideusher/actors/handler.py
+++ b/src/tideusher/actors/handler.py
@@ -1,4 +1,4 @@
-"""The HTTP connection handler: gevent's, without the parts that no code here uses.
+"""The HTTP connection handler: gevent's, without the parts that no code here uses, and with bounds on what it reads.
 
 Reports of workers are most of a controller's requests, and most of the cost of a report was not its answer: headers
 were parsed as those of mail, a log line was formatted and discarded, and head and body left in two packets.
@@ -7,11 +7,57 @@
 from collections.abc import Iterator
 from typing import Any, BinaryIO
 
-from gevent.pywsgi import WSGIHandler
+import gevent
+from gevent.pywsgi import Input, WSGIHandler
 
 MAX_LINE_BYTES = 16 * 1024
 MAX_HEADERS = 100
+#: Bytes of all header lines of a request.
+MAX_HEAD_BYTES = 24 * 1024
 MAX_SINGLE_WRITE_BYTES = 16 * 1024
+#: Bytes of a body in chunks with their framing: a chunk of one byte has six.
+MAX_CHUNKED_BYTES = 512 * 1024
+#: Bytes of a chunked body after which other connections are served; gevent reads its framing byte by byte.
+CHUNKED_BYTES_PER_TURN = 16 * 1024
+#: Key of a request's environment: part of its body is left unread.
+BODY_UNREAD = "tideusher.body_unread"
+
+
+class ChunkedBytes:
+    """The bytes of a body in chunks, up to a limit; raises OSError beyond it."""
+
+    def __init__(self, file: BinaryIO) -> None:
+        self._file, self._bytes, self._turn_bytes = file, 0, 0
+
+    def read(self, size: int) -> bytes:
+        """Reads up to `size` bytes."""
+        data = self._file.read(size)
+        self._count(data)
+        return data
+
+    def readline(self, size: int) -> bytes:
+        """Reads a line of up to `size` bytes."""
+        data = self._file.readline(size)
+        self._count(data)
+        return data
+
+    def _count(self, data: bytes) -> None:
+        self._bytes += len(data)
+        self._turn_bytes += len(data)
+        if self._bytes > MAX_CHUNKED_BYTES:
+            raise OSError("the chunks of the body are too many")
+        if self._turn_bytes > CHUNKED_BYTES_PER_TURN:
+            self._turn_bytes = 0
+            gevent.sleep(0)
+
+
+def stop_reading(environ: dict[str, Any]) -> None:
+    """Leaves the rest of a request's body unread; its connection has to be closed."""
+    environ[BODY_UNREAD] = True
+    body = environ["wsgi.input"]
+    if isinstance(body, Input):
+        body.content_length = body.position
+        body.chunked_input = False
 
 
 class RequestHeaders:
@@ -24,14 +70,16 @@
     def __init__(self, file: BinaryIO, *_: Any) -> None:
         self.status = ""  # if not empty, the reason to refuse the request
         self._values: dict[str, str] = {}
+        head_bytes = 0
         for _number in range(MAX_HEADERS + 1):
             line = file.readline(MAX_LINE_BYTES + 1)
+            head_bytes += len(line)
             if line in (b"\r\n", b"\n", b""):
                 return
             name, colon, value = line.decode("latin-1").partition(":")
             key = name.lower()
-            if len(line) > MAX_LINE_BYTES:
-                self.status = "Line too long"
+            if len(line) > MAX_LINE_BYTES or head_bytes > MAX_HEAD_BYTES:
+                self.status = "Headers too long"
             elif not colon or not name or name != name.strip() or " " in name:
                 self.status = "Malformed header"
             elif key not in self._values:
@@ -74,6 +122,14 @@
             if "_" not in name and name not in ("content-type", "content-length"):
                 yield "HTTP_" + name.replace("-", "_").upper(), value
 
+    def get_environ(self) -> dict[str, Any]:
+        """Returns the request for the application."""
+        environ: dict[str, Any] = super().get_environ()
+        body = environ["wsgi.input"]
+        if body.chunked_input:
+            body.rfile = ChunkedBytes(body.rfile)
+        return environ
+
     def log_request(self) -> None:
         """Logs nothing: decisions on requests are logged where they are made."""
 
--- a/src/tideusher/actors/peers.py
+++ b/src/tideusher/actors/peers.py
@@ -4,6 +4,7 @@
 silent link does not show that the other node is dead, only that the link cannot be used.
 """
 
+import contextlib
 import itertools
 import logging
 from collections.abc import Callable
@@ -23,6 +24,10 @@
 REQUEST_TIMEOUT_S = 1.0
 #: Delay before a closed link is opened again.
 RECONNECT_DELAY_S = 0.3
+#: A connection on which no whole message came for this long is closed; a heartbeat comes every HEARTBEAT_S.
+MAX_FRAME_TIME_US = to_us(6.0)
+#: A peer that has lost its connection opens another, while the end of the old one is not known here.
+CONNECTIONS_PER_PEER, SPARE_CONNECTIONS = 2, 4
 
 #: Bytes that may wait to be sent on one connection. A report that does not fit is answered at once by its gateway
 #: alone: behind a network partition it would be too late anyway.
@@ -208,6 +213,36 @@
                     result.set(message)
 
 
+class IncomingConnections:
+    """The connections of other controllers, so many that their unfinished frames fit the memory.
+
+    Beyond that number the one that has been without a whole message for longest is closed.
+    """
+
+    def __init__(self, peers: int) -> None:
+        self._most = CONNECTIONS_PER_PEER * peers + SPARE_CONNECTIONS
+        self._open: dict[socket.socket, None] = {}  # the one that was heard least recently first
+
+    def add(self, sock: socket.socket) -> None:
+        """Adds a connection."""
+        if len(self._open) >= self._most:
+            oldest = next(iter(self._open))
+            self.remove(oldest)
+            with contextlib.suppress(OSError):
+                oldest.shutdown(socket.SHUT_RDWR)
+        self._open[sock] = None
+
+    def heard(self, sock: socket.socket) -> None:
+        """Notes a whole message."""
+        if sock in self._open:
+            del self._open[sock]
+            self._open[sock] = None
+
+    def remove(self, sock: socket.socket) -> None:
+        """Forgets a connection that has ended."""
+        self._open.pop(sock, None)
+
+
 class Peers:
     """All links to other controllers, and the server that answers their requests."""
 
@@ -225,6 +260,7 @@
         self.links = {peer.name: Link(peer, hello, clock, on_heartbeat) for peer in config.peers}
         self._handler: Handler = lambda message: None
         self._reports: ReportsHandler = lambda reports: []
+        self._incoming = IncomingConnections(len(config.peers))
         self._server = StreamServer(split_address(config.peer_bind), self._serve)
 
     def start(self, handler: Handler, reports: ReportsHandler) -> None:
@@ -311,22 +347,33 @@
         return any(self.reads_state(node) for node in self.links)
 
     def _serve(self, sock: socket.socket, address: tuple[str, int]) -> None:
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        unframer, outbox = wire.MessageDecoder(), Outbox(sock)
+        self._incoming.add(sock)
         try:
-            while True:
-                with gevent.Timeout(6.0):
-                    data = sock.recv(65536)
-                if not data:
-                    return
-                self.take(unframer.feed(data), outbox)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self._receive(sock)
         except wire.FrameError as error:
             self.log.error("frame from %s refused: %s", address[0], error)
         except (OSError, gevent.Timeout):
             pass
         finally:
+            self._incoming.remove(sock)
             sock.close()
 
+    def _receive(self, sock: socket.socket) -> None:
+        """Handles what a peer sends; ends if no whole message has come for MAX_FRAME_TIME_US."""
+        unframer, outbox = wire.MessageDecoder(), Outbox(sock)
+        until_us = self._clock.now_us() + MAX_FRAME_TIME_US
+        while True:
+            with gevent.Timeout(max(0.0, to_s(until_us - self._clock.now_us()))):
+                data = sock.recv(65536)
+            if not data:
+                return
+            messages = unframer.feed(data)
+            if messages:
+                until_us = self._clock.now_us() + MAX_FRAME_TIME_US
+                self._incoming.heard(sock)
+                self.take(messages, outbox)
+
     def take(self, messages: list[wire.Message], outbox: Outbox) -> None:
         """Handles messages that arrived together on one connection, without waiting for their answers."""
         reports = []
--- a/src/tideusher/node.py
+++ b/src/tideusher/node.py
@@ -36,6 +36,8 @@
     from tideusher.pbs.profile import Profile
 
 CONTACT_TIMEOUT_US = to_us(3.0)
+#: Share of the process's memory for the larger bodies of requests.
+BODY_MEMORY_SHARE = 1 / 16
 
 
 class Node:
@@ -90,6 +92,7 @@
             self.in_contact,
             self.healthy,
             self.connections,
+            int(settings.resources.ram_mb * BODY_MEMORY_SHARE * (1 << 20)),
         )
 
     def run(self) -> None:
--- a/src/tideusher/web.py
+++ b/src/tideusher/web.py
@@ -6,8 +6,9 @@
 import gevent
 import msgspec
 
-from tideusher.actors.connections import Connections, CountedServer
+from tideusher.actors.connections import BODY_ARRIVED, Connections, CountedServer
 from tideusher.actors.gateway import Gateway
+from tideusher.actors.handler import stop_reading
 from tideusher.actors.peers import Peers
 from tideusher.actors.questions import QueryService
 from tideusher.actors.replies import Reply, refusal, retry_later
@@ -35,8 +36,15 @@
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
 
 
+#: A larger body is read only if there is memory for it; reports and submissions are rarely larger.
+SMALL_BODY_BYTES = 4 * 1024
+#: Memory for larger bodies that are read or answered at a time.
+MAX_BODY_BYTES = 8 * 1024 * 1024
+CLOSE = ("Connection", "close")
+
+
 class UnreadableBody(Exception):
-    """The body cannot be read to its end: its framing is broken, or the client disconnected."""
+    """The body cannot be read to its end: it is too large, its framing is broken, or the client disconnected."""
 
 
 class Web:
@@ -53,10 +61,12 @@
         in_contact: Callable[[], bool],
         healthy: Callable[[], bool],
         connections: Connections,
+        max_body_bytes: int = MAX_BODY_BYTES,
     ) -> None:
         self._users, self._gateway, self._query_service, self._peers = users, gateway, questions, peers
         self._metrics, self._in_contact, self._healthy = metrics, in_contact, healthy
         self._user_requests = 0
+        self._body_bytes, self._max_body_bytes = 0, max_body_bytes
         self._connections = connections
         self._server = CountedServer(split_address(bind), self, connections)
 
@@ -73,7 +83,8 @@
             # Not an error of this node: treated as one, it got a 503, for which clients retry with the same body,
             # and each client that disconnected left a traceback in the log.
             self._users.log.debug("%s %s: %s", method, path, error)
-            reply = Reply(400, {"error": str(error)}, [("Connection", "close")])
+            stop_reading(environ)
+            reply = Reply(400, {"error": str(error)}, [CLOSE])
         except Exception:
             self._users.log.exception("%s %s failed", method, path)
             reply = refusal(503, "internal error of this node")
@@ -88,18 +99,11 @@
         if path == "/checkin":
             if method != "POST":
                 return refusal(405, "POST only")
-            answer = self._gateway.handle(_read(environ))
-            return Reply(answer.status, answer.body)
+            return self._serve_body(environ, self._answer_report)
         if path == "/healthz":
             return Reply(200, b"{}") if self._healthy() else refusal(503, "this node cannot take requests")
         if path in ("/work", "/pbs") or path.startswith("/work/"):
-            if self._user_requests >= MAX_USER_REQUESTS:
-                return refusal(503, "too many requests at once")
-            self._user_requests += 1
-            try:
-                return self._serve_user(method, path, environ)
-            finally:
-                self._user_requests -= 1
+            return self._serve_body(environ, lambda body: self._serve_user(method, path, body))
         if path in ("/teams", "/machines", "/falls", "/metrics") or path.startswith("/why/"):
             if method != "GET":
                 return refusal(405, "GET only")
@@ -110,10 +114,35 @@
             return self._query_service.answer(path[1:])
         return refusal(404, "no such path")
 
-    def _serve_user(self, method: str, path: str, environ: dict[str, Any]) -> Reply:
-        body = self._body(environ)
-        if body is None:
-            return refusal(400, "the body is over 64 KiB")
+    def _serve_body(self, environ: dict[str, Any], answer: Callable[[bytes], Reply]) -> Reply:
+        """Reads the body within its bounds and answers the request."""
+        size = _announced_bytes(environ)
+        if size > MAX_BODY:
+            raise UnreadableBody("the body is over 64 KiB")
+        kept_bytes = size if size > SMALL_BODY_BYTES else 0
+        if self._body_bytes + kept_bytes > self._max_body_bytes:
+            stop_reading(environ)
+            return Reply(503, {"error": "too many large requests at once"}, [*retry_later(503), CLOSE])
+        self._body_bytes += kept_bytes
+        try:
+            return answer(_read(environ))
+        finally:
+            self._body_bytes -= kept_bytes
+
+    def _answer_report(self, body: bytes) -> Reply:
+        answer = self._gateway.handle(body)
+        return Reply(answer.status, answer.body)
+
+    def _serve_user(self, method: str, path: str, body: bytes) -> Reply:
+        if self._user_requests >= MAX_USER_REQUESTS:
+            return refusal(503, "too many requests at once")
+        self._user_requests += 1
+        try:
+            return self._answer_user(method, path, body)
+        finally:
+            self._user_requests -= 1
+
+    def _answer_user(self, method: str, path: str, body: bytes) -> Reply:
         out_of_contact = not self._in_contact()
         forwarded = self._forward_to_peer(method, path, body) if out_of_contact else None
         if forwarded is not None:
@@ -133,12 +162,6 @@
             return None
         return Reply(answer.status, bytes(answer.body), retry_later(answer.status))
 
-    @staticmethod
-    def _body(environ: dict[str, Any]) -> bytes | None:
-        """Returns the body, or None if it is over the limit."""
-        body = _read(environ, MAX_BODY + 1)
-        return None if len(body) > MAX_BODY else body
-
 
 def _with_short_lines(body: bytes) -> bytes:
     """Returns a JSON body that is too long for one line with a line for each value."""
@@ -147,9 +170,22 @@
     return msgspec.json.format(body, indent=1)
 
 
-def _read(environ: dict[str, Any], limit: int = -1) -> bytes:
-    """Reads up to `limit` bytes of the body (-1: all); raises UnreadableBody."""
+def _announced_bytes(environ: dict[str, Any]) -> int:
+    """Returns how large the body may be: as its head says, or the limit if it comes in chunks."""
+    if environ.get("HTTP_TRANSFER_ENCODING"):
+        return MAX_BODY
+    return int(environ.get("CONTENT_LENGTH") or 0)
+
+
+def _read(environ: dict[str, Any]) -> bytes:
+    """Reads the body; raises UnreadableBody, also if it is over the limit."""
     try:
-        return environ["wsgi.input"].read(limit)
+        body: bytes = environ["wsgi.input"].read(MAX_BODY + 1)
     except OSError as error:
         raise UnreadableBody(f"the body cannot be read: {error}") from None
+    if len(body) > MAX_BODY:
+        raise UnreadableBody("the body is over 64 KiB")
+    arrived = environ.get(BODY_ARRIVED)
+    if arrived is not None:
+        arrived()
+    return body
